--- /dev/null
+++ b/acaciacove/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions, the promises and the capacity."""
--- /dev/null
+++ b/acaciacove/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: every flag is declared in `cli.definition`."""
--- /dev/null
+++ b/acaciacove/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, cascade, roll-out, limit and fairness decisions as functions."""
--- /dev/null
+++ b/acaciacove/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: tasks around the decisions, towards callers."""
--- /dev/null
+++ b/acaciacove/fleet/fleet_state.py
@@ -0,0 +1,43 @@
+"""What is in force: the fold of the release stream up to one revision."""
+
+from attrs import field, frozen
+
+from acaciacove.fleet.api import Api
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.quarantine import Quarantine
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+
+NO_REVISION = -1
+
+
+@frozen
+class FleetState:
+    """The configuration in force at ``revision``.
+
+    ``revision`` is the log offset of the last record that was folded, accepted or
+    not; ``release_revision`` that of the release note in force, on which the next
+    note must be based. Values are never changed in place.
+    """
+
+    revision: int = NO_REVISION
+    release_revision: int = NO_REVISION
+    apis: dict[str, Api] = field(factory=dict)
+    versions: dict[VersionId, Version] = field(factory=dict)
+    organisations: dict[str, Organisation] = field(factory=dict)
+    availability_zones_out: frozenset[str] = frozenset()
+    instances_out: frozenset[str] = frozenset()
+    quarantines: dict[VersionId, Quarantine] = field(factory=dict)
+
+    def versions_of(self, api: str) -> tuple[Version, ...]:
+        """List the versions that answer an API, withdrawn ones included."""
+        return tuple(v for v in self.versions.values() if v.api == api)
+
+    def is_usable(self, version: VersionId) -> bool:
+        """Tell whether a version may get work at all."""
+        known = self.versions.get(version)
+        return (
+            known is not None
+            and not known.withdrawn
+            and version not in self.quarantines
+        )
--- /dev/null
+++ b/acaciacove/fleet/role.py
@@ -0,0 +1,10 @@
+"""What an instance does."""
+
+from enum import StrEnum
+
+
+class Role(StrEnum):
+    """The role of an instance."""
+
+    ENTRY = "entry"
+    ENDPOINT = "endpoint"
--- /dev/null
+++ b/acaciacove/messages/claim_answer.py
@@ -0,0 +1,17 @@
+"""What the owner of a claim knows: see ``state.claims`` for ``status``."""
+
+from attrs import frozen
+
+from acaciacove.messages.header import Header
+
+
+@frozen
+class ClaimAnswer:
+    """What the owner of a claim knows: see ``state.claims`` for ``status``."""
+
+    query_id: str
+    key: str
+    status: str
+    http_status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
--- /dev/null
+++ b/acaciacove/messages/message.py
@@ -0,0 +1,33 @@
+"""The union of all messages that travel between processes."""
+
+from acaciacove.messages.billed import Billed
+from acaciacove.messages.cancel import Cancel
+from acaciacove.messages.chunk import Chunk
+from acaciacove.messages.claim_answer import ClaimAnswer
+from acaciacove.messages.claim_query import ClaimQuery
+from acaciacove.messages.digest import Digest
+from acaciacove.messages.end import End
+from acaciacove.messages.head import Head
+from acaciacove.messages.hello import Hello
+from acaciacove.messages.load import Load
+from acaciacove.messages.pull import Pull
+from acaciacove.messages.records import Records
+from acaciacove.messages.refused import Refused
+from acaciacove.messages.run import Run
+
+Message = (
+    Hello
+    | Run
+    | Head
+    | Chunk
+    | End
+    | Refused
+    | Cancel
+    | Load
+    | Digest
+    | Pull
+    | Records
+    | ClaimQuery
+    | ClaimAnswer
+    | Billed
+)
--- /dev/null
+++ b/acaciacove/platform/weight_store.py
@@ -0,0 +1,11 @@
+"""The interface to the platform's rate-limited weight store."""
+
+from typing import Protocol
+
+
+class WeightStore(Protocol):
+    """Hands out permits to load weights; too many at once are refused."""
+
+    async def acquire(self, weights: str) -> float:
+        """Ask for a load; returns seconds to wait first, 0 when it may start."""
+        ...
--- /dev/null
+++ b/acaciacove/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings objects, passed whole."""
--- /dev/null
+++ b/acaciacove/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon: the only way to its endpoint."""
--- /dev/null
+++ b/acaciacove/state/__init__.py
@@ -0,0 +1,1 @@
+"""Shared state: log records, reducer, claims, billing, spread, membership."""
--- /dev/null
+++ b/acaciacove/state/verdict.py
@@ -0,0 +1,14 @@
+"""What the reducer made of a record."""
+
+from enum import StrEnum
+
+
+class Verdict(StrEnum):
+    """Accepted, or the reason why a record changes nothing."""
+
+    ACCEPTED = "accepted"
+    STALE_BASE = "stale_base"
+    DUPLICATE = "duplicate"
+    UNKNOWN_NAME = "unknown_name"
+    CONTRADICTION = "contradiction"
+    MALFORMED = "malformed"
--- /dev/null
+++ b/acaciacove/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Framing and codec of messages between the system's own processes."""
--- /dev/null
+++ b/acaciacove/wire/acaciacove.capnp
@@ -0,0 +1,158 @@
+@0xd3c1a7f05b9e4c21;
+# Messages between the system's own processes. Every struct mirrors the attrs
+# class of the same name in acaciacove.messages; acaciacove.wire.codec maps one to
+# the other by name (camelCase here, snake_case there). Version ids and reasons
+# travel as text, an absent number as NaN, an absent text as "".
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Load {
+  inFlight @0 :UInt32;
+  queued @1 :UInt32;
+  limit @2 :UInt32;
+  cold @3 :Bool;
+  queueDelayS @4 :Float32;
+  serviceS @5 :Float32;
+}
+
+struct Hello {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  role @2 :Text;
+  availabilityZone @3 :Text;
+  revision @4 :Int64;
+  wireVersion @5 :UInt16;
+}
+
+struct Run {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  revision @2 :Int64;
+  organisation @3 :Text;
+  api @4 :Text;
+  version @5 :Text;
+  session @6 :Text;
+  idempotencyKey @7 :Text;
+  deadlineS @8 :Float64;
+  stream @9 :Bool;
+  nonIdempotent @10 :Bool;
+  batch @11 :Bool;
+  estimatedTokens @12 :UInt32;
+  requestClass @13 :Text;
+  method @14 :Text;
+  path @15 :Text;
+  headers @16 :List(Header);
+  body @17 :Data;
+  receivedTokens @18 :UInt32;
+  receivedText @19 :Text;
+  billed @20 :List(Text);
+}
+
+struct Head {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+}
+
+struct Chunk {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  sequence @2 :UInt32;
+  data @3 :Data;
+}
+
+struct End {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  chunks @2 :UInt32;
+  promptTokens @3 :UInt32;
+  completionTokens @4 :UInt32;
+  cachedTokens @5 :UInt32;
+  serviceS @6 :Float64;
+  finishReason @7 :Text;
+  revision @8 :Int64;
+  load @9 :Load;
+}
+
+struct Refused {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+  reason @2 :Text;
+  notRun @3 :Bool;
+  detail @4 :Text;
+  retryAfterS @5 :Float64;
+  revision @6 :Int64;
+  load @7 :Load;
+}
+
+struct Cancel {
+  requestId @0 :Text;
+  attempt @1 :UInt16;
+}
+
+struct Digest {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  revision @2 :Int64;
+  status @3 :Text;
+  replyWanted @4 :Bool;
+  peers @5 :List(Text);
+}
+
+struct Pull {
+  fromOffset @0 :Int64;
+  limit @1 :UInt32;
+}
+
+struct Record {
+  offset @0 :Int64;
+  payload @1 :Data;
+}
+
+struct Records {
+  revision @0 :Int64;
+  snapshot @1 :Data;
+  snapshotRevision @2 :Int64;
+  records @3 :List(Record);
+}
+
+struct ClaimQuery {
+  queryId @0 :Text;
+  key @1 :Text;
+}
+
+struct ClaimAnswer {
+  queryId @0 :Text;
+  key @1 :Text;
+  status @2 :Text;
+  httpStatus @3 :UInt16;
+  headers @4 :List(Header);
+  body @5 :Data;
+}
+
+struct Billed {
+  requestIds @0 :List(Text);
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    run @1 :Run;
+    head @2 :Head;
+    chunk @3 :Chunk;
+    end @4 :End;
+    refused @5 :Refused;
+    cancel @6 :Cancel;
+    load @7 :Load;
+    digest @8 :Digest;
+    pull @9 :Pull;
+    records @10 :Records;
+    claimQuery @11 :ClaimQuery;
+    claimAnswer @12 :ClaimAnswer;
+    billed @13 :Billed;
+  }
+}
--- /dev/null
+++ b/acaciacove/wire/codec.py
@@ -0,0 +1,138 @@
+"""Bytes of messages between processes: Cap'n Proto, mapped by field name.
+
+The schema is read when this module is imported; Cap'n Proto's reader takes old
+and new fields alike, so processes of neighbouring releases understand each other.
+"""
+
+import math
+from collections.abc import Callable
+from functools import cache
+from pathlib import Path
+from types import UnionType
+from typing import Any, get_args, get_type_hints
+
+import attrs
+import capnp
+
+from acaciacove.errors import MalformedMessageError
+from acaciacove.messages.message import Message
+
+SCHEMA_PATH = Path(__file__).with_name("acaciacove.capnp")
+TRAVERSAL_LIMIT_WORDS = 2**24
+
+_schema = capnp.load(str(SCHEMA_PATH))
+_ABSENT_NUMBER = math.nan
+
+_Converter = Callable[[Any], Any]
+
+
+def encode(message: Message) -> bytes:
+    """Write one message as a Cap'n Proto frame."""
+    name = _camel(type(message).__name__, first_upper=False)
+    frame = _schema.Frame.new_message(**{name: _to_plain(message)})
+    data: bytes = frame.to_bytes()
+    return data
+
+
+def decode(data: bytes) -> Message:
+    """Read one message; raises MalformedMessageError."""
+    try:
+        with _schema.Frame.from_bytes(
+            data, traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS
+        ) as frame:
+            name = str(frame.which())
+            message: Message = _from_reader(_classes()[name], getattr(frame, name))
+            return message
+    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
+        raise MalformedMessageError(str(error)) from error
+
+
+@cache
+def _classes() -> dict[str, type]:
+    """Map the names of the frame's union to message classes."""
+    return {_camel(c.__name__, first_upper=False): c for c in get_args(Message)}
+
+
+def _camel(name: str, first_upper: bool) -> str:
+    """Spell a class or field name as the schema does."""
+    if "_" in name or name.islower():
+        head, *rest = name.split("_")
+        return head + "".join(part.capitalize() for part in rest)
+    return name if first_upper else name[0].lower() + name[1:]
+
+
+def _keep(value: Any) -> Any:
+    """Leave a plain value as it is."""
+    return value
+
+
+def _number_out(value: float | None) -> float:
+    """Write an absent number as NaN."""
+    return _ABSENT_NUMBER if value is None else value
+
+
+def _number_in(value: float) -> float | None:
+    """Read NaN as an absent number."""
+    return None if math.isnan(value) else value
+
+
+@cache
+def _writers(cls: Any) -> tuple[tuple[str, str, _Converter], ...]:
+    """List a class's fields with their schema names and writers."""
+    hints = get_type_hints(cls)
+    return tuple(
+        (f.name, _camel(f.name, first_upper=False), _writer(hints[f.name]))
+        for f in attrs.fields(cls)
+    )
+
+
+@cache
+def _readers(cls: type) -> tuple[tuple[str, _Converter], ...]:
+    """List a class's schema names with their readers, in order of its fields."""
+    hints = get_type_hints(cls)
+    return tuple(
+        (_camel(f.name, first_upper=False), _reader(hints[f.name]))
+        for f in attrs.fields(cls)
+    )
+
+
+def _writer(hint: Any) -> _Converter:
+    """Choose how values of a type are written."""
+    if attrs.has(hint):
+        return _to_plain
+    if isinstance(hint, UnionType):
+        return _number_out
+    if get_args(hint):
+        return _list_writer(_writer(get_args(hint)[0]))
+    return _keep
+
+
+def _reader(hint: Any) -> _Converter:
+    """Choose how values of a type are read."""
+    if attrs.has(hint):
+        return lambda value: _from_reader(hint, value)
+    if isinstance(hint, UnionType):
+        return _number_in
+    if get_args(hint):
+        return _list_reader(_reader(get_args(hint)[0]))
+    return _keep
+
+
+def _list_writer(item: _Converter) -> _Converter:
+    return lambda values: [item(value) for value in values]
+
+
+def _list_reader(item: _Converter) -> _Converter:
+    return lambda values: tuple(item(value) for value in values)
+
+
+def _to_plain(message: Any) -> dict[str, Any]:
+    """Turn an attrs value into what the schema's builder takes."""
+    cls: Any = type(message)
+    writers = _writers(cls)
+    return {name: write(getattr(message, field)) for field, name, write in writers}
+
+
+def _from_reader(cls: type, reader: Any) -> Any:
+    """Build an attrs value from a struct that was read."""
+    return cls(*[read(getattr(reader, name)) for name, read in _readers(cls)])
