Append to the log in groups under a budget, and tail it through gaps

Cause: replies of the platform's log are lost after the effect, its records expire, and it takes a few hundred appends a second from the whole fleet.

--- a/acaciacove/errors.py
+++ b/acaciacove/errors.py
@@ -29,3 +29,12 @@
         """Keep every fault, one sentence each."""
         super().__init__("; ".join(faults))
         self.faults = faults
+
+
+class LogQueueFullError(AcaciacoveError):
+    """The log writer's queue has no room for an item of this class."""
+
+    def __init__(self, queued: int) -> None:
+        """Keep how many items wait already."""
+        super().__init__(f"{queued} items wait for the log already")
+        self.queued = queued
--- /dev/null
+++ b/acaciacove/state/append_budget.py
@@ -0,0 +1,22 @@
+"""Shares the log's append rate among the processes of the fleet."""
+
+from attrs import evolve
+
+from acaciacove.state.log_writer_settings import LogWriterSettings
+
+FLEET_CLAIMS_PER_S = 300.0
+FLEET_BILLING_PER_S = 100.0
+SMALLEST_RATE_PER_S = 0.05
+
+
+def shared_settings(
+    settings: LogWriterSettings, claim_owners: int, billing_processes: int
+) -> LogWriterSettings:
+    """Split the fleet's append rates evenly, so that their sum stays bounded."""
+    claims = FLEET_CLAIMS_PER_S / max(1, claim_owners)
+    billing = FLEET_BILLING_PER_S / max(1, billing_processes)
+    return evolve(
+        settings,
+        claims_per_s=max(SMALLEST_RATE_PER_S, claims),
+        billing_per_s=max(SMALLEST_RATE_PER_S, billing),
+    )
--- /dev/null
+++ b/acaciacove/state/batch.py
@@ -0,0 +1,19 @@
+"""One appended payload that carries many items."""
+
+from typing import Any
+
+from attrs import frozen
+
+
+@frozen
+class Batch:
+    """Items of one group commit, as parsed JSON objects.
+
+    ``writer``, ``incarnation`` and ``sequence`` make the payload unique, so that
+    it can be found again when the reply to its append was lost.
+    """
+
+    writer: str
+    incarnation: int
+    sequence: int
+    items: tuple[dict[str, Any], ...]
--- /dev/null
+++ b/acaciacove/state/log_tail.py
@@ -0,0 +1,120 @@
+"""Follows one stream of the platform's log."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
+from acaciacove.platform.log_entry import LogEntry
+from acaciacove.platform.platform_log import PlatformLog
+from acaciacove.state.backoff import Backoff
+from acaciacove.state.log_health import LogHealth
+
+EntriesHandler = Callable[[list[LogEntry]], None]
+GapHandler = Callable[[int], None]
+
+READ_LIMIT = 1000
+READ_WAIT_S = 1.0
+READ_TIMEOUT_S = 3.0
+IDLE_DELAY_S = 0.1
+BACKOFF_LIMIT_S = 2.0
+
+
+class LogTail:
+    """Hands a stream's entries over in offset order, each once; ``run`` is its task.
+
+    ``handle_gap`` is told the earliest offset that can still be read when records
+    expired before they were read; entries from there on follow. ``caught_up`` is
+    set once the end of the stream has been seen.
+    """
+
+    def __init__(
+        self,
+        log: PlatformLog,
+        stream: str,
+        handle_entries: EntriesHandler,
+        handle_gap: GapHandler,
+        random: Random,
+        health: LogHealth | None = None,
+        next_offset: int = 0,
+    ) -> None:
+        """Take what the tail works with; nothing is read before ``run``."""
+        self.stream = stream
+        self.next_offset = next_offset
+        self.caught_up = asyncio.Event()
+        self.health = health or LogHealth()
+        self._log = log
+        self._handle_entries = handle_entries
+        self._handle_gap = handle_gap
+        self._backoff = Backoff(random, limit_s=BACKOFF_LIMIT_S)
+        self._lock = asyncio.Lock()
+
+    def advance_to(self, next_offset: int) -> None:
+        """Skip entries that came by another way, such as from a peer."""
+        self.next_offset = max(self.next_offset, next_offset)
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled, through outages."""
+        while True:
+            try:
+                count = await self.read_once(READ_WAIT_S)
+            except PlatformUnavailableError:
+                await asyncio.sleep(self._backoff.next_delay_s())
+                continue
+            if count == 0:
+                # A log that answers an empty read at once, without waiting as
+                # it was asked to, would otherwise be polled in a busy loop.
+                await asyncio.sleep(IDLE_DELAY_S)
+
+    async def read_once(self, wait_s: float = 0.0) -> int:
+        """Read and hand over the next entries; return how many there were.
+
+        Raises PlatformUnavailableError.
+        """
+        async with self._lock:
+            entries = await self._read(wait_s)
+            fresh = [e for e in entries if e.offset >= self.next_offset]
+            if fresh:
+                self.next_offset = fresh[-1].offset + 1
+                self._handle_entries(fresh)
+            if not entries:
+                self.caught_up.set()
+            return len(fresh)
+
+    async def catch_up(self, next_offset: int) -> None:
+        """Read until everything before ``next_offset`` was handed over.
+
+        Raises PlatformUnavailableError.
+        """
+        while self.next_offset < next_offset:
+            if await self.read_once() == 0 and self.next_offset < next_offset:
+                raise PlatformUnavailableError("the log ends before its own offset")
+
+    async def catch_up_to_end(self) -> None:
+        """Read until the end of the stream; raises PlatformUnavailableError."""
+        while await self.read_once() > 0:
+            pass
+
+    async def _read(self, wait_s: float) -> list[LogEntry]:
+        """Read once, past a gap if need be."""
+        loop = asyncio.get_running_loop()
+        while True:
+            started_s = loop.time()
+            self.health.reads += 1
+            try:
+                async with asyncio.timeout(wait_s + READ_TIMEOUT_S):
+                    entries = await self._log.read(
+                        self.stream, self.next_offset, READ_LIMIT, wait_s
+                    )
+            except OffsetExpiredError as error:
+                if error.earliest_offset <= self.next_offset:
+                    raise PlatformUnavailableError("contradictory offsets") from error
+                self.next_offset = error.earliest_offset
+                self._handle_gap(error.earliest_offset)
+                continue
+            except (PlatformUnavailableError, TimeoutError) as error:
+                self.health.failed(loop.time())
+                raise PlatformUnavailableError(str(error)) from error
+            self.health.succeeded(max(0.0, loop.time() - started_s - wait_s))
+            self._backoff.reset()
+            return entries
--- /dev/null
+++ b/acaciacove/state/log_writer.py
@@ -0,0 +1,319 @@
+"""Appends to the platform's log for one process: group commit under a budget."""
+
+import asyncio
+from collections import deque
+from random import Random
+
+from acaciacove.errors import (
+    LogQueueFullError,
+    OffsetExpiredError,
+    PlatformUnavailableError,
+)
+from acaciacove.platform.log_entry import LogEntry
+from acaciacove.platform.platform_log import PlatformLog
+from acaciacove.state.append_result import AppendResult
+from acaciacove.state.append_state import AppendState
+from acaciacove.state.backoff import Backoff
+from acaciacove.state.batch_codec import encode_batch
+from acaciacove.state.log_health import LogHealth
+from acaciacove.state.log_writer_settings import LogWriterSettings
+from acaciacove.state.pending_item import PendingItem
+from acaciacove.state.priority import Priority
+from acaciacove.state.token_bucket import TokenBucket
+
+READ_LIMIT = 1000
+SHORTEST_WAIT_S = 0.0005
+QUEUE_SHARES = {Priority.DECISION: 1.0, Priority.CLAIM: 0.95, Priority.BILLING: 0.8}
+
+
+class LogWriter:
+    """Queues items, groups them by stream and appends them; ``run`` is its task.
+
+    One payload a stream is under way at a time, so items of a stream land in the
+    order in which they were submitted. Items submitted without a deadline are
+    kept until they are in the log.
+    """
+
+    def __init__(
+        self,
+        log: PlatformLog,
+        name: str,
+        incarnation: int,
+        settings: LogWriterSettings,
+        random: Random,
+        health: LogHealth | None = None,
+    ) -> None:
+        """Take what the writer works with; nothing is sent before ``run``."""
+        self.health = health or LogHealth()
+        self._log = log
+        self._name = name
+        self._incarnation = incarnation
+        self._settings = settings
+        self._random = random
+        self._sequence = 0
+        self._queued = 0
+        self._streams: dict[str, deque[PendingItem]] = {}
+        self._ends: dict[str, int] = {}
+        self._in_flight: dict[str, asyncio.Task[None]] = {}
+        self._buckets: dict[Priority, TokenBucket] = {}
+        self._wake = asyncio.Event()
+        self.configure(settings)
+
+    @property
+    def queued(self) -> int:
+        """Return how many items wait or are under way."""
+        return self._queued
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether everything that was submitted is settled."""
+        return self._queued == 0
+
+    def configure(self, settings: LogWriterSettings) -> None:
+        """Change rates and bounds, for instance when the fleet has grown."""
+        self._settings = settings
+        for priority in Priority:
+            rate = settings.rate_per_s(priority)
+            bucket = self._buckets.get(priority)
+            if bucket is None:
+                self._buckets[priority] = TokenBucket(rate, settings.burst)
+            else:
+                bucket.rate_per_s = rate
+
+    def note_end(self, stream: str, next_offset: int) -> None:
+        """Learn how far a stream has been read, where a look-up may start."""
+        self._ends[stream] = max(self._ends.get(stream, 0), next_offset)
+
+    def has_room(self, priority: Priority) -> bool:
+        """Tell whether an item of this class would be taken now."""
+        return self._queued < QUEUE_SHARES[priority] * self._settings.max_items
+
+    def submit(
+        self, stream: str, item: bytes, priority: Priority
+    ) -> "asyncio.Future[AppendResult]":
+        """Queue an item that has to land, however long it takes.
+
+        Raises LogQueueFullError when the class's share of the queue is used up;
+        the caller then keeps the item and applies backpressure.
+        """
+        return self._enqueue(stream, item, priority).done
+
+    async def append(
+        self, stream: str, item: bytes, priority: Priority, deadline_s: float
+    ) -> AppendResult:
+        """Append an item by ``deadline_s`` (the loop's time), or say what is known.
+
+        An item that has not been sent by then never will be; one that was sent
+        without an answer is in doubt. Raises LogQueueFullError.
+        """
+        pending = self._enqueue(stream, item, priority)
+        timeout_s = max(0.0, deadline_s - asyncio.get_running_loop().time())
+        done, _ = await asyncio.wait({pending.done}, timeout=timeout_s)
+        if done:
+            return pending.done.result()
+        pending.abandoned = True
+        if pending.sent:
+            return AppendResult(AppendState.IN_DOUBT)
+        self._forget(pending)
+        return AppendResult(AppendState.NOT_APPENDED)
+
+    async def run(self) -> None:
+        """Append batches until cancelled."""
+        try:
+            while True:
+                self._wake.clear()
+                delay_s = self._start_batches(asyncio.get_running_loop().time())
+                await self._sleep(delay_s)
+        finally:
+            for task in list(self._in_flight.values()):
+                task.cancel()
+
+    async def flush(self, deadline_s: float) -> bool:
+        """Wait until everything has landed; false when the deadline came first."""
+        loop = asyncio.get_running_loop()
+        while not self.idle and loop.time() < deadline_s:
+            await asyncio.sleep(min(0.02, max(0.001, deadline_s - loop.time())))
+        return self.idle
+
+    def _enqueue(self, stream: str, item: bytes, priority: Priority) -> PendingItem:
+        if not self.has_room(priority):
+            raise LogQueueFullError(self._queued)
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[AppendResult] = loop.create_future()
+        pending = PendingItem(stream, item, priority, loop.time(), done)
+        self._streams.setdefault(stream, deque()).append(pending)
+        self._queued += 1
+        self._wake.set()
+        return pending
+
+    def _forget(self, pending: PendingItem) -> None:
+        """Take an item that was never sent out of its queue."""
+        queue = self._streams.get(pending.stream)
+        if queue is not None and pending in queue:
+            queue.remove(pending)
+            self._queued -= 1
+
+    async def _sleep(self, delay_s: float | None) -> None:
+        """Wait for work, or until a batch that lingers is due."""
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    def _start_batches(self, now_s: float) -> float | None:
+        """Start what may go now; return the seconds until more may."""
+        soonest_s: float | None = None
+        for stream in self._by_urgency():
+            if len(self._in_flight) >= self._settings.max_in_flight:
+                return None
+            wait_s = self._wait_s(self._streams[stream], now_s)
+            if wait_s > SHORTEST_WAIT_S:
+                soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
+                continue
+            self._start(stream, now_s)
+        return soonest_s
+
+    def _by_urgency(self) -> list[str]:
+        """List streams with work and nothing under way, the most urgent first."""
+        free = [s for s, q in self._streams.items() if q and s not in self._in_flight]
+        return sorted(free, key=self._urgency)
+
+    def _urgency(self, stream: str) -> tuple[Priority, float, str]:
+        first = self._streams[stream][0]
+        return first.priority, first.queued_s, stream
+
+    def _wait_s(self, queue: deque[PendingItem], now_s: float) -> float:
+        """Return how long a stream's batch still has to wait."""
+        first = queue[0]
+        bucket = self._buckets[first.priority]
+        token_s = bucket.wait_s(now_s)
+        if len(queue) >= self._settings.max_batch_items:
+            return token_s
+        linger_s = self._linger_s(first.priority, bucket)
+        return max(token_s, first.queued_s + linger_s - now_s)
+
+    def _linger_s(self, priority: Priority, bucket: TokenBucket) -> float:
+        """Wait longer for company the scarcer the appends have become."""
+        if priority is Priority.BILLING:
+            return self._settings.billing_linger_s
+        if priority is Priority.DECISION:
+            return 0.0
+        emptiness = 1.0 - bucket.tokens / bucket.burst
+        return self._settings.max_linger_s * max(0.0, emptiness - 0.5)
+
+    def _start(self, stream: str, now_s: float) -> None:
+        """Send a stream's next batch."""
+        batch = self._next_batch(stream)
+        self._buckets[batch[0].priority].take(now_s)
+        task = asyncio.create_task(self._commit(stream, batch))
+        self._in_flight[stream] = task
+        task.add_done_callback(lambda _: self._finished(stream))
+
+    def _finished(self, stream: str) -> None:
+        self._in_flight.pop(stream, None)
+        self._wake.set()
+
+    def _next_batch(self, stream: str) -> list[PendingItem]:
+        """Take items off a stream's queue, up to the batch's bounds."""
+        queue = self._streams[stream]
+        single = stream in self._settings.single_streams
+        limit = 1 if single else self._settings.max_batch_items
+        batch = [queue.popleft()]
+        size = len(batch[0].data)
+        while queue and len(batch) < limit:
+            size += len(queue[0].data)
+            if size > self._settings.max_batch_bytes:
+                break
+            batch.append(queue.popleft())
+        return batch
+
+    def _payload(self, stream: str, batch: list[PendingItem]) -> bytes:
+        """Write a batch so that no other payload equals it."""
+        if stream in self._settings.single_streams:
+            return batch[0].data
+        self._sequence += 1
+        items = [item.data for item in batch]
+        return encode_batch(self._name, self._incarnation, self._sequence, items)
+
+    async def _commit(self, stream: str, batch: list[PendingItem]) -> None:
+        """Append one batch, however often it takes.
+
+        The reply to an append can be lost after the record was written. A blind
+        repeat would write it twice and use up appends in the middle of an outage;
+        so the stream is read for the payload before every repeat. An append that
+        is still on its way then can land later all the same: readers ignore the
+        second of two equal items.
+        """
+        payload = self._payload(stream, batch)
+        start = self._ends.get(stream, 0)
+        backoff = Backoff(self._random, limit_s=self._settings.backoff_limit_s)
+        for item in batch:
+            item.sent = True
+        offset = await self._append_once(stream, payload)
+        while offset is None:
+            await asyncio.sleep(backoff.next_delay_s())
+            try:
+                offset = await self._find(stream, payload, start)
+            except (PlatformUnavailableError, TimeoutError):
+                self.health.failed(asyncio.get_running_loop().time())
+                continue
+            if offset is None and all(item.abandoned for item in batch):
+                break
+            if offset is None:
+                offset = await self._append_once(stream, payload)
+        self._settle(stream, batch, offset)
+
+    async def _append_once(self, stream: str, payload: bytes) -> int | None:
+        """Send one append; None when no reply came."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        self.health.appends += 1
+        try:
+            async with asyncio.timeout(self._settings.append_timeout_s):
+                offset = await self._log.append(stream, payload)
+        except (PlatformUnavailableError, TimeoutError):
+            self.health.failed(loop.time())
+            return None
+        self.health.succeeded(loop.time() - started_s)
+        return offset
+
+    async def _find(self, stream: str, payload: bytes, start: int) -> int | None:
+        """Read a stream to its end for a payload; None when it is not there."""
+        offset = start
+        while True:
+            try:
+                entries = await self._read(stream, offset)
+            except OffsetExpiredError as error:
+                if error.earliest_offset <= offset:
+                    raise PlatformUnavailableError("contradictory offsets") from error
+                offset = error.earliest_offset
+                continue
+            for entry in entries:
+                if entry.payload == payload:
+                    return entry.offset
+            if not entries:
+                return None
+            offset = entries[-1].offset + 1
+
+    async def _read(self, stream: str, offset: int) -> list[LogEntry]:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        self.health.reads += 1
+        async with asyncio.timeout(self._settings.append_timeout_s):
+            entries = await self._log.read(stream, offset, READ_LIMIT)
+        self.health.succeeded(loop.time() - started_s)
+        return entries
+
+    def _settle(
+        self, stream: str, batch: list[PendingItem], offset: int | None
+    ) -> None:
+        """Tell everyone who waits for an item of the batch."""
+        result = AppendResult(AppendState.IN_DOUBT)
+        if offset is not None:
+            result = AppendResult(AppendState.APPENDED, offset)
+            self.note_end(stream, offset + 1)
+        self._queued -= len(batch)
+        for item in batch:
+            if not item.done.done():
+                item.done.set_result(result)
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,19 @@
+"""Runs coroutines of tests under a virtual clock."""
+
+import async_solipsism
+
+
+def run_virtual(main, limit_s=100_000.0):
+    """Run a coroutine function to its end; its time passes without waiting."""
+    import asyncio
+
+    loop = async_solipsism.EventLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(asyncio.wait_for(main(), limit_s))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
