--- /dev/null
+++ b/acaciacove/cli/argument.py
@@ -0,0 +1,12 @@
+"""One positional argument of a command."""
+
+from attrs import frozen
+
+
+@frozen
+class Argument:
+    """An argument's name, which is that of a settings field, and its help."""
+
+    name: str
+    metavar: str
+    help: str
--- /dev/null
+++ b/acaciacove/cli/decide.py
@@ -0,0 +1,100 @@
+"""Takes availability zones and instances out, and brings them back."""
+
+import asyncio
+from collections.abc import Callable
+from uuid import uuid4
+
+from acaciacove.cli.append_once import append_once
+from acaciacove.cli.append_outcome import AppendOutcome
+from acaciacove.cli.history import read_history
+from acaciacove.cli.output import print_json
+from acaciacove.context import Environment
+from acaciacove.errors import InvalidSettingsError
+from acaciacove.exit_status import ExitStatus
+from acaciacove.settings.decision_settings import DecisionSettings
+from acaciacove.state.instance_decision import InstanceDecision
+from acaciacove.state.verdict import Verdict
+from acaciacove.state.zone_decision import ZoneDecision
+
+Decision = ZoneDecision | InstanceDecision
+MakeDecision = Callable[[str, DecisionSettings], Decision]
+
+
+def zone_decision(out: bool) -> MakeDecision:
+    """Make availability zone decisions of one kind."""
+
+    def make(decision_id: str, settings: DecisionSettings) -> Decision:
+        return ZoneDecision(decision_id, settings.name, out, settings.operator)
+
+    return make
+
+
+def instance_decision(out: bool) -> MakeDecision:
+    """Make instance decisions of one kind."""
+
+    def make(decision_id: str, settings: DecisionSettings) -> Decision:
+        return InstanceDecision(decision_id, settings.name, out, settings.operator)
+
+    return make
+
+
+def decide(
+    make: MakeDecision,
+) -> Callable[[DecisionSettings, Environment], ExitStatus]:
+    """Make the command that appends one kind of decision."""
+
+    def run(settings: DecisionSettings, env: Environment) -> ExitStatus:
+        decision = make(settings.decision_id or uuid4().hex, settings)
+        outcome = asyncio.run(_append(decision, settings, env))
+        _print(decision, outcome, settings, env)
+        if outcome.found is None:
+            return ExitStatus.OUTCOME_UNKNOWN
+        accepted = outcome.found.verdict is Verdict.ACCEPTED
+        return ExitStatus.SUCCESS if accepted else ExitStatus.ERROR
+
+    return run
+
+
+async def _append(
+    decision: Decision, settings: DecisionSettings, env: Environment
+) -> AppendOutcome:
+    """Append a decision unless its id is in the log already."""
+    log = env.open_log(settings.log_url)
+    history = await read_history(log)
+    outcome = await append_once(
+        history, log, decision, settings.timeout_s, settings.retry_delay_s
+    )
+    if outcome.found is not None and outcome.found.record != decision:
+        raise InvalidSettingsError(
+            [f"--decision_id {decision.decision_id} is that of another record"]
+        )
+    return outcome
+
+
+def _print(
+    decision: Decision,
+    outcome: AppendOutcome,
+    settings: DecisionSettings,
+    env: Environment,
+) -> None:
+    found = outcome.found
+    way = "out" if decision.out else "in"
+    if settings.json:
+        print_json(
+            {
+                "name": settings.name,
+                "out": decision.out,
+                "decision_id": decision.decision_id,
+                "offset": None if found is None else found.offset,
+                "verdict": None if found is None else found.verdict.value,
+                "repeated": outcome.repeated,
+            },
+            env,
+        )
+    elif found is None:
+        env.print(
+            f"{settings.name} {way}: outcome unknown; repeat the command with "
+            f"--decision_id={decision.decision_id}"
+        )
+    else:
+        env.print(f"{settings.name} {way} from revision {found.offset}")
--- /dev/null
+++ b/acaciacove/cli/definition.py
@@ -0,0 +1,385 @@
+"""Every command with every flag, in one place."""
+
+from acaciacove.cli import (
+    demo,
+    entry,
+    release_diff,
+    release_publish,
+    release_show,
+    release_validate,
+    sidecar,
+)
+from acaciacove.cli.argument import Argument
+from acaciacove.cli.command import Command
+from acaciacove.cli.decide import decide, instance_decision, zone_decision
+from acaciacove.cli.flag import Flag
+from acaciacove.settings.decision_settings import DecisionSettings
+from acaciacove.settings.demo_settings import DemoSettings
+from acaciacove.settings.diff_settings import DiffSettings
+from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.settings.file_settings import FileSettings
+from acaciacove.settings.publish_settings import PublishSettings
+from acaciacove.settings.show_settings import ShowSettings
+from acaciacove.settings.sidecar_settings import SidecarSettings
+
+#
+# Flags that several commands share
+#
+
+LOG_URL = Flag(
+    "log_url",
+    "URL of the platform's append-only log, which keeps release notes and decisions.",
+    "URL",
+)
+JSON = Flag("json", "Print one JSON object instead of text, for scripts.")
+OPERATOR = Flag(
+    "operator",
+    "Who publishes or decides; kept in the log for the history.",
+    "NAME",
+)
+MAX_NOTE_BYTES = Flag(
+    "max_note_bytes",
+    "Refuse release notes larger than this many bytes before reading them.",
+    "BYTES",
+)
+TIMEOUT = Flag(
+    "timeout_s",
+    "Seconds until the command gives up on a log that does not answer. What became "
+    "of the record is then unknown, and the exit status says so.",
+    "SECONDS",
+)
+RETRY_DELAY = Flag(
+    "retry_delay_s",
+    "Seconds between two tries at a log that does not answer.",
+    "SECONDS",
+)
+INSTANCE_LIST_URL = Flag(
+    "instance_list_url",
+    "URL of the platform's list of live and leaving instances. Empty (for the "
+    "daemons): other processes are met through their messages only.",
+    "URL",
+)
+NOTE = Argument("file", "NOTE", "A release note in YAML, or - for standard input.")
+
+#
+# Daemons
+#
+
+DAEMON_FLAGS = (
+    Flag(
+        "name",
+        "Name of this instance, unique in the fleet. Instance decisions, log lines "
+        "and metrics carry it.",
+        "NAME",
+    ),
+    Flag("region", "Region that this instance stands in.", "REGION"),
+    Flag(
+        "availability_zone",
+        "Availability zone that this instance stands in. Work prefers endpoints of "
+        "the same availability zone, and none goes to one that operators took out.",
+        "ZONE",
+    ),
+    Flag("host", "IP number to listen on; other processes reach it there.", "IP"),
+    Flag(
+        "http_port",
+        "Port for HTTP: metrics and probes, and on an entry the callers' requests. "
+        "0 lets the operating system choose.",
+        "PORT",
+    ),
+    Flag(
+        "peer_port",
+        "Port for the system's own messages, TCP and UDP. 0 lets the operating "
+        "system choose.",
+        "PORT",
+    ),
+    LOG_URL,
+    INSTANCE_LIST_URL,
+)
+DRAIN_LIMIT = Flag(
+    "drain_limit_s",
+    "Seconds that a process which was told to stop waits for its requests to finish.",
+    "SECONDS",
+)
+SEED = Flag(
+    "seed",
+    "Seed of the random choices; the same seed and the same events choose alike.",
+    "NUMBER",
+)
+ENTRY = Command(
+    words=("entry",),
+    summary="Run one entry: takes callers' requests and routes them.",
+    help="""
+        Runs one entry in the foreground until SIGTERM or SIGINT. It takes callers'
+        requests over HTTP, chooses model, version and endpoint for each, and sends
+        back the whole answer.
+
+        After SIGTERM the entry reports that it is not ready, takes no new request,
+        and lets those in flight finish for up to --drain_limit_s. Release notes and
+        decisions come from the log or from other processes; until one of them has
+        been heard, the entry is not ready.
+    """,
+    settings=EntrySettings,
+    run=entry.run,
+    flags=(
+        *DAEMON_FLAGS,
+        Flag(
+            "rating_url",
+            "URL of the platform's answer-rating service. Empty: costs are chosen by "
+            "the quality that release notes declare, and nothing is learned.",
+            "URL",
+        ),
+        Flag(
+            "default_deadline_s",
+            "Seconds a request may take when its caller names no deadline.",
+            "SECONDS",
+        ),
+        DRAIN_LIMIT,
+        Flag("max_body_bytes", "Refuse larger request bodies.", "BYTES"),
+        Flag("max_header_bytes", "Refuse larger request headers.", "BYTES"),
+        Flag(
+            "subset_size",
+            "Endpoints of one version that this entry talks to. It bounds connections "
+            "and load messages in a large fleet.",
+            "COUNT",
+        ),
+        Flag(
+            "retry_share",
+            "Retries allowed as a share of first attempts, 0 to 1. The bound keeps "
+            "retries from feeding an overload.",
+            "SHARE",
+        ),
+        Flag(
+            "hedge_share",
+            "Second attempts against a slow endpoint, as a share of first attempts, "
+            "0 to 1. Only idempotent requests are sent twice.",
+            "SHARE",
+        ),
+        Flag(
+            "session_secret",
+            "Secret that signs session tokens, the same on all entries, 16 characters "
+            "or more. Pass it by its environment variable: flags show in process "
+            "lists. Empty: no tokens are handed out.",
+            "SECRET",
+            secret=True,
+        ),
+        SEED,
+    ),
+)
+SIDECAR = Command(
+    words=("sidecar",),
+    summary="Run one sidecar: the only way to its endpoint.",
+    help="""
+        Runs one sidecar in the foreground until SIGTERM or SIGINT. It stands beside
+        one endpoint, a model engine or a plain service, and is the only process that
+        talks to it: it checks each request a last time, limits how many run at once,
+        and sees to it that calls which may not be repeated run at most once.
+    """,
+    settings=SidecarSettings,
+    run=sidecar.run,
+    flags=(
+        *DAEMON_FLAGS,
+        Flag("endpoint_url", "URL of the endpoint beside this sidecar.", "URL"),
+        Flag(
+            "versions",
+            "Versions that the endpoint serves at the start, separated by commas.",
+            "MODEL@VERSION,...",
+        ),
+        Flag(
+            "weight_store_url",
+            "URL of the platform's weight store, asked before an engine loads weights.",
+            "URL",
+        ),
+        Flag("max_queue", "Requests that may wait for the endpoint.", "COUNT"),
+        DRAIN_LIMIT,
+        Flag(
+            "claim_wait_s",
+            "Seconds a call that may not be repeated waits for its claim in the log; "
+            "after that it is refused and not run.",
+            "SECONDS",
+        ),
+        Flag(
+            "claim_window_s",
+            "Seconds that an idempotency key is remembered. An older key is refused. "
+            "The log has to keep its records at least as long.",
+            "SECONDS",
+        ),
+        SEED,
+    ),
+)
+
+#
+# Release notes
+#
+
+RELEASE_VALIDATE = Command(
+    words=("release", "validate"),
+    summary="List every fault in a release note.",
+    help="""
+        Checks a release note and lists every fault with its line and its path of
+        keys. Nothing is published. With --log_url the names in the note are also
+        checked against the release in force.
+
+        Exit status: 0 without faults, 3 with faults.
+    """,
+    settings=FileSettings,
+    run=release_validate.run,
+    arguments=(NOTE,),
+    flags=(LOG_URL, MAX_NOTE_BYTES, JSON),
+)
+RELEASE_DIFF = Command(
+    words=("release", "diff"),
+    summary="Show what a release note would add, change and withdraw.",
+    help="""
+        Compares a release note with the release in force. The output begins with the
+        release revision that it was compared with; write it into the note as
+        based_on, and the note is accepted only if nobody publishes in between.
+
+        Exit status: 0, or 3 when the note has faults.
+    """,
+    settings=DiffSettings,
+    run=release_diff.run,
+    arguments=(NOTE,),
+    flags=(LOG_URL, MAX_NOTE_BYTES, JSON),
+)
+RELEASE_PUBLISH = Command(
+    words=("release", "publish"),
+    summary="Put a release note in force.",
+    help="""
+        Checks a release note, appends it to the log, and reads the log back to tell
+        whether it is in force or which note was first. A note is in force whole or
+        not at all.
+
+        The command may be repeated: a note whose id is in the log is not appended
+        again, and what became of it is reported. Repeat it when the outcome is
+        unknown.
+
+        Exit status: 0 in force, 3 the note has faults, 4 another note was first,
+        5 outcome unknown, 6 the log did not answer and nothing was appended.
+    """,
+    settings=PublishSettings,
+    run=release_publish.run,
+    arguments=(NOTE,),
+    flags=(LOG_URL, OPERATOR, TIMEOUT, RETRY_DELAY, MAX_NOTE_BYTES, JSON),
+)
+RELEASE_SHOW = Command(
+    words=("release", "show"),
+    summary="Show what is in force, and the latest notes and decisions.",
+    help="""
+        Reads the log and prints the versions, organisations, availability zones out
+        and instances out that are in force, then the latest records with the verdict
+        on each.
+    """,
+    settings=ShowSettings,
+    run=release_show.run,
+    flags=(
+        LOG_URL,
+        Flag("history", "How many of the latest records to list.", "COUNT"),
+        Flag("yaml", "Print what is in force as a release note in YAML."),
+        JSON,
+    ),
+)
+
+#
+# Availability zones and instances
+#
+
+DECISION_FLAGS = (
+    LOG_URL,
+    OPERATOR,
+    Flag(
+        "decision_id",
+        "Id of the decision. One whose id is in the log is not appended again, so "
+        "that a command may be repeated. Empty: a fresh id.",
+        "ID",
+    ),
+    TIMEOUT,
+    RETRY_DELAY,
+    JSON,
+)
+ZONE = Argument("name", "ZONE", "Name of the availability zone.")
+INSTANCE = Argument("name", "INSTANCE", "Name of the instance.")
+ZONE_OUT = Command(
+    words=("zone", "out"),
+    summary="Take an availability zone out: no new work goes there.",
+    help="""
+        Takes an availability zone out. Within a few seconds no new work goes to its
+        endpoints; work in flight finishes.
+
+        Exit status: 0 decided, 5 outcome unknown, 6 the log did not answer.
+    """,
+    settings=DecisionSettings,
+    run=decide(zone_decision(out=True)),
+    arguments=(ZONE,),
+    flags=DECISION_FLAGS,
+)
+ZONE_IN = Command(
+    words=("zone", "in"),
+    summary="Bring an availability zone back.",
+    help="""
+        Brings an availability zone back. Its endpoints take work again, freshly
+        started ones no more than they bear.
+
+        Exit status: 0 decided, 5 outcome unknown, 6 the log did not answer.
+    """,
+    settings=DecisionSettings,
+    run=decide(zone_decision(out=False)),
+    arguments=(ZONE,),
+    flags=DECISION_FLAGS,
+)
+INSTANCE_OUT = Command(
+    words=("instance", "out"),
+    summary="Take one instance out: no new work goes there.",
+    help="""
+        Takes an instance out by its name. Within a few seconds it gets no new work;
+        work in flight finishes.
+
+        Exit status: 0 decided, 5 outcome unknown, 6 the log did not answer.
+    """,
+    settings=DecisionSettings,
+    run=decide(instance_decision(out=True)),
+    arguments=(INSTANCE,),
+    flags=DECISION_FLAGS,
+)
+INSTANCE_IN = Command(
+    words=("instance", "in"),
+    summary="Bring one instance back.",
+    help="""
+        Brings an instance back by its name.
+
+        Exit status: 0 decided, 5 outcome unknown, 6 the log did not answer.
+    """,
+    settings=DecisionSettings,
+    run=decide(instance_decision(out=False)),
+    arguments=(INSTANCE,),
+    flags=DECISION_FLAGS,
+)
+
+#
+# Trying it out
+#
+
+DEMO = Command(
+    words=("demo",),
+    summary="Run both deployments on stand-ins and send sample requests.",
+    help="""
+        Runs two deployments with stand-ins of engines, services and the platform in
+        this one process on loopback, sends a few requests, and prints what was routed
+        where and why.
+    """,
+    settings=DemoSettings,
+    run=demo.run,
+)
+
+COMMANDS = (
+    ENTRY,
+    SIDECAR,
+    RELEASE_VALIDATE,
+    RELEASE_DIFF,
+    RELEASE_PUBLISH,
+    RELEASE_SHOW,
+    ZONE_OUT,
+    ZONE_IN,
+    INSTANCE_OUT,
+    INSTANCE_IN,
+    DEMO,
+)
--- /dev/null
+++ b/acaciacove/cli/history.py
@@ -0,0 +1,74 @@
+"""The release stream as far as the log still keeps it."""
+
+from attrs import define, field
+
+from acaciacove.cli.history_entry import HistoryEntry
+from acaciacove.cli.record_summary import record_id
+from acaciacove.errors import MalformedMessageError, OffsetExpiredError
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.platform.log_entry import LogEntry
+from acaciacove.platform.platform_log import PlatformLog
+from acaciacove.state.record import RELEASE_STREAM, Record
+from acaciacove.state.record_codec import decode_record
+from acaciacove.state.reducer import fold
+
+READ_LIMIT = 500
+
+
+@define
+class History:
+    """The fold of all records that were read, and the records themselves."""
+
+    state: FleetState = field(factory=FleetState)
+    entries: list[HistoryEntry] = field(factory=list)
+    next_offset: int = 0
+
+    def find(self, wanted_id: str) -> HistoryEntry | None:
+        """Return the first record with an operator's id."""
+        for entry in self.entries:
+            if record_id(entry.record) == wanted_id:
+                return entry
+        return None
+
+    def take(self, entry: LogEntry) -> None:
+        """Fold one record."""
+        record = _read_record(entry.payload)
+        folded = fold(self.state, entry.offset, record)
+        self.state = folded.state
+        self.next_offset = entry.offset + 1
+        self.entries.append(
+            HistoryEntry(entry.offset, record, folded.verdict, folded.detail)
+        )
+
+
+async def catch_up(history: History, log: PlatformLog) -> None:
+    """Read to the end of the stream; raises PlatformUnavailableError."""
+    while True:
+        try:
+            batch = await log.read(RELEASE_STREAM, history.next_offset, READ_LIMIT)
+        except OffsetExpiredError as expired:
+            # A jump that goes nowhere would read the same expired offset for
+            # ever; the command would hang. It shows as a log that is down.
+            if expired.earliest_offset <= history.next_offset:
+                raise
+            history.next_offset = expired.earliest_offset
+            continue
+        if not batch:
+            return
+        for entry in batch:
+            history.take(entry)
+
+
+async def read_history(log: PlatformLog) -> History:
+    """Read and fold the whole stream; raises PlatformUnavailableError."""
+    history = History()
+    await catch_up(history, log)
+    return history
+
+
+def _read_record(payload: bytes) -> Record | None:
+    """Read a record; one from a newer version must not stop the others."""
+    try:
+        return decode_record(payload)
+    except MalformedMessageError:
+        return None
--- /dev/null
+++ b/acaciacove/cli/output.py
@@ -0,0 +1,12 @@
+"""Results as JSON for scripts."""
+
+from typing import Any
+
+import orjson
+
+from acaciacove.context import Environment
+
+
+def print_json(document: dict[str, Any], env: Environment) -> None:
+    """Write one JSON object on one line."""
+    env.print(orjson.dumps(document).decode())
--- /dev/null
+++ b/acaciacove/cli/read_settings.py
@@ -0,0 +1,178 @@
+"""From flags, environment variables and defaults to checked settings."""
+
+from collections.abc import Callable, Mapping
+from difflib import get_close_matches
+from typing import Any
+
+from absl.flags import (
+    BooleanParser,
+    DEFINE_boolean,
+    DEFINE_string,
+    FlagValues,
+    FloatParser,
+    IntegerParser,
+)
+from absl.flags import Error as FlagError
+from attrs import NOTHING, fields_dict
+
+from acaciacove.cli.command import Command
+from acaciacove.cli.flag import Flag
+from acaciacove.errors import InvalidSettingsError
+from acaciacove.fleet.version_id import VersionId, parse_version_id
+from acaciacove.settings.checked_settings import CheckedSettings, field_faults
+
+LIST_SEPARATOR = ","
+
+
+def _parse_versions(text: str) -> tuple[VersionId, ...]:
+    """Read ``model@version,model@version``."""
+    versions = []
+    for part in filter(None, (p.strip() for p in text.split(LIST_SEPARATOR))):
+        version = parse_version_id(part)
+        if version is None:
+            raise ValueError(f"{part!r} is not written model@version")
+        versions.append(version)
+    return tuple(versions)
+
+
+def _parser(absl_parser: Any, expected: str) -> Callable[[str], Any]:
+    """Make a parser whose message names what was expected."""
+
+    def parse(text: str) -> Any:
+        try:
+            return absl_parser.parse(text)
+        except (ValueError, TypeError) as error:
+            raise ValueError(f"must be {expected}, not {text!r}") from error
+
+    return parse
+
+
+_PARSERS: dict[Any, Callable[[str], Any]] = {
+    str: str,
+    bool: _parser(BooleanParser(), "true or false"),
+    int: _parser(IntegerParser(), "a whole number"),
+    float: _parser(FloatParser(), "a number"),
+    tuple[VersionId, ...]: _parse_versions,
+}
+
+
+def read_settings(
+    command: Command, args: list[str], env: Mapping[str, str]
+) -> CheckedSettings:
+    """Read and check all settings; raises InvalidSettingsError with every fault.
+
+    A flag wins over its environment variable, that over the default. An
+    environment variable that is empty counts as not set.
+    """
+    texts, sources, faults = _given(command, args, env)
+    values, parse_faults = _parsed(command, texts, sources)
+    faults += parse_faults
+    faults += _missing(command, texts)
+    faults += [_named(f, sources) for f in field_faults(command.settings, values)]
+    if faults:
+        raise InvalidSettingsError(faults)
+    return command.settings(**values)
+
+
+def _given(
+    command: Command, args: list[str], env: Mapping[str, str]
+) -> tuple[dict[str, str], dict[str, str], list[str]]:
+    """Collect the text of each setting, how its user wrote it, and faults."""
+    flag_values = _define(command)
+    try:
+        rest = flag_values([command.name, *args], known_only=True)[1:]
+    except FlagError as error:
+        raise InvalidSettingsError([str(error)]) from error
+    faults = [_unknown_flag(command, word) for word in rest if word.startswith("--")]
+    words = [word for word in rest if not word.startswith("--")]
+    texts: dict[str, str] = {}
+    sources: dict[str, str] = {}
+    for argument, word in zip(command.arguments, words, strict=False):
+        texts[argument.name] = word
+        sources[argument.name] = argument.metavar
+    for word in words[len(command.arguments) :]:
+        faults.append(f"unexpected argument {word!r}")
+    for flag in command.flags:
+        if flag_values[flag.name].present:
+            texts[flag.name] = str(flag_values[flag.name].value)
+            sources[flag.name] = f"--{flag.name}"
+        elif env.get(flag.variable):
+            texts[flag.name] = env[flag.variable]
+            sources[flag.name] = flag.variable
+    return texts, sources, faults
+
+
+def _define(command: Command) -> FlagValues:
+    """Make a registry of its own, so that commands share no global flags.
+
+    Values are taken as text here: absl stops at the first wrong value, and the
+    person at the keyboard wants to see all of them.
+    """
+    flag_values = FlagValues()
+    flag_values.set_gnu_getopt(True)
+    settings_fields = fields_dict(command.settings)
+    for flag in command.flags:
+        define: Callable[..., Any] = DEFINE_string
+        if settings_fields[flag.name].type is bool:
+            define = DEFINE_boolean
+        define(flag.name, None, flag.help, flag_values=flag_values)
+    return flag_values
+
+
+def _parsed(
+    command: Command, texts: dict[str, str], sources: dict[str, str]
+) -> tuple[dict[str, Any], list[str]]:
+    """Turn each text into the type of its settings field."""
+    values: dict[str, Any] = {}
+    faults = []
+    settings_fields = fields_dict(command.settings)
+    for name, text in texts.items():
+        wanted = settings_fields[name].type
+        try:
+            values[name] = _PARSERS[wanted](text)
+        except (ValueError, TypeError) as error:
+            faults.append(f"{sources[name]} {error}")
+    return values, faults
+
+
+def _missing(command: Command, texts: dict[str, str]) -> list[str]:
+    """Name each setting that has neither a value nor a default."""
+    faults = []
+    settings_fields = fields_dict(command.settings)
+    for argument in command.arguments:
+        if is_required(settings_fields[argument.name]) and argument.name not in texts:
+            faults.append(f"{argument.metavar} is missing: {argument.help}")
+    for flag in command.flags:
+        if is_required(settings_fields[flag.name]) and flag.name not in texts:
+            faults.append(f"--{flag.name} or {flag.variable} must be given")
+    return faults
+
+
+def is_required(settings_field: Any) -> bool:
+    """Tell whether a settings field has no default."""
+    return settings_field.default is NOTHING
+
+
+def _named(fault: str, sources: dict[str, str]) -> str:
+    """Begin a fault with the word that the person wrote."""
+    name, _, rest = fault.partition(" ")
+    return f"{sources.get(name, name)} {rest}"
+
+
+def _unknown_flag(command: Command, word: str) -> str:
+    """Name a flag that the command does not have, and the nearest that it has."""
+    name = word.lstrip("-").partition("=")[0]
+    known = [flag.name for flag in command.flags]
+    close = get_close_matches(name.replace("-", "_"), known, n=1)
+    hint = f"; did you mean --{close[0]}?" if close else ""
+    return f"unknown flag --{name}{hint}"
+
+
+def flag_default(command: Command, flag: Flag) -> str:
+    """Show a flag's default for help: required, empty, or its value."""
+    default = fields_dict(command.settings)[flag.name].default
+    if default is NOTHING:
+        return "required"
+    if default == "":
+        return "empty"
+    return str(default).lower() if isinstance(default, bool) else str(default)
--- /dev/null
+++ b/acaciacove/cli/record_summary.py
@@ -0,0 +1,40 @@
+"""Records of the release stream in one line each, for people."""
+
+from acaciacove.state.instance_decision import InstanceDecision
+from acaciacove.state.quarantine_record import QuarantineRecord
+from acaciacove.state.record import Record
+from acaciacove.state.release_note import ReleaseNote
+from acaciacove.state.snapshot import Snapshot
+from acaciacove.state.zone_decision import ZoneDecision
+
+UNREADABLE = "a record that this version cannot read"
+
+
+def summarise(record: Record | None) -> str:
+    """Tell what a record asks for."""
+    match record:
+        case ReleaseNote():
+            return f"release note {record.note_id}: {record.summary or 'no summary'}"
+        case ZoneDecision():
+            return f"availability zone {record.availability_zone} {_way(record.out)}"
+        case InstanceDecision():
+            return f"instance {record.instance} {_way(record.out)}"
+        case QuarantineRecord():
+            return f"quarantine of {record.version}: {record.reason}"
+        case Snapshot():
+            return f"snapshot of revision {record.state.revision}"
+    return UNREADABLE
+
+
+def record_id(record: Record | None) -> str:
+    """Return the id that its operator gave a record, if it has one."""
+    match record:
+        case ReleaseNote():
+            return record.note_id
+        case ZoneDecision() | InstanceDecision():
+            return record.decision_id
+    return ""
+
+
+def _way(out: bool) -> str:
+    return "out" if out else "in"
--- /dev/null
+++ b/acaciacove/cli/release_show.py
@@ -0,0 +1,114 @@
+"""``acaciacove release show``: what is in force, and how it came about."""
+
+import asyncio
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from acaciacove.cli.history import History, read_history
+from acaciacove.cli.history_entry import HistoryEntry
+from acaciacove.cli.output import print_json
+from acaciacove.cli.record_summary import record_id, summarise
+from acaciacove.context import Environment
+from acaciacove.exit_status import ExitStatus
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.release_format.write_note import document_in_force, write_document
+from acaciacove.settings.show_settings import ShowSettings
+
+
+def run(settings: ShowSettings, env: Environment) -> ExitStatus:
+    """Print the release in force and the latest records of the stream."""
+    history = asyncio.run(read_history(env.open_log(settings.log_url)))
+    if settings.yaml:
+        env.print(write_document(document_in_force(history.state)).rstrip())
+    elif settings.json:
+        print_json(_as_json(history, settings.history), env)
+    else:
+        _print(history, settings.history, env)
+    return ExitStatus.SUCCESS
+
+
+def _as_json(history: History, count: int) -> dict[str, Any]:
+    state = history.state
+    return {
+        "revision": state.revision,
+        "release_revision": state.release_revision,
+        "apis": sorted(state.apis),
+        "versions": sorted(
+            str(v.id) for v in state.versions.values() if not v.withdrawn
+        ),
+        "withdrawn": sorted(str(v.id) for v in state.versions.values() if v.withdrawn),
+        "quarantined": sorted(str(version) for version in state.quarantines),
+        "organisations": sorted(state.organisations),
+        "availability_zones_out": sorted(state.availability_zones_out),
+        "instances_out": sorted(state.instances_out),
+        "history": [_entry_as_json(entry) for entry in latest(history, count)],
+    }
+
+
+def _entry_as_json(entry: HistoryEntry) -> dict[str, Any]:
+    return {
+        "offset": entry.offset,
+        "id": record_id(entry.record),
+        "verdict": entry.verdict.value,
+        "detail": entry.detail,
+        "summary": summarise(entry.record),
+    }
+
+
+def latest(history: History, count: int) -> list[HistoryEntry]:
+    """Return the last records, the latest first."""
+    return history.entries[::-1][:count]
+
+
+def _print(history: History, count: int, env: Environment) -> None:
+    state = history.state
+    console = Console(file=env.stdout)
+    console.print(f"revision {state.revision}, release {state.release_revision}")
+    console.print(versions_table(state))
+    console.print(organisations_table(state))
+    zones = ", ".join(sorted(state.availability_zones_out)) or "none"
+    instances = ", ".join(sorted(state.instances_out)) or "none"
+    console.print(f"availability zones out: {zones}; instances out: {instances}")
+    console.print(_history_table(latest(history, count)))
+
+
+def versions_table(state: FleetState) -> Table:
+    """Show every version, withdrawn ones included."""
+    table = Table("version", "API", "cost/1k tokens", "quality", "state")
+    for version in state.versions.values():
+        standing = "in force"
+        if version.withdrawn:
+            standing = "withdrawn"
+        elif version.id in state.quarantines:
+            standing = f"quarantined: {state.quarantines[version.id].reason}"
+        cost = f"{version.cost_per_1k_tokens:g}"
+        table.add_row(
+            str(version.id), version.api, cost, f"{version.quality:g}", standing
+        )
+    return table
+
+
+def organisations_table(state: FleetState) -> Table:
+    """Show every organisation and what it may reach."""
+    table = Table("organisation", "weight", "may reach")
+    for organisation in state.organisations.values():
+        allowed = [
+            f"{model}@{','.join(versions)}"
+            for model, versions in organisation.allowed.items()
+        ]
+        table.add_row(organisation.name, f"{organisation.weight:g}", " ".join(allowed))
+    return table
+
+
+def _history_table(entries: list[HistoryEntry]) -> Table:
+    table = Table("offset", "verdict", "record", "detail")
+    for entry in entries:
+        table.add_row(
+            str(entry.offset),
+            entry.verdict.value,
+            summarise(entry.record),
+            entry.detail,
+        )
+    return table
--- /dev/null
+++ b/acaciacove/cli/release_validate.py
@@ -0,0 +1,64 @@
+"""``acaciacove release validate``: find every fault before publishing."""
+
+import asyncio
+
+from attrs import asdict
+
+from acaciacove.cli.history import read_history
+from acaciacove.cli.note_file import read_note_file
+from acaciacove.cli.output import print_json
+from acaciacove.context import Environment
+from acaciacove.exit_status import ExitStatus
+from acaciacove.fleet.fleet_state import NO_REVISION, FleetState
+from acaciacove.release_format.check_note import check_note
+from acaciacove.release_format.invalid_note_error import InvalidNoteError
+from acaciacove.release_format.note_document import NoteDocument
+from acaciacove.release_format.note_fault import NoteFault
+from acaciacove.release_format.read_note import read_note
+from acaciacove.settings.file_settings import FileSettings
+
+
+def run(settings: FileSettings, env: Environment) -> ExitStatus:
+    """Check a note's form, and its names as far as those in force are known."""
+    faults: list[NoteFault] = []
+    try:
+        document = read_checked(settings, env)
+    except InvalidNoteError as error:
+        if not settings.json:
+            raise
+        faults = error.faults
+    if settings.json:
+        listed = [asdict(fault) for fault in faults]
+        print_json({"valid": not faults, "faults": listed}, env)
+        return ExitStatus.INVALID_NOTE if faults else ExitStatus.SUCCESS
+    env.print(f"{document.note_id} has no faults{_extent(settings, document)}")
+    return ExitStatus.SUCCESS
+
+
+def read_checked(settings: FileSettings, env: Environment) -> NoteDocument:
+    """Read a note and check it; raises InvalidNoteError."""
+    data = read_note_file(settings.file, settings.max_note_bytes, env)
+    document = read_note(data, settings.max_note_bytes)
+    state = _state(settings, document, env)
+    faults = check_note(document, state) if state is not None else []
+    if faults:
+        raise InvalidNoteError(faults)
+    return document
+
+
+def _state(
+    settings: FileSettings, document: NoteDocument, env: Environment
+) -> FleetState | None:
+    """Return what is in force, as far as it can be known."""
+    if settings.log_url:
+        return asyncio.run(read_history(env.open_log(settings.log_url))).state
+    if document.based_on == NO_REVISION:
+        return FleetState()
+    return None
+
+
+def _extent(settings: FileSettings, document: NoteDocument) -> str:
+    """Say what could not be checked."""
+    if settings.log_url or document.based_on == NO_REVISION:
+        return ""
+    return "; names in force were not checked, --log_url was not given"
--- /dev/null
+++ b/acaciacove/cli/state_difference.py
@@ -0,0 +1,78 @@
+"""What a release note would change."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import asdict, field, fields, frozen
+
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.release_format.note_document import NoteDocument
+from acaciacove.release_format.write_note import plain_value
+
+
+@frozen
+class StateDifference:
+    """Names that a note adds and withdraws, and the fields that it changes.
+
+    ``changed`` maps a name to ``field: (before, after)``. Names are written with
+    their kind, such as ``version guide-small@1``. ``lifted`` are quarantines that
+    the note ends by declaring the version anew.
+    """
+
+    release_revision: int
+    added: list[str] = field(factory=list)
+    changed: dict[str, dict[str, tuple[Any, Any]]] = field(factory=dict)
+    unchanged: list[str] = field(factory=list)
+    withdrawn: list[str] = field(factory=list)
+    lifted: list[str] = field(factory=list)
+
+    def as_json(self) -> dict[str, Any]:
+        """Return plain values."""
+        return asdict(self)
+
+
+def difference(document: NoteDocument, state: FleetState) -> StateDifference:
+    """Compare a note with what is in force."""
+    found = StateDifference(state.release_revision)
+    live = {v.id: v for v in state.versions.values() if not v.withdrawn}
+    for half in (document.added, document.changed):
+        _compare(found, "API", ((a.name, a) for a in half.apis), state.apis)
+        _compare(found, "version", ((v.id, v) for v in half.versions), live)
+        organisations = ((o.name, o) for o in half.organisations)
+        _compare(found, "organisation", organisations, state.organisations)
+        for version in half.versions:
+            if version.id in state.quarantines:
+                found.lifted.append(f"quarantine of {version.id}")
+    found.withdrawn.extend(f"version {v}" for v in document.withdrawn_versions)
+    found.withdrawn.extend(
+        f"organisation {o}" for o in document.withdrawn_organisations
+    )
+    return found
+
+
+def _compare(
+    found: StateDifference,
+    kind: str,
+    declared: Iterable[tuple[Any, Any]],
+    in_force: dict[Any, Any],
+) -> None:
+    """Sort declarations into added, changed and unchanged."""
+    for name, item in declared:
+        label = f"{kind} {name}"
+        before = in_force.get(name)
+        if before is None:
+            found.added.append(label)
+        elif before == item:
+            found.unchanged.append(label)
+        else:
+            found.changed[label] = _changed_fields(before, item)
+
+
+def _changed_fields(before: Any, after: Any) -> dict[str, tuple[Any, Any]]:
+    changed = {}
+    for attribute in fields(type(before)):
+        old = getattr(before, attribute.name)
+        new = getattr(after, attribute.name)
+        if old != new:
+            changed[attribute.name] = (plain_value(old), plain_value(new))
+    return changed
--- /dev/null
+++ b/acaciacove/context.py
@@ -0,0 +1,57 @@
+"""What a command knows of the process that it runs in."""
+
+import os
+import sys
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
+from typing import TextIO
+
+from attrs import Factory, define
+
+from acaciacove.platform.platform_log import PlatformLog
+
+
+def open_http_log(url: str) -> PlatformLog:
+    """Open the platform's log behind an HTTP URL."""
+    from acaciacove.platform.http_log import HttpLog  # type: ignore[import-not-found]
+
+    return HttpLog(url)
+
+
+def utc_now() -> datetime:
+    """Read the wall clock, which is shown to people and decides nothing."""
+    return datetime.now(UTC)
+
+
+@define
+class Environment:
+    """Streams, environment variables, clock and log, handed down to a command.
+
+    Tests replace any of them. ``now`` is wall clock in UTC; ``open_log`` turns
+    a URL into the platform's log.
+    """
+
+    stdin: TextIO = Factory(lambda: sys.stdin)
+    stdout: TextIO = Factory(lambda: sys.stdout)
+    stderr: TextIO = Factory(lambda: sys.stderr)
+    env: Mapping[str, str] = Factory(lambda: os.environ)
+    now: Callable[[], datetime] = utc_now
+    open_log: Callable[[str], PlatformLog] = open_http_log
+
+    @property
+    def stdin_isatty(self) -> bool:
+        """Tell whether a person types the input."""
+        return self.stdin.isatty()
+
+    @property
+    def stdout_isatty(self) -> bool:
+        """Tell whether a person reads the output."""
+        return self.stdout.isatty()
+
+    def print(self, text: str = "") -> None:
+        """Write one line of results."""
+        self.stdout.write(f"{text}\n")
+
+    def log_error(self, text: str) -> None:
+        """Write one line for the person who started the command."""
+        self.stderr.write(f"acaciacove: {text}\n")
--- /dev/null
+++ b/acaciacove/release_format/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes as YAML: the form in which operators write them."""
--- /dev/null
+++ b/acaciacove/release_format/check_note.py
@@ -0,0 +1,133 @@
+"""Whether a release note fits what is in force."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.organisation import ANY_VERSION, Organisation
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.release_format.note_document import NoteDocument
+from acaciacove.release_format.note_fault import NoteFault
+
+ADDED = "added"
+CHANGED = "changed"
+WITHDRAWN = "withdrawn"
+
+
+def check_note(document: NoteDocument, state: FleetState) -> list[NoteFault]:
+    """List every name that the release in force and the note do not know.
+
+    The reducer alone would take a note that allows a model nobody serves, and
+    callers would meet it as refusals; here the operator meets it first.
+    """
+    found = [
+        *_base_faults(document, state),
+        *_added_faults(document, state),
+        *_changed_faults(document, state),
+        *_withdrawn_faults(document, state),
+        *_reference_faults(document, state),
+    ]
+    faults = []
+    for path, message in found:
+        faults.append(NoteFault(_line(document, path), path, message))
+    return sorted(faults, key=lambda fault: fault.line)
+
+
+Found = Iterator[tuple[str, str]]
+
+
+def _base_faults(document: NoteDocument, state: FleetState) -> Found:
+    if document.based_on in (None, state.release_revision):
+        return
+    message = f"{document.based_on} is not in force, {state.release_revision} is"
+    yield "based_on", message
+
+
+def _added_faults(document: NoteDocument, state: FleetState) -> Found:
+    live = [str(v.id) for v in state.versions.values() if not v.withdrawn]
+    hint = "is in force already; put it under changed"
+    for group, names, known in (
+        ("apis", [a.name for a in document.added.apis], state.apis),
+        ("versions", [str(v.id) for v in document.added.versions], live),
+        ("organisations", _names(document.added.organisations), state.organisations),
+    ):
+        for index, name in enumerate(names):
+            if name in known:
+                yield f"{ADDED}.{group}[{index}]", f"{name} {hint}"
+
+
+def _changed_faults(document: NoteDocument, state: FleetState) -> Found:
+    live = [str(v.id) for v in state.versions.values() if not v.withdrawn]
+    hint = "is not in force; put it under added"
+    for group, names, known in (
+        ("apis", [a.name for a in document.changed.apis], state.apis),
+        ("versions", [str(v.id) for v in document.changed.versions], live),
+        ("organisations", _names(document.changed.organisations), state.organisations),
+    ):
+        for index, name in enumerate(names):
+            if name not in known:
+                yield f"{CHANGED}.{group}[{index}]", f"{name} {hint}"
+
+
+def _withdrawn_faults(document: NoteDocument, state: FleetState) -> Found:
+    for index, version in enumerate(document.withdrawn_versions):
+        path = f"{WITHDRAWN}.versions[{index}]"
+        known = state.versions.get(version)
+        if known is None:
+            yield path, f"{version} is unknown"
+        elif known.withdrawn:
+            yield path, f"{version} is withdrawn already"
+    for index, name in enumerate(document.withdrawn_organisations):
+        if name not in state.organisations:
+            yield f"{WITHDRAWN}.organisations[{index}]", f"{name} is unknown"
+
+
+def _reference_faults(document: NoteDocument, state: FleetState) -> Found:
+    """Check names that declarations refer to."""
+    apis = set(state.apis)
+    versions = set(state.versions)
+    for half in (document.added, document.changed):
+        apis.update(api.name for api in half.apis)
+        versions.update(version.id for version in half.versions)
+    for name, half in ((ADDED, document.added), (CHANGED, document.changed)):
+        for index, version in enumerate(half.versions):
+            path = f"{name}.versions[{index}]"
+            yield from _version_faults(path, version, apis, versions)
+        for index, organisation in enumerate(half.organisations):
+            path = f"{name}.organisations[{index}]"
+            yield from _allowed_faults(path, organisation, versions)
+
+
+def _version_faults(
+    path: str, version: Version, apis: set[str], versions: set[VersionId]
+) -> Found:
+    if version.api not in apis:
+        yield f"{path}.api", f"API {version.api} is unknown"
+    if version.replaces is not None and version.replaces not in versions:
+        yield f"{path}.replaces", f"{version.replaces} is unknown"
+
+
+def _allowed_faults(
+    path: str, organisation: Organisation, versions: set[VersionId]
+) -> Found:
+    models = {version.model for version in versions}
+    for model, allowed in organisation.allowed.items():
+        place = f"{path}.allowed.{model}"
+        if model not in models:
+            yield place, f"model {model} is unknown"
+            continue
+        for index, name in enumerate(allowed):
+            if name != ANY_VERSION and VersionId(model, name) not in versions:
+                yield f"{place}[{index}]", f"{model}@{name} is unknown"
+
+
+def _names(organisations: Iterable[Organisation]) -> list[str]:
+    return [organisation.name for organisation in organisations]
+
+
+def _line(document: NoteDocument, path: str) -> int:
+    """Find the line of a path, or of the nearest key above it."""
+    lines: Mapping[str, int] = document.lines
+    while path and path not in lines:
+        path = path.rpartition(".")[0]
+    return lines.get(path, 0)
--- /dev/null
+++ b/acaciacove/release_format/node_readers.py
@@ -0,0 +1,258 @@
+"""Readers of single YAML values; each notes its faults and goes on.
+
+A reader takes a node, the path of keys to it and the list of faults, and
+returns the value, or UNREADABLE after a fault.
+"""
+
+import math
+import re
+from collections.abc import Callable, Mapping
+from enum import Enum
+from typing import Any
+
+from attrs import frozen
+from yaml import MappingNode, Node, ScalarNode, SequenceNode
+
+from acaciacove.fleet.call_rule import CallRule
+from acaciacove.fleet.version_id import parse_version_id
+from acaciacove.release_format.fault_list import FaultList
+
+TAG = "tag:yaml.org,2002:"
+NOT_TEXT = {f"{TAG}null": "nothing", f"{TAG}bool": "a boolean"}
+SCALAR_TAGS = {f"{TAG}{name}" for name in ("str", "int", "float", "timestamp")}
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+INTEGER = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
+NUMBER = re.compile(r"[-+]?[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
+DIGEST = re.compile(r"[0-9a-f]{64}")
+CALL = re.compile(r"(GET|PUT|POST|PATCH|DELETE) (/\S*)")
+BOOLEANS = {"true": True, "false": False}
+
+
+class Unreadable(Enum):
+    """The type of the sentinel that stands for a value with a fault."""
+
+    UNREADABLE = "unreadable"
+
+
+UNREADABLE = Unreadable.UNREADABLE
+Reader = Callable[[Node, str, FaultList], Any]
+
+
+@frozen
+class Key:
+    """How the value of a key is read, and whether the key must be there."""
+
+    reader: Reader
+    required: bool = False
+
+
+def kind_of(node: Node) -> str:
+    """Name what a node is, for messages."""
+    if isinstance(node, MappingNode):
+        return "a mapping"
+    if isinstance(node, SequenceNode):
+        return "a list"
+    if node.tag in NOT_TEXT:
+        return NOT_TEXT[node.tag]
+    return repr(node.value)
+
+
+def read_text(node: Node, path: str, faults: FaultList) -> Any:
+    """Read text; numbers and dates count as the text that was written."""
+    if isinstance(node, ScalarNode) and node.tag in SCALAR_TAGS:
+        return node.value
+    hint = "; put it in quotes" if isinstance(node, ScalarNode) else ""
+    faults.add(node, path, f"expected text, found {kind_of(node)}{hint}")
+    return UNREADABLE
+
+
+def matching(pattern: re.Pattern[str], expected: str) -> Reader:
+    """Make a reader for text of one form."""
+
+    def read_matching(node: Node, path: str, faults: FaultList) -> Any:
+        text = read_text(node, path, faults)
+        if text is UNREADABLE or pattern.fullmatch(text):
+            return text
+        faults.add(node, path, f"expected {expected}, found {text!r}")
+        return UNREADABLE
+
+    return read_matching
+
+
+read_name = matching(NAME, "a name of letters, digits, dots, underscores and hyphens")
+read_digest = matching(DIGEST, "a SHA-256 digest (64 hexadecimal digits, lower case)")
+
+
+def read_version_name(node: Node, path: str, faults: FaultList) -> Any:
+    """Read the name of a version, or ``*`` for all versions."""
+    if isinstance(node, ScalarNode) and node.value == "*":
+        return node.value
+    return read_name(node, path, faults)
+
+
+def read_version_id(node: Node, path: str, faults: FaultList) -> Any:
+    """Read ``model@version``."""
+    text = read_text(node, path, faults)
+    if text is UNREADABLE:
+        return UNREADABLE
+    version = parse_version_id(text)
+    if version and NAME.fullmatch(version.model) and NAME.fullmatch(version.version):
+        return version
+    faults.add(node, path, f"expected model@version, found {text!r}")
+    return UNREADABLE
+
+
+def read_call(node: Node, path: str, faults: FaultList) -> Any:
+    """Read a non-idempotent call such as ``POST /shuttles``."""
+    text = read_text(node, path, faults)
+    if text is UNREADABLE:
+        return UNREADABLE
+    match = CALL.fullmatch(text)
+    if match:
+        return CallRule(match.group(1), match.group(2))
+    faults.add(node, path, f"expected a call such as 'POST /path', found {text!r}")
+    return UNREADABLE
+
+
+def read_boolean(node: Node, path: str, faults: FaultList) -> Any:
+    """Read ``true`` or ``false``."""
+    if isinstance(node, ScalarNode) and node.tag == f"{TAG}bool":
+        value = BOOLEANS.get(node.value.lower())
+        if value is not None:
+            return value
+    faults.add(node, path, f"expected true or false, found {kind_of(node)}")
+    return UNREADABLE
+
+
+def integer(minimum: int) -> Reader:
+    """Make a reader for whole numbers from a minimum on."""
+
+    def read_integer(node: Node, path: str, faults: FaultList) -> Any:
+        text = _plain(node)
+        if text is not None and INTEGER.fullmatch(text) and int(text) >= minimum:
+            return int(text)
+        expected = f"a whole number, {minimum} or more"
+        faults.add(node, path, f"expected {expected}, found {kind_of(node)}")
+        return UNREADABLE
+
+    return read_integer
+
+
+def number(minimum: float, maximum: float = math.inf, above: bool = False) -> Reader:
+    """Make a reader for numbers in a range; ``above`` leaves out the minimum."""
+
+    def read_number(node: Node, path: str, faults: FaultList) -> Any:
+        text = _plain(node)
+        if text is not None and NUMBER.fullmatch(text):
+            value = float(text)
+            low = value > minimum if above else value >= minimum
+            if low and value <= maximum and math.isfinite(value):
+                return value
+        expected = _range_text(minimum, maximum, above)
+        faults.add(node, path, f"expected {expected}, found {kind_of(node)}")
+        return UNREADABLE
+
+    return read_number
+
+
+def one_of(choices: Mapping[str, Any]) -> Reader:
+    """Make a reader for a closed list of words."""
+
+    def read_choice(node: Node, path: str, faults: FaultList) -> Any:
+        if isinstance(node, ScalarNode) and node.value in choices:
+            return choices[node.value]
+        listed = " or ".join(choices)
+        faults.add(node, path, f"expected {listed}, found {kind_of(node)}")
+        return UNREADABLE
+
+    return read_choice
+
+
+def list_of(reader: Reader) -> Reader:
+    """Make a reader for lists; elements with a fault are left out."""
+
+    def read_list(node: Node, path: str, faults: FaultList) -> Any:
+        if not isinstance(node, SequenceNode):
+            faults.add(node, path, f"expected a list, found {kind_of(node)}")
+            return UNREADABLE
+        values = []
+        for index, item in enumerate(node.value):
+            values.append(reader(item, f"{path}[{index}]", faults))
+        return tuple(value for value in values if value is not UNREADABLE)
+
+    return read_list
+
+
+def mapping_of(reader: Reader) -> Reader:
+    """Make a reader for mappings from names to values of one kind."""
+
+    def read_mapping(node: Node, path: str, faults: FaultList) -> Any:
+        values = {}
+        for name, key_node, value_node in pairs(node, path, faults):
+            place = join(path, name)
+            read_name(key_node, place, faults)
+            value = reader(value_node, place, faults)
+            if value is not UNREADABLE:
+                values[name] = value
+        return values
+
+    return read_mapping
+
+
+def read_keys(
+    node: Node, path: str, faults: FaultList, keys: Mapping[str, Key]
+) -> dict[str, Any] | None:
+    """Read a mapping with known keys; None when a required one is unreadable."""
+    values = {}
+    for name, key_node, value_node in pairs(node, path, faults):
+        place = join(path, name)
+        if name not in keys:
+            listed = ", ".join(keys)
+            faults.add(key_node, place, f"unknown key; known here: {listed}")
+            continue
+        values[name] = keys[name].reader(value_node, place, faults)
+    complete = True
+    for name, key in keys.items():
+        if key.required and name not in values and isinstance(node, MappingNode):
+            faults.add(node, join(path, name), "is missing")
+        if key.required and values.get(name, UNREADABLE) is UNREADABLE:
+            complete = False
+    readable = {n: v for n, v in values.items() if v is not UNREADABLE}
+    return readable if complete else None
+
+
+def pairs(node: Node, path: str, faults: FaultList) -> list[tuple[str, Node, Node]]:
+    """List a mapping's keys with their nodes; a key twice is a fault."""
+    if not isinstance(node, MappingNode):
+        faults.add(node, path, f"expected a mapping, found {kind_of(node)}")
+        return []
+    seen: dict[str, tuple[str, Node, Node]] = {}
+    for key_node, value_node in node.value:
+        name = read_text(key_node, path, faults)
+        if name is UNREADABLE:
+            continue
+        if name in seen:
+            faults.add(key_node, join(path, name), "duplicate key")
+            continue
+        seen[name] = (name, key_node, value_node)
+    return list(seen.values())
+
+
+def join(path: str, name: str) -> str:
+    """Write the path of a key below another."""
+    return f"{path}.{name}" if path else name
+
+
+def _plain(node: Node) -> str | None:
+    """Return the text of a scalar without quotes, else None."""
+    if isinstance(node, ScalarNode) and node.style not in ("'", '"', "|", ">"):
+        return str(node.value)
+    return None
+
+
+def _range_text(minimum: float, maximum: float, above: bool) -> str:
+    if math.isfinite(maximum):
+        return f"a number from {minimum:g} to {maximum:g}"
+    return (
+        f"a number above {minimum:g}" if above else f"a number of {minimum:g} or more"
+    )
--- /dev/null
+++ b/acaciacove/release_format/read_note.py
@@ -0,0 +1,199 @@
+"""From YAML to a release note, or to the list of all its faults."""
+
+from collections import Counter
+from typing import Any
+
+from yaml import MappingNode, Node, SequenceNode
+
+from acaciacove.fleet.api import Api
+from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.fleet_state import NO_REVISION
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.version import Version
+from acaciacove.release_format.declarations import Declarations
+from acaciacove.release_format.fault_list import FaultList, line_of
+from acaciacove.release_format.invalid_note_error import InvalidNoteError
+from acaciacove.release_format.load_nodes import load_nodes
+from acaciacove.release_format.node_readers import (
+    UNREADABLE,
+    Key,
+    integer,
+    join,
+    list_of,
+    mapping_of,
+    number,
+    one_of,
+    read_boolean,
+    read_call,
+    read_digest,
+    read_keys,
+    read_name,
+    read_text,
+    read_version_id,
+    read_version_name,
+)
+from acaciacove.release_format.note_document import NoteDocument
+
+API_KEYS = {
+    "name": Key(read_name, required=True),
+    "kind": Key(one_of({kind.value: kind for kind in ApiKind}), required=True),
+    "quality_target": Key(number(0, 1)),
+    "non_idempotent": Key(list_of(read_call)),
+    "echoes_request_id": Key(read_boolean),
+}
+VERSION_KEYS = {
+    "id": Key(read_version_id, required=True),
+    "api": Key(read_name, required=True),
+    "cost_per_1k_tokens": Key(number(0), required=True),
+    "quality": Key(number(0, 1)),
+    "cold_bears": Key(integer(1)),
+    "warm_bears": Key(integer(1)),
+    "warm_up_s": Key(number(0)),
+    "replaces": Key(read_version_id),
+    "first_share": Key(number(0, 1)),
+}
+ORGANISATION_KEYS = {
+    "name": Key(read_name, required=True),
+    "weight": Key(number(0, above=True)),
+    "token_sha256": Key(list_of(read_digest), required=True),
+    "allowed": Key(mapping_of(list_of(read_version_name)), required=True),
+}
+
+
+def _read_api(node: Node, path: str, faults: FaultList) -> Any:
+    values = read_keys(node, path, faults, API_KEYS)
+    return UNREADABLE if values is None else Api(**values)
+
+
+def _read_version(node: Node, path: str, faults: FaultList) -> Any:
+    values = read_keys(node, path, faults, VERSION_KEYS)
+    if values is None:
+        return UNREADABLE
+    version = Version(**values)
+    if version.cold_bears > version.warm_bears:
+        message = f"is above warm_bears, {version.warm_bears}"
+        faults.add(node, join(path, "cold_bears"), message)
+    if version.replaces == version.id:
+        faults.add(node, join(path, "replaces"), "a version cannot replace itself")
+    return version
+
+
+def _read_organisation(node: Node, path: str, faults: FaultList) -> Any:
+    values = read_keys(node, path, faults, ORGANISATION_KEYS)
+    return UNREADABLE if values is None else Organisation(**values)
+
+
+DECLARATION_KEYS = {
+    "apis": Key(list_of(_read_api)),
+    "versions": Key(list_of(_read_version)),
+    "organisations": Key(list_of(_read_organisation)),
+}
+WITHDRAWAL_KEYS = {
+    "versions": Key(list_of(read_version_id)),
+    "organisations": Key(list_of(read_name)),
+}
+
+
+def _read_declarations(node: Node, path: str, faults: FaultList) -> Any:
+    return Declarations(**(read_keys(node, path, faults, DECLARATION_KEYS) or {}))
+
+
+def _read_withdrawals(node: Node, path: str, faults: FaultList) -> Any:
+    return read_keys(node, path, faults, WITHDRAWAL_KEYS) or {}
+
+
+NOTE_KEYS = {
+    "note": Key(read_name, required=True),
+    "based_on": Key(integer(NO_REVISION)),
+    "operator": Key(read_text),
+    "summary": Key(read_text),
+    "added": Key(_read_declarations),
+    "changed": Key(_read_declarations),
+    "withdrawn": Key(_read_withdrawals),
+}
+
+
+def read_note(data: bytes, max_bytes: int) -> NoteDocument:
+    """Read a release note; raises InvalidNoteError with every fault."""
+    root = load_nodes(data, max_bytes)
+    faults = FaultList()
+    values = read_keys(root, "", faults, NOTE_KEYS) or {}
+    withdrawn = values.get("withdrawn", {})
+    document = NoteDocument(
+        note_id=values.get("note", ""),
+        based_on=values.get("based_on"),
+        operator=values.get("operator", ""),
+        summary=values.get("summary", ""),
+        added=values.get("added", Declarations()),
+        changed=values.get("changed", Declarations()),
+        withdrawn_versions=withdrawn.get("versions", ()),
+        withdrawn_organisations=withdrawn.get("organisations", ()),
+        lines=_lines(root, ""),
+    )
+    _find_contradictions(document, root, faults)
+    if faults.faults:
+        raise InvalidNoteError(sorted(faults.faults, key=lambda fault: fault.line))
+    return document
+
+
+def _find_contradictions(document: NoteDocument, root: Node, faults: FaultList) -> None:
+    """Refuse names that stand twice, be it as added, changed or withdrawn."""
+    declared = (document.added, document.changed)
+    names = {
+        "api": [api.name for half in declared for api in half.apis],
+        "version": [str(v.id) for half in declared for v in half.versions],
+        "organisation": [o.name for half in declared for o in half.organisations],
+    }
+    names["version"] += [str(version) for version in document.withdrawn_versions]
+    names["organisation"] += document.withdrawn_organisations
+    for kind, found in names.items():
+        for name, count in Counter(found).items():
+            if count > 1:
+                _add_duplicate(kind, name, root, faults)
+
+
+def _add_duplicate(kind: str, name: str, root: Node, faults: FaultList) -> None:
+    """Name a duplicate at each place but the first."""
+    places = list(_places(root, "", f"{kind}s", name))
+    listed = ", ".join(path for path, _ in places)
+    for path, node in places[1:]:
+        faults.add(node, path, f"{kind} {name} stands twice: {listed}")
+
+
+def _places(root: Node, path: str, group: str, name: str) -> list[tuple[str, Node]]:
+    """Find where a name is declared or withdrawn, in the order of the text."""
+    places = []
+    for half, half_node in _items(root):
+        for key, list_node in _items(half_node):
+            if key != group or not isinstance(list_node, SequenceNode):
+                continue
+            for index, item in enumerate(list_node.value):
+                if name in (item.value, _own_name(item)):
+                    places.append((f"{half}.{key}[{index}]", item))
+    return places
+
+
+def _own_name(node: Node) -> str | None:
+    """Return the ``name`` or ``id`` of a declaration."""
+    for key, value in _items(node):
+        if key in ("name", "id"):
+            return str(value.value)
+    return None
+
+
+def _items(node: Node) -> list[tuple[str, Node]]:
+    """List the pairs of a mapping; nothing for other nodes."""
+    if not isinstance(node, MappingNode):
+        return []
+    return [(str(key.value), value) for key, value in node.value]
+
+
+def _lines(node: Node, path: str) -> dict[str, int]:
+    """Map each path of keys to its line."""
+    lines = {path: line_of(node)}
+    for key, value in _items(node):
+        lines.update(_lines(value, join(path, key)))
+    if isinstance(node, SequenceNode):
+        for index, item in enumerate(node.value):
+            lines.update(_lines(item, f"{path}[{index}]"))
+    return lines
--- a/acaciacove/settings/entry_settings.py
+++ b/acaciacove/settings/entry_settings.py
@@ -1,10 +1,23 @@
 """Settings of one entry instance."""
 
-from attrs import frozen
+from attrs import field, frozen
+
+from acaciacove.settings.checked_settings import CheckedSettings
+from acaciacove.settings.checks import (
+    at_least,
+    check,
+    is_ip_number,
+    is_name,
+    is_port,
+    is_positive,
+    is_secret,
+    is_share,
+    is_url_or_empty,
+)
 
 
 @frozen
-class EntrySettings:
+class EntrySettings(CheckedSettings):
     """Everything an entry knows before it starts.
 
     Callers speak HTTP to ``host:http_port``, other processes of the system speak
@@ -12,21 +25,32 @@
     platform services; an empty one switches that service off.
     """
 
-    name: str
-    region: str
-    availability_zone: str
-    host: str
-    http_port: int
-    peer_port: int
-    log_url: str
-    instance_list_url: str
-    rating_url: str = ""
-    default_deadline_s: float = 30.0
-    drain_limit_s: float = 30.0
-    max_body_bytes: int = 1_000_000
-    max_header_bytes: int = 16_384
-    subset_size: int = 24
-    retry_share: float = 0.1
-    hedge_share: float = 0.02
-    session_secret: str = ""
+    name: str = field(metadata=check(is_name))
+    region: str = field(metadata=check(is_name))
+    availability_zone: str = field(metadata=check(is_name))
+    host: str = field(metadata=check(is_ip_number))
+    http_port: int = field(metadata=check(is_port))
+    peer_port: int = field(metadata=check(is_port))
+    log_url: str = field(metadata=check(is_url_or_empty))
+    instance_list_url: str = field(metadata=check(is_url_or_empty))
+    rating_url: str = field(default="", metadata=check(is_url_or_empty))
+    default_deadline_s: float = field(default=30.0, metadata=check(is_positive))
+    drain_limit_s: float = field(default=30.0, metadata=check(is_positive))
+    max_body_bytes: int = field(default=1_000_000, metadata=check(at_least(1)))
+    max_header_bytes: int = field(default=16_384, metadata=check(at_least(1)))
+    subset_size: int = field(default=24, metadata=check(at_least(1)))
+    retry_share: float = field(default=0.1, metadata=check(is_share))
+    hedge_share: float = field(default=0.02, metadata=check(is_share))
+    session_secret: str = field(default="", repr=False, metadata=check(is_secret))
     seed: int = 0
+
+    def relation_faults(self) -> list[str]:
+        """List what is wrong between fields."""
+        return port_faults(self.http_port, self.peer_port)
+
+
+def port_faults(http_port: int, peer_port: int) -> list[str]:
+    """Refuse one port for two listeners, of which the second would not start."""
+    if http_port and http_port == peer_port:
+        return [f"http_port and peer_port must differ, both are {http_port}"]
+    return []
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,95 @@
+"""Settings are read from flags and environment variables and checked whole."""
+
+import pytest
+
+from acaciacove.cli.definition import COMMANDS, ENTRY, SIDECAR
+from acaciacove.cli.read_settings import read_settings
+from acaciacove.errors import InvalidSettingsError
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.settings.entry_settings import EntrySettings
+
+ENTRY_ARGS = [
+    "--name=entry-1",
+    "--region=south",
+    "--availability_zone=ozark",
+    "--host=127.0.0.1",
+    "--http_port=8080",
+    "--peer_port=8081",
+    "--log_url=http://127.0.0.1:7000",
+    "--instance_list_url=http://127.0.0.1:7001",
+]
+
+
+def faults_of(command, args, env=None):
+    with pytest.raises(InvalidSettingsError) as caught:
+        read_settings(command, args, env or {})
+    return caught.value.faults
+
+
+def test_a_flag_wins_over_its_environment_variable_and_that_over_the_default():
+    env = {"ACACIACOVE_SEED": "7", "ACACIACOVE_SUBSET_SIZE": "9"}
+    read = read_settings(ENTRY, [*ENTRY_ARGS, "--seed=8"], env)
+    assert (read.seed, read.subset_size, read.retry_share) == (8, 9, 0.1)
+
+
+def test_an_empty_environment_variable_counts_as_not_set():
+    assert read_settings(ENTRY, ENTRY_ARGS, {"ACACIACOVE_SEED": ""}).seed == 0
+
+
+def test_every_fault_is_listed_at_once_under_the_name_that_was_written():
+    # An operator mends one setting, restarts a daemon, and meets the next fault;
+    # with a dozen instances to start that is an evening. All come together.
+    args = [
+        *ENTRY_ARGS[:-3],
+        "--http_port=x",
+        "--host=localhost",
+        "--log_ulr=http://a",
+        "stray",
+    ]
+    env = {"ACACIACOVE_RETRY_SHARE": "1.5", "ACACIACOVE_SESSION_SECRET": "short"}
+    faults = "\n".join(faults_of(ENTRY, args, env))
+    for expected in (
+        "unknown flag --log_ulr; did you mean --log_url?",
+        "unexpected argument 'stray'",
+        "--http_port must be a whole number, not 'x'",
+        "--host must be an IP number",
+        "--peer_port or ACACIACOVE_PEER_PORT must be given",
+        "ACACIACOVE_RETRY_SHARE must be from 0 to 1, not 1.5",
+        "ACACIACOVE_SESSION_SECRET must have at least 16 characters",
+    ):
+        assert expected in faults
+    assert "short" not in faults
+
+
+def test_two_listeners_on_one_port_are_refused():
+    faults = faults_of(ENTRY, [*ENTRY_ARGS, "--peer_port=8080"])
+    assert faults == ["http_port and peer_port must differ, both are 8080"]
+
+
+def test_settings_made_by_a_library_user_are_checked_alike():
+    with pytest.raises(InvalidSettingsError) as caught:
+        EntrySettings("", "r", "z", "host", 1, 2, "log", "")
+    assert len(caught.value.faults) == 3
+
+
+def test_versions_of_a_sidecar_are_a_list():
+    args = [*ENTRY_ARGS, "--endpoint_url=http://127.0.0.1:9000"]
+    read = read_settings(SIDECAR, [*args, "--versions=guide@1, guide@2"], {})
+    assert read.versions == (VersionId("guide", "1"), VersionId("guide", "2"))
+    assert faults_of(SIDECAR, [*args, "--versions=guide"]) == [
+        "--versions 'guide' is not written model@version"
+    ]
+
+
+def test_a_secret_is_not_shown_when_settings_are_printed():
+    args = [*ENTRY_ARGS, "--session_secret=0123456789abcdef"]
+    assert "0123456789abcdef" not in repr(read_settings(ENTRY, args, {}))
+
+
+def test_every_flag_and_argument_names_a_setting_and_has_help():
+    from attrs import fields_dict
+
+    for command in COMMANDS:
+        declared = [*command.arguments, *command.flags]
+        assert {d.name for d in declared} == set(fields_dict(command.settings))
+        assert all(len(d.help) > 20 for d in declared)
