--- /dev/null
+++ b/acaciacove/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""What both daemons share: lifecycle, logs, metrics, servers, the release tail."""
--- /dev/null
+++ b/acaciacove/daemon/http_server.py
@@ -0,0 +1,51 @@
+"""A uvicorn server inside a daemon that has signal handling of its own."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import AbstractContextManager, asynccontextmanager, nullcontext
+from typing import Any
+
+from uvicorn import Config, Server
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 75
+
+
+class _QuietServer(Server):
+    """Leaves signals to the daemon, which drains before it stops the server."""
+
+    def capture_signals(self) -> AbstractContextManager[None]:  # type: ignore[override]
+        return nullcontext()
+
+
+@asynccontextmanager
+async def http_server(
+    app: Any, host: str, port: int, max_header_bytes: int = 16_384
+) -> AsyncIterator[int]:
+    """Serve an application while the block runs; yields the bound port.
+
+    Port 0 binds a free one. Raises OSError when the address is taken. On leaving
+    the block, answers that have begun are finished first.
+    """
+    listener = socket.create_server((host, port), backlog=BACKLOG)
+    config = Config(
+        app,
+        log_level="warning",
+        access_log=False,
+        lifespan="off",
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        h11_max_incomplete_event_size=max_header_bytes,
+    )
+    server = _QuietServer(config)
+    serving = asyncio.create_task(server.serve(sockets=[listener]))
+    try:
+        yield listener.getsockname()[1]
+    finally:
+        server.should_exit = True
+        await serving
+        listener.close()
--- /dev/null
+++ b/acaciacove/entry/answer_end.py
@@ -0,0 +1,16 @@
+"""The last event of a whole answer."""
+
+from attrs import frozen
+
+from acaciacove.fleet.version_id import VersionId
+
+
+@frozen
+class AnswerEnd:
+    """The answer is whole; what it took."""
+
+    version: VersionId
+    endpoint: str
+    prompt_tokens: int
+    completion_tokens: int
+    cost: float
--- /dev/null
+++ b/acaciacove/entry/answer_head.py
@@ -0,0 +1,16 @@
+"""The first event of an answer."""
+
+from attrs import frozen
+
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.messages.header import Header
+
+
+@frozen
+class AnswerHead:
+    """Status and headers for the caller, and who answers."""
+
+    status: int
+    headers: tuple[Header, ...]
+    version: VersionId
+    endpoint: str
--- /dev/null
+++ b/acaciacove/entry/answer_piece.py
@@ -0,0 +1,10 @@
+"""A piece of an answer on its way to the caller."""
+
+from attrs import frozen
+
+
+@frozen
+class AnswerPiece:
+    """Bytes that go to the caller as they are."""
+
+    data: bytes
--- /dev/null
+++ b/acaciacove/entry/app.py
@@ -0,0 +1,125 @@
+"""The HTTP application that callers speak to."""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from contextlib import aclosing
+
+import orjson
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import BaseRoute, Route
+
+from acaciacove.entry import header_names
+from acaciacove.entry.answer_end import AnswerEnd
+from acaciacove.entry.answer_event import AnswerEvent
+from acaciacove.entry.answer_head import AnswerHead
+from acaciacove.entry.answer_piece import AnswerPiece
+from acaciacove.entry.answer_response import AnswerResponse
+from acaciacove.entry.caller_request import CallerRequest
+from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.problem import problem_document, problem_response
+from acaciacove.entry.read_request import CHAT_PATH, read_request
+from acaciacove.entry.until_caller_leaves import until_caller_leaves
+from acaciacove.refusal import Refusal
+
+EVENT_STREAM = "text/event-stream"
+SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+
+Answers = Callable[[CallerRequest], AsyncGenerator[AnswerEvent, None]]
+
+
+def build_entry_app(
+    entry: EntryState, answer: Answers, probes: list[BaseRoute]
+) -> Starlette:
+    """Build the application; ``answer`` yields the events of an answer."""
+
+    async def serve(request: Request) -> Response:
+        request_id = entry.new_request_id()
+        with entry.counted_in_flight():
+            read = await read_request(request, entry, request_id)
+            if isinstance(read, Refusal):
+                entry.metrics.count_refusal(read)
+                return problem_response(read, request_id)
+            if read.stream:
+                return await _streamed(entry, read, answer(read))
+            whole = _whole(request_id, answer(read))
+            if read.non_idempotent:
+                return await whole
+            return await until_caller_leaves(request, whole)
+
+    return Starlette(
+        routes=[
+            Route(CHAT_PATH, serve, methods=["POST"]),
+            Route("/services/{api}/{path:path}", serve, methods=SERVICE_METHODS),
+            *probes,
+        ]
+    )
+
+
+async def _whole(
+    request_id: str, events: AsyncGenerator[AnswerEvent, None]
+) -> Response:
+    """Answer with one body, or with a problem if it cannot be whole."""
+    pieces: list[bytes] = []
+    head: AnswerHead | None = None
+    async with aclosing(events):
+        async for event in events:
+            match event:
+                case AnswerHead():
+                    head = event
+                case AnswerPiece():
+                    pieces.append(event.data)
+                case AnswerEnd() if head is not None:
+                    headers = _headers(request_id, head)
+                    headers[header_names.COST] = f"{event.cost:.6f}"
+                    return Response(b"".join(pieces), head.status, headers)
+                case Refusal():
+                    return problem_response(event, request_id)
+    raise AssertionError("an answer ends with AnswerEnd or Refusal")
+
+
+async def _streamed(
+    entry: EntryState,
+    request: CallerRequest,
+    events: AsyncGenerator[AnswerEvent, None],
+) -> Response:
+    """Relay server-sent events as they come; a failure ends them by name."""
+    first = await anext(events)
+    if isinstance(first, Refusal):
+        return problem_response(first, request.request_id)
+    assert isinstance(first, AnswerHead)
+    headers = _headers(request.request_id, first)
+    headers["cache-control"] = "no-store"
+    body = _event_bytes(entry, request.request_id, events)
+    return AnswerResponse(body, first.status, headers, media_type=EVENT_STREAM)
+
+
+async def _event_bytes(
+    entry: EntryState,
+    request_id: str,
+    events: AsyncGenerator[AnswerEvent, None],
+) -> AsyncIterator[bytes]:
+    """Yield what the caller gets of a streamed answer."""
+    with entry.counted_in_flight():
+        async with aclosing(events):
+            async for event in events:
+                match event:
+                    case AnswerPiece():
+                        yield event.data
+                    case Refusal():
+                        yield _error_event(event, request_id)
+
+
+def _headers(request_id: str, head: AnswerHead) -> dict[str, str]:
+    """List an answer's headers with those that tell who answered."""
+    headers = {header.name.lower(): header.value for header in head.headers}
+    headers[header_names.REQUEST_ID] = request_id
+    headers[header_names.VERSION] = str(head.version)
+    headers[header_names.ENDPOINT] = head.endpoint
+    return headers
+
+
+def _error_event(refusal: Refusal, request_id: str) -> bytes:
+    """End a stream that has begun with a typed error, never silently short."""
+    document = {"error": problem_document(refusal, request_id)}
+    return b"event: error\ndata: " + orjson.dumps(document) + b"\n\n"
--- /dev/null
+++ b/acaciacove/entry/authenticate.py
@@ -0,0 +1,30 @@
+"""Finds the organisation behind a bearer token."""
+
+from hashlib import sha256
+
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+SCHEME = "bearer "
+
+MISSING_TOKEN = Refusal(
+    Reason.BAD_TOKEN, True, "send your organisation's token as Authorization: Bearer"
+)
+WRONG_TOKEN = Refusal(Reason.BAD_TOKEN, True, "no organisation has this token")
+
+
+def authenticate(fleet: FleetState, authorization: str) -> Organisation | Refusal:
+    """Return the organisation that a release note gave this token to.
+
+    Tokens are looked up by digest, so the time taken says nothing of the token.
+    """
+    if not authorization.lower().startswith(SCHEME):
+        return MISSING_TOKEN
+    token = authorization[len(SCHEME) :].strip()
+    digest = sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+    for organisation in fleet.organisations.values():
+        if digest in organisation.token_sha256:
+            return organisation
+    return WRONG_TOKEN
--- /dev/null
+++ b/acaciacove/entry/entry_state.py
@@ -0,0 +1,55 @@
+"""Everything that the tasks of one entry share."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from random import Random
+
+from attrs import define, field
+
+from acaciacove.daemon.process_lifecycle import ProcessLifecycle
+from acaciacove.entry.entry_metrics import EntryMetrics
+from acaciacove.entry.router import Router
+from acaciacove.entry.sidecar_link import SidecarLink
+from acaciacove.fleet.instance import Instance
+from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.state.fleet_holder import FleetHolder
+
+REQUEST_ID_BITS = 128
+
+
+@define(eq=False)
+class EntryState:
+    """The parts of one entry; each is owned by one task and read by the others."""
+
+    settings: EntrySettings
+    lifecycle: ProcessLifecycle
+    holder: FleetHolder
+    router: Router
+    metrics: EntryMetrics
+    rng: Random
+    open_link: Callable[[Instance], SidecarLink]
+    links: dict[tuple[str, int], SidecarLink] = field(factory=dict)
+    in_flight: int = 0
+
+    def link_to(self, endpoint: Instance) -> SidecarLink:
+        """Return the connection to an endpoint's sidecar."""
+        address = (endpoint.host, endpoint.port)
+        link = self.links.get(address)
+        if link is None:
+            link = self.links[address] = self.open_link(endpoint)
+        return link
+
+    def new_request_id(self) -> str:
+        """Return an id that no other request has, of this entry or another."""
+        return f"{self.rng.getrandbits(REQUEST_ID_BITS):032x}"
+
+    @contextmanager
+    def counted_in_flight(self) -> Iterator[None]:
+        """Count a request while it is being served, for a shutdown to wait for."""
+        self.in_flight += 1
+        self.metrics.set_in_flight(self.in_flight)
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+            self.metrics.set_in_flight(self.in_flight)
--- /dev/null
+++ b/acaciacove/entry/parse_chat.py
@@ -0,0 +1,85 @@
+"""Reads the body of a chat request; every fault is a typed refusal."""
+
+from typing import Any
+
+import orjson
+
+from acaciacove.entry.chat_body import ChatBody
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 1_000_000
+MAX_MESSAGES = 10_000
+
+
+def parse_chat(body: bytes) -> ChatBody | Refusal:
+    """Read and check a chat completion request."""
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return _malformed(f"the body is not JSON: {error}")
+    if not isinstance(document, dict):
+        return _malformed("the body must be a JSON object")
+    fault = _fault(document)
+    if fault:
+        return _malformed(fault)
+    texts = [_text(message) for message in document["messages"]]
+    return ChatBody(
+        model=document["model"],
+        stream=document.get("stream", False),
+        prompt_chars=sum(len(text) for text in texts),
+        max_tokens=document.get("max_tokens") or DEFAULT_MAX_TOKENS,
+        first_message=texts[0],
+        document=document,
+    )
+
+
+def _fault(document: dict[str, Any]) -> str:
+    """Name the first field that is wrong, or return an empty text."""
+    model = document.get("model")
+    if not isinstance(model, str) or not model:
+        return "model: must be the name of an API or model@version"
+    if not isinstance(document.get("stream", False), bool):
+        return "stream: must be true or false"
+    max_tokens = document.get("max_tokens")
+    if max_tokens is not None and not _is_count(max_tokens):
+        return f"max_tokens: must be a whole number from 1 to {MAX_TOKENS_LIMIT}"
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not 0 < len(messages) <= MAX_MESSAGES:
+        return f"messages: must be a list of 1 to {MAX_MESSAGES} messages"
+    for place, message in enumerate(messages):
+        fault = _message_fault(message)
+        if fault:
+            return f"messages[{place}]{fault}"
+    return ""
+
+
+def _message_fault(message: Any) -> str:
+    if not isinstance(message, dict):
+        return ": must be an object"
+    if not isinstance(message.get("role"), str):
+        return ".role: must be a text"
+    if not isinstance(message.get("content"), str | list | None):
+        return ".content: must be a text or a list of parts"
+    return ""
+
+
+def _is_count(value: Any) -> bool:
+    """Tell a whole number in range; true and false are not numbers here."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        return False
+    return 0 < value <= MAX_TOKENS_LIMIT
+
+
+def _text(message: dict[str, Any]) -> str:
+    """Return the text of a message, its parts joined."""
+    content = message.get("content")
+    if isinstance(content, str):
+        return content
+    parts = [part for part in content or () if isinstance(part, dict)]
+    return "".join(str(part.get("text", "")) for part in parts)
+
+
+def _malformed(detail: str) -> Refusal:
+    return Refusal(Reason.MALFORMED_REQUEST, not_run=True, detail=detail)
--- /dev/null
+++ b/acaciacove/entry/until_caller_leaves.py
@@ -0,0 +1,39 @@
+"""Stops work that nobody waits for any more."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+CLIENT_CLOSED_REQUEST = 499
+
+
+async def until_caller_leaves(
+    request: Request, answering: Coroutine[None, None, Response]
+) -> Response:
+    """Return the answer, or cancel the work when the caller disconnects first.
+
+    An engine would otherwise go on for callers that have given up, seen under
+    overload as work done and no answers delivered.
+    """
+    answer = asyncio.create_task(answering)
+    leaving = asyncio.create_task(_disconnected(request))
+    try:
+        await asyncio.wait({answer, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        if answer.done():
+            return answer.result()
+        return Response(status_code=CLIENT_CLOSED_REQUEST)
+    finally:
+        leaving.cancel()
+        if not answer.done():
+            answer.cancel()
+            await asyncio.wait({answer})
+
+
+async def _disconnected(request: Request) -> None:
+    """Wait until the caller has closed its connection."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
--- /dev/null
+++ b/acaciacove/sidecar/entry_session.py
@@ -0,0 +1,76 @@
+"""The conversation with one connected process, usually an entry."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from acaciacove.messages.cancel import Cancel
+from acaciacove.messages.message import Message
+from acaciacove.messages.run import Run
+from acaciacove.sidecar.run_attempt import run_attempt
+from acaciacove.sidecar.sidecar_state import SidecarState
+from acaciacove.wire.connection import Connection
+from acaciacove.wire.outbox import Outbox
+
+Send = Callable[[Message], Awaitable[None]]
+OtherMessageHandler = Callable[[Message, Send], Awaitable[None]]
+
+
+class EntrySession:
+    """Reads one connection; each attempt is a task that answers through the outbox.
+
+    ``on_other`` gets the messages that are no attempts, and a way to answer.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        sidecar: SidecarState,
+        on_other: OtherMessageHandler,
+    ) -> None:
+        """Take over a connection that a peer has opened."""
+        self.outbox = Outbox(connection)
+        self._connection = connection
+        self._sidecar = sidecar
+        self._on_other = on_other
+        self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Serve the peer until it closes, then stop what it had asked for."""
+        writer = asyncio.create_task(self.outbox.run())
+        try:
+            while (message := await self._connection.receive()) is not None:
+                await self._handle(message)
+        finally:
+            writer.cancel()
+            for task in tuple(self._attempts.values()):
+                task.cancel()
+            self._connection.close()
+
+    async def _handle(self, message: Message) -> None:
+        match message:
+            case Run():
+                self._start(message)
+            case Cancel():
+                task = self._attempts.get((message.request_id, message.attempt))
+                if task is not None:
+                    task.cancel()
+            case _:
+                await self._on_other(message, self.outbox.put)
+
+    def _start(self, run: Run) -> None:
+        """Start an attempt; one that is repeated word for word starts once."""
+        key = (run.request_id, run.attempt)
+        if key in self._attempts:
+            return
+        self._sidecar.in_flight += 1
+        task = asyncio.create_task(run_attempt(run, self._sidecar, self.outbox.put))
+        self._attempts[key] = task
+        task.add_done_callback(lambda done: self._finished(key, done))
+
+    def _finished(self, key: tuple[str, int], task: asyncio.Task[None]) -> None:
+        self._sidecar.in_flight -= 1
+        del self._attempts[key]
+        if not task.cancelled() and task.exception() is not None:
+            # A fault in the code of an attempt leaves the entry without an answer,
+            # seen as a stream that hangs. Closing lets it go on elsewhere.
+            self._connection.close()
--- /dev/null
+++ b/acaciacove/sidecar/gate.py
@@ -0,0 +1,119 @@
+"""The last check of every promise before an endpoint gets work.
+
+The entry has checked the same on its own view, which may be behind. Whatever is
+refused here has not reached the endpoint, so every refusal is a true "not run".
+"""
+
+from collections.abc import Callable
+
+from attrs import frozen
+
+from acaciacove.fleet.fleet_state import NO_REVISION, FleetState
+from acaciacove.fleet.version_id import VersionId, parse_version_id
+from acaciacove.messages.run import Run
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+SOON_S = 1.0
+
+
+@frozen
+class GateView:
+    """What the gate looks at: the state in force and this endpoint's own."""
+
+    fleet: FleetState
+    instance: str
+    availability_zone: str
+    served: frozenset[VersionId]
+    takes_work: bool
+
+
+Check = Callable[[Run, GateView], Refusal | None]
+
+
+def refuse_run(run: Run, view: GateView) -> Refusal | None:
+    """Return the first reason against running an attempt here, if there is one."""
+    for check in _CHECKS:
+        refusal = check(run, view)
+        if refusal is not None:
+            return refusal
+    return None
+
+
+def _check_process(run: Run, view: GateView) -> Refusal | None:
+    if view.fleet.revision == NO_REVISION:
+        return Refusal(Reason.NOT_READY, True, "no release note is known", SOON_S)
+    if not view.takes_work:
+        return Refusal(Reason.LEAVING, True, f"{view.instance} is leaving")
+    return None
+
+
+def _check_revision(run: Run, view: GateView) -> Refusal | None:
+    """Refuse while behind the entry.
+
+    The entry may know of a withdrawal that this side does not. Without this check a
+    sidecar that was paused would serve what operators have stopped.
+    """
+    if run.revision > view.fleet.revision:
+        detail = f"{view.instance} is still reading revision {run.revision}"
+        return Refusal(Reason.STALE_REVISION, True, detail, SOON_S)
+    return None
+
+
+def _check_decisions(run: Run, view: GateView) -> Refusal | None:
+    if view.availability_zone in view.fleet.availability_zones_out:
+        return Refusal(Reason.AVAILABILITY_ZONE_OUT, True, view.availability_zone)
+    if view.instance in view.fleet.instances_out:
+        return Refusal(Reason.INSTANCE_OUT, True, view.instance)
+    return None
+
+
+def _check_version(run: Run, view: GateView) -> Refusal | None:
+    version = parse_version_id(run.version)
+    known = view.fleet.versions.get(version) if version else None
+    if known is None or known.api != run.api:
+        return Refusal(Reason.UNKNOWN_API, True, f"{run.version} of {run.api}")
+    if known.withdrawn:
+        return Refusal(Reason.VERSION_WITHDRAWN, True, run.version)
+    if known.id in view.fleet.quarantines:
+        return Refusal(Reason.VERSION_QUARANTINED, True, run.version)
+    if known.id not in view.served:
+        detail = f"{view.instance} does not serve {run.version}"
+        return Refusal(Reason.NO_ENDPOINT, True, detail)
+    return None
+
+
+def _check_organisation(run: Run, view: GateView) -> Refusal | None:
+    organisation = view.fleet.organisations.get(run.organisation)
+    if organisation is None:
+        return Refusal(Reason.UNKNOWN_ORGANISATION, True, run.organisation)
+    version = parse_version_id(run.version)
+    if version is None or not organisation.allows(version):
+        return Refusal(Reason.NOT_ALLOWED, True, f"{run.organisation}: {run.version}")
+    return None
+
+
+def _check_deadline(run: Run, view: GateView) -> Refusal | None:
+    if run.deadline_s <= 0:
+        return Refusal(Reason.DEADLINE_EXCEEDED, True, "no time is left")
+    return None
+
+
+def _check_key(run: Run, view: GateView) -> Refusal | None:
+    api = view.fleet.apis.get(run.api)
+    if api is None:
+        return Refusal(Reason.UNKNOWN_API, True, run.api)
+    if not api.may_repeat(run.method, run.path) and not run.idempotency_key:
+        return Refusal(Reason.KEY_REQUIRED, True, "send an Idempotency-Key")
+    return None
+
+
+_CHECKS: tuple[Check, ...] = (
+    _check_process,
+    _check_revision,
+    _check_decisions,
+    _check_version,
+    _check_organisation,
+    _check_deadline,
+    _check_key,
+)
--- /dev/null
+++ b/acaciacove/sidecar/sidecar_state.py
@@ -0,0 +1,38 @@
+"""Everything that the tasks of one sidecar share."""
+
+from attrs import define, field
+
+from acaciacove.daemon.process_lifecycle import ProcessLifecycle
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.platform.engine import Engine
+from acaciacove.platform.plain_service import PlainService
+from acaciacove.settings.sidecar_settings import SidecarSettings
+from acaciacove.sidecar.admission import Admission
+from acaciacove.sidecar.gate import GateView
+from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
+from acaciacove.state.fleet_holder import FleetHolder
+
+
+@define(eq=False)
+class SidecarState:
+    """The parts of one sidecar; each is owned by one task and read by the others."""
+
+    settings: SidecarSettings
+    lifecycle: ProcessLifecycle
+    holder: FleetHolder
+    admission: Admission
+    engine: Engine
+    service: PlainService
+    metrics: SidecarMetrics
+    served: frozenset[VersionId]
+    in_flight: int = field(default=0)
+
+    def gate_view(self) -> GateView:
+        """Return what the gate looks at, as of now."""
+        return GateView(
+            fleet=self.holder.state,
+            instance=self.settings.name,
+            availability_zone=self.settings.availability_zone,
+            served=self.served,
+            takes_work=self.lifecycle.takes_work,
+        )
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -63,6 +63,7 @@
   attempt @1 :UInt16;
   sequence @2 :UInt32;
   data @3 :Data;
+  tokens @4 :UInt16;
 }
 
 struct End {
--- /dev/null
+++ b/acaciacove/wire/connection.py
@@ -0,0 +1,70 @@
+"""One TCP connection between two processes: length-prefixed Cap'n Proto frames."""
+
+from asyncio import (
+    IncompleteReadError,
+    LimitOverrunError,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+)
+from collections.abc import Iterable
+
+from acaciacove.errors import MalformedMessageError
+from acaciacove.messages.message import Message
+from acaciacove.wire.codec import decode, encode
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 16 * 2**20
+
+
+class Connection:
+    """Sends and receives messages; a lost peer reads as None, never as an error."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Take over a stream that is already open."""
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, message: Message) -> None:
+        """Send one message; raises ConnectionError when the peer is gone."""
+        await self.send_all((message,))
+
+    async def send_all(self, messages: Iterable[Message]) -> None:
+        """Send messages in one write; raises ConnectionError."""
+        self.send_soon(messages)
+        await self._writer.drain()
+
+    def send_soon(self, messages: Iterable[Message]) -> None:
+        """Queue messages in one write, without waiting for the peer to read."""
+        if self._writer.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        self._writer.write(b"".join(_framed(encode(message)) for message in messages))
+
+    async def receive(self) -> Message | None:
+        """Wait for a message; None once the peer has closed or sent no message."""
+        try:
+            prefix = await self._reader.readexactly(LENGTH_BYTES)
+            size_bytes = int.from_bytes(prefix, "big")
+            if size_bytes > MAX_FRAME_BYTES:
+                return None
+            return decode(await self._reader.readexactly(size_bytes))
+        except (IncompleteReadError, LimitOverrunError, OSError):
+            return None
+        except MalformedMessageError:
+            # Bytes that are no message leave no way to find the next frame. The
+            # connection is given up, so that what follows is not misread.
+            return None
+
+    def close(self) -> None:
+        """Close without waiting; the peer reads None."""
+        self._writer.close()
+
+
+async def connect(host: str, port: int) -> Connection:
+    """Open a connection; raises OSError."""
+    reader, writer = await open_connection(host, port)
+    return Connection(reader, writer)
+
+
+def _framed(data: bytes) -> bytes:
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
