Give the decisions stable interfaces with working simple forms

Cause: the daemons are integrated at once and need the functions to call. Conclusion: signatures are meant to stay, what is inside will be tuned.

--- /dev/null
+++ b/acaciacove/decisions/placement.py
@@ -0,0 +1,64 @@
+"""Which version each endpoint should hold."""
+
+from collections.abc import Mapping
+
+from acaciacove.decisions.placement_move import PlacementMove
+from acaciacove.fleet.version_id import VersionId
+
+MAX_MOVES = 2
+MIN_GAIN = 0.15
+
+
+def plan_moves(
+    placed: Mapping[str, VersionId],
+    work: Mapping[VersionId, float],
+    moving: frozenset[str] = frozenset(),
+    max_moves: int = MAX_MOVES,
+) -> tuple[PlacementMove, ...]:
+    """Plan the next few moves towards equal work per endpoint.
+
+    ``placed`` maps endpoints to the version they hold, ``work`` versions to the
+    measured demand in busy endpoints. Endpoints in ``moving`` are still loading and
+    count against ``max_moves``. The last endpoint of a version stays while it has
+    work. Planned anew from what is measured, step by step.
+    """
+    counts = dict.fromkeys(work, 0)
+    for version in placed.values():
+        counts[version] = counts.get(version, 0) + 1
+    moves: list[PlacementMove] = []
+    free = sorted(name for name in placed if name not in moving)
+    while len(moves) + len(moving) < max_moves:
+        move = _best_move(placed, work, counts, free)
+        if move is None:
+            break
+        counts[move.load] += 1
+        counts[move.instead_of] -= 1
+        free.remove(move.endpoint)
+        moves.append(move)
+    return tuple(moves)
+
+
+def _best_move(
+    placed: Mapping[str, VersionId],
+    work: Mapping[VersionId, float],
+    counts: dict[VersionId, int],
+    free: list[str],
+) -> PlacementMove | None:
+    """Move from the version with most room to the one with least."""
+
+    def use(version: VersionId, change: int = 0) -> float:
+        count = counts[version] + change
+        load = work.get(version, 0.0)
+        return load / count if count > 0 else (float("inf") if load else 0.0)
+
+    receiver = max(sorted(counts), key=use)
+    givers = [v for v in sorted(counts) if v != receiver and counts[v] > 0]
+    if not givers:
+        return None
+    giver = min(givers, key=lambda v: use(v, -1))
+    if use(giver, -1) + MIN_GAIN >= use(receiver):
+        return None
+    for name in free:
+        if placed[name] == giver:
+            return PlacementMove(name, receiver, giver)
+    return None
--- /dev/null
+++ b/acaciacove/decisions/version_choice.py
@@ -0,0 +1,200 @@
+"""Which version answers a request."""
+
+from collections.abc import Collection, Mapping
+from hashlib import blake2b
+from random import Random
+
+from acaciacove.decisions.candidate import Candidate
+from acaciacove.decisions.cascade_plan import CascadePlan
+from acaciacove.decisions.decision import Decision
+from acaciacove.decisions.decision_kind import DecisionKind
+from acaciacove.decisions.lost import Lost
+from acaciacove.decisions.plan_cache import PlanCache
+from acaciacove.decisions.version_decision import VersionDecision
+from acaciacove.fleet.api import Api
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+FULL_SHARE = 1.0
+_HASH_RANGE = 2.0**64
+_REFUSALS = (
+    (Lost.NOT_SERVED, Reason.NO_ENDPOINT),
+    (Lost.QUARANTINED, Reason.VERSION_QUARANTINED),
+    (Lost.WITHDRAWN, Reason.VERSION_WITHDRAWN),
+    (Lost.NOT_ALLOWED, Reason.NOT_ALLOWED),
+)
+
+
+def choose_version(
+    fleet: FleetState,
+    organisation: Organisation,
+    api: Api,
+    request_class: str,
+    plans: PlanCache,
+    rng: Random,
+    *,
+    pinned: VersionId | None = None,
+    session: str = "",
+    shares: Mapping[VersionId, float] | None = None,
+    serving: Collection[VersionId] | None = None,
+) -> VersionDecision | Refusal:
+    """Choose the cheapest allowed plan that meets the API's quality target.
+
+    ``shares`` is the exposure of versions under roll-out (1 when absent),
+    ``serving`` the versions that some endpoint serves (all when None). A pinned
+    session keeps its version while that is allowed and usable, and its answers do
+    not escalate. A session without a pin is exposed by a hash of its name, so that
+    every entry draws alike and a growing share moves each session once at most.
+    """
+    lost = _lost_versions(fleet, organisation, api, serving)
+    versions = [v for v in fleet.versions_of(api.name) if v.id not in lost]
+    if not versions:
+        return _refusal(lost, api)
+    if pinned is not None and any(v.id == pinned for v in versions):
+        return _pinned(pinned, versions, lost)
+    draw = _session_draw(session, api) if session else rng.random()
+    exposed, substitutes = _exposed(versions, shares or {}, draw, lost)
+    ladder = tuple(sorted(exposed, key=lambda v: (v.cost_per_1k_tokens, v.id)))
+    plan = plans.plan(ladder, request_class, api.quality_target, not session)
+    explored = None if session else _explored(ladder, plan, request_class, plans, rng)
+    return _decided(ladder, plan, explored, substitutes, lost)
+
+
+def _lost_versions(
+    fleet: FleetState,
+    organisation: Organisation,
+    api: Api,
+    serving: Collection[VersionId] | None,
+) -> dict[VersionId, Lost]:
+    """Name the versions of an API that may not or cannot be used, and why."""
+    lost: dict[VersionId, Lost] = {}
+    for version in fleet.versions_of(api.name):
+        if not organisation.allows(version.id):
+            lost[version.id] = Lost.NOT_ALLOWED
+        elif version.withdrawn:
+            lost[version.id] = Lost.WITHDRAWN
+        elif version.id in fleet.quarantines:
+            lost[version.id] = Lost.QUARANTINED
+        elif serving is not None and version.id not in serving:
+            lost[version.id] = Lost.NOT_SERVED
+    return lost
+
+
+def _refusal(lost: dict[VersionId, Lost], api: Api) -> Refusal:
+    """Refuse for the reason that lies nearest to service."""
+    reasons = set(lost.values())
+    for why, reason in _REFUSALS:
+        if why in reasons:
+            return Refusal(reason, not_run=True, detail=f"no version of {api.name}")
+    return Refusal(Reason.UNKNOWN_API, not_run=True, detail=f"unknown {api.name}")
+
+
+def _session_draw(session: str, api: Api) -> float:
+    digest = blake2b(f"{api.name}/{session}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") / _HASH_RANGE
+
+
+def _exposed(
+    versions: list[Version],
+    shares: Mapping[VersionId, float],
+    draw: float,
+    lost: dict[VersionId, Lost],
+) -> tuple[list[Version], dict[VersionId, VersionId]]:
+    """Let either a version under roll-out or the one it replaces stand.
+
+    A version under roll-out takes the place of the replaced one in that one's plan.
+    With a plan from its own few ratings it would never be chosen, or always.
+    """
+    standing = {v.id: v for v in versions}
+    substitutes: dict[VersionId, VersionId] = {}
+    for version in versions:
+        replaced = version.replaces
+        if replaced is None or replaced not in standing:
+            continue
+        share = shares.get(version.id, FULL_SHARE)
+        if share >= FULL_SHARE:
+            lost[replaced] = Lost.REPLACED
+            del standing[replaced]
+            continue
+        del standing[version.id]
+        if draw < share:
+            substitutes[replaced] = version.id
+        else:
+            lost[version.id] = Lost.NOT_EXPOSED
+    return list(standing.values()), substitutes
+
+
+def _explored(
+    ladder: tuple[Version, ...],
+    plan: CascadePlan,
+    request_class: str,
+    plans: PlanCache,
+    rng: Random,
+) -> VersionId | None:
+    """Pick a cheaper version to try beside the plan, now and then.
+
+    Its answer is rated and thrown away, so that trying never lowers what callers get.
+    """
+    settings = plans.settings
+    start = next(at for at, v in enumerate(ladder) if v.id == plan.start)
+    if start == 0 or rng.random() >= settings.eager_share:
+        return None
+    tried = ladder[rng.randrange(start)]
+    estimate = plans.estimates.estimate(tried.id, request_class, tried.quality)
+    settled = estimate.count >= settings.settled_ratings
+    kept = settings.explore_share / settings.eager_share
+    if settled and rng.random() >= kept:
+        return None
+    return tried.id
+
+
+def _pinned(
+    pinned: VersionId, versions: list[Version], lost: dict[VersionId, Lost]
+) -> VersionDecision:
+    for version in versions:
+        if version.id != pinned:
+            lost[version.id] = Lost.PINNED_ELSEWHERE
+    plan = CascadePlan(pinned)
+    decision = _decision(pinned, versions, lost, "pinned")
+    return VersionDecision(pinned, plan, (pinned,), decision, pinned=True)
+
+
+def _decided(
+    ladder: tuple[Version, ...],
+    plan: CascadePlan,
+    explored: VersionId | None,
+    substitutes: dict[VersionId, VersionId],
+    lost: dict[VersionId, Lost],
+) -> VersionDecision:
+    start = explored or plan.start
+    second = plan.start if explored else plan.escalate_to
+    chosen_at = next(at for at, v in enumerate(ladder) if v.id == start)
+    for at, version in enumerate(ladder):
+        if version.id != start:
+            lost[version.id] = Lost.BELOW_TARGET if at < chosen_at else Lost.DEARER
+    steps: tuple[VersionId, ...] = (start,) if second is None else (start, second)
+    for replaced in substitutes.keys() & set(steps):
+        lost[replaced] = Lost.REPLACED
+    steps = tuple(substitutes.get(version, version) for version in steps)
+    why = "explored" if explored else "cheapest"
+    decision = _decision(steps[0], ladder, lost, why)
+    return VersionDecision(steps[0], plan, steps, decision, explored is not None)
+
+
+def _decision(
+    chosen: VersionId,
+    versions: Collection[Version],
+    lost: dict[VersionId, Lost],
+    why: str,
+) -> Decision:
+    costs = {v.id: v.cost_per_1k_tokens for v in versions}
+    candidates = [Candidate(str(chosen), None, costs.get(chosen, 0.0))]
+    candidates += [
+        Candidate(str(version), reason, costs.get(version, 0.0))
+        for version, reason in lost.items()
+    ]
+    return Decision(DecisionKind.VERSION, str(chosen), tuple(candidates), why)
