--- a/acaciacove/release_format/check_note.py
+++ b/acaciacove/release_format/check_note.py
@@ -7,7 +7,7 @@
 from acaciacove.fleet.version import Version
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.release_format.note_document import NoteDocument
-from acaciacove.release_format.note_fault import NoteFault
+from acaciacove.release_format.note_fault import NoteFault, place_of
 
 ADDED = "added"
 CHANGED = "changed"
@@ -30,7 +30,7 @@
     faults = []
     for path, message in found:
         faults.append(NoteFault(_line(document, path), path, message))
-    return sorted(faults, key=lambda fault: fault.line)
+    return sorted(faults, key=place_of)
 
 
 Found = Iterator[tuple[str, str]]
--- a/acaciacove/release_format/node_readers.py
+++ b/acaciacove/release_format/node_readers.py
@@ -80,7 +80,19 @@
 
 
 read_name = matching(NAME, "a name of letters, digits, dots, underscores and hyphens")
-read_digest = matching(DIGEST, "a SHA-256 digest (64 hexadecimal digits, lower case)")
+
+
+def read_digest(node: Node, path: str, faults: FaultList) -> Any:
+    """Read a SHA-256 digest.
+
+    Somebody may have pasted the token itself; quoting it in the message would
+    carry a live credential into terminals and logs.
+    """
+    if isinstance(node, ScalarNode) and DIGEST.fullmatch(node.value):
+        return node.value
+    expected = "a SHA-256 digest (64 hexadecimal digits, lower case)"
+    faults.add(node, path, f"expected {expected}; the value is not shown")
+    return UNREADABLE
 
 
 def read_version_name(node: Node, path: str, faults: FaultList) -> Any:
--- a/acaciacove/release_format/note_fault.py
+++ b/acaciacove/release_format/note_fault.py
@@ -18,3 +18,8 @@
         """Write the fault as one line."""
         place = f"{self.path}: " if self.path else ""
         return f"line {self.line}: {place}{self.message}"
+
+
+def place_of(fault: NoteFault) -> tuple[int, str]:
+    """Order faults as they stand in the text."""
+    return fault.line, fault.path
--- a/acaciacove/release_format/read_note.py
+++ b/acaciacove/release_format/read_note.py
@@ -1,9 +1,8 @@
 """From YAML to a release note, or to the list of all its faults."""
 
-from collections import Counter
 from typing import Any
 
-from yaml import MappingNode, Node, SequenceNode
+from yaml import MappingNode, Node, ScalarNode, SequenceNode
 
 from acaciacove.fleet.api import Api
 from acaciacove.fleet.api_kind import ApiKind
@@ -33,6 +32,7 @@
     read_version_name,
 )
 from acaciacove.release_format.note_document import NoteDocument
+from acaciacove.release_format.note_fault import place_of
 
 API_KEYS = {
     "name": Key(read_name, required=True),
@@ -113,13 +113,19 @@
 }
 
 
+HALVES = ("added", "changed", "withdrawn")
+
+
 def read_note(data: bytes, max_bytes: int) -> NoteDocument:
     """Read a release note; raises InvalidNoteError with every fault."""
     root = load_nodes(data, max_bytes)
     faults = FaultList()
-    values = read_keys(root, "", faults, NOTE_KEYS) or {}
+    values = read_keys(root, "", faults, NOTE_KEYS)
+    _find_duplicates(root, faults)
+    if values is None or faults.faults:
+        raise InvalidNoteError(sorted(faults.faults, key=place_of))
     withdrawn = values.get("withdrawn", {})
-    document = NoteDocument(
+    return NoteDocument(
         note_id=values.get("note", ""),
         based_on=values.get("based_on"),
         operator=values.get("operator", ""),
@@ -130,53 +136,37 @@
         withdrawn_organisations=withdrawn.get("organisations", ()),
         lines=_lines(root, ""),
     )
-    _find_contradictions(document, root, faults)
-    if faults.faults:
-        raise InvalidNoteError(sorted(faults.faults, key=lambda fault: fault.line))
-    return document
-
-
-def _find_contradictions(document: NoteDocument, root: Node, faults: FaultList) -> None:
-    """Refuse names that stand twice, be it as added, changed or withdrawn."""
-    declared = (document.added, document.changed)
-    names = {
-        "api": [api.name for half in declared for api in half.apis],
-        "version": [str(v.id) for half in declared for v in half.versions],
-        "organisation": [o.name for half in declared for o in half.organisations],
-    }
-    names["version"] += [str(version) for version in document.withdrawn_versions]
-    names["organisation"] += document.withdrawn_organisations
-    for kind, found in names.items():
-        for name, count in Counter(found).items():
-            if count > 1:
-                _add_duplicate(kind, name, root, faults)
-
-
-def _add_duplicate(kind: str, name: str, root: Node, faults: FaultList) -> None:
-    """Name a duplicate at each place but the first."""
-    places = list(_places(root, "", f"{kind}s", name))
-    listed = ", ".join(path for path, _ in places)
-    for path, node in places[1:]:
-        faults.add(node, path, f"{kind} {name} stands twice: {listed}")
-
-
-def _places(root: Node, path: str, group: str, name: str) -> list[tuple[str, Node]]:
-    """Find where a name is declared or withdrawn, in the order of the text."""
-    places = []
+
+
+def _find_duplicates(root: Node, faults: FaultList) -> None:
+    """Refuse names that stand twice, be it as added, changed or withdrawn.
+
+    A version that is both added and withdrawn would run or not by the order in
+    which a reader takes the two lists.
+    """
+    places: dict[tuple[str, str], list[str]] = {}
     for half, half_node in _items(root):
-        for key, list_node in _items(half_node):
-            if key != group or not isinstance(list_node, SequenceNode):
+        for group, list_node in _items(half_node):
+            if half not in HALVES or not isinstance(list_node, SequenceNode):
                 continue
             for index, item in enumerate(list_node.value):
-                if name in (item.value, _own_name(item)):
-                    places.append((f"{half}.{key}[{index}]", item))
-    return places
+                name = _own_name(item)
+                if name is None:
+                    continue
+                path = f"{half}.{group}[{index}]"
+                found = places.setdefault((group, name), [])
+                if found:
+                    message = f"{name} stands already at {found[0]}"
+                    faults.add(item, path, message)
+                found.append(path)
 
 
 def _own_name(node: Node) -> str | None:
-    """Return the ``name`` or ``id`` of a declaration."""
+    """Return the name of a withdrawal, or the ``name`` or ``id`` of a declaration."""
+    if isinstance(node, ScalarNode):
+        return str(node.value)
     for key, value in _items(node):
-        if key in ("name", "id"):
+        if key in ("name", "id") and isinstance(value, ScalarNode):
             return str(value.value)
     return None
 
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,50 @@
+"""An in-memory platform log whose replies can be lost and whose reads can fail."""
+
+from attrs import define, field
+
+from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
+from acaciacove.platform.log_entry import LogEntry
+from acaciacove.state.record import RELEASE_STREAM
+from acaciacove.state.record_codec import encode_record
+
+
+@define
+class FakeLog:
+    """``lost_replies``: appends that land without a reply; ``lost_appends``: appends
+    that neither land nor answer; ``down_reads``: reads that fail."""
+
+    payloads: list[bytes] = field(factory=list)
+    earliest: int = 0
+    lost_replies: int = 0
+    lost_appends: int = 0
+    down_reads: int = 0
+    appends: int = 0
+    on_append: object = None
+
+    async def append(self, stream, payload):
+        assert stream == RELEASE_STREAM
+        self.appends += 1
+        if self.on_append is not None:
+            racing, self.on_append = self.on_append, None
+            self.put(racing)
+        if self.lost_appends:
+            self.lost_appends -= 1
+            raise PlatformUnavailableError("no reply")
+        self.payloads.append(payload)
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise PlatformUnavailableError("no reply")
+        return len(self.payloads) - 1
+
+    async def read(self, stream, from_offset, limit, wait_s=0.0):
+        if self.down_reads:
+            self.down_reads -= 1
+            raise PlatformUnavailableError("log is down")
+        if from_offset < self.earliest:
+            raise OffsetExpiredError(self.earliest)
+        batch = self.payloads[from_offset : from_offset + limit]
+        return [LogEntry(from_offset + i, p) for i, p in enumerate(batch)]
+
+    def put(self, record):
+        """Append as somebody else does."""
+        self.payloads.append(encode_record(record))
