--- a/acaciacove/entry/caller_request.py
+++ b/acaciacove/entry/caller_request.py
@@ -33,7 +33,7 @@
     idempotency_key: str = ""
     request_class: str = ""
     estimated_tokens: int = 0
-    prefix_hash: int = 0
+    prefix_hash: str = ""
 
     @property
     def non_idempotent(self) -> bool:
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -1,205 +1,213 @@
 """The way of one request: choose, attempt, and go on elsewhere when allowed."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 
 from acaciacove.daemon.decision_log import log_event
+from acaciacove.decisions.answer_signal import AnswerSignal
+from acaciacove.decisions.cascade import should_escalate
+from acaciacove.decisions.decision import Decision
 from acaciacove.entry.answer_end import AnswerEnd
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.answer_head import AnswerHead
 from acaciacove.entry.answer_piece import AnswerPiece
-from acaciacove.entry.attempt import Attempt
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.entry_state import EntryState
 from acaciacove.entry.progress import Progress
 from acaciacove.entry.retry_rule import as_refusal, final_refusal
+from acaciacove.entry.try_endpoint import try_endpoint
+from acaciacove.entry.whole_answer import WholeAnswer
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
-from acaciacove.messages.chunk import Chunk
-from acaciacove.messages.end import End
-from acaciacove.messages.head import Head
 from acaciacove.messages.refused import Refused
-from acaciacove.messages.run import Run
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
-MAX_ATTEMPTS = 6
-TOKENS_PER_PRICE = 1000.0
+MAX_ATTEMPTS = 8
+RETRY_LATER_S = 1.0
 
 
 async def dispatch(
     request: CallerRequest, entry: EntryState
-) -> AsyncIterator[AnswerEvent]:
+) -> AsyncGenerator[AnswerEvent, None]:
     """Yield the events of an answer; the last is an AnswerEnd or a Refusal."""
     progress = Progress()
+    entry.retries.earn()
     while True:
         chosen = _choose(request, progress, entry)
         if isinstance(chosen, Refusal):
             yield chosen
             return
-        version, endpoint = chosen
         refused: Refused | None = None
-        async for event in _attempt(request, progress, entry, version, endpoint):
-            if isinstance(event, Refused):
-                refused = event
-                break
-            yield event
+        events = _answer_events(request, progress, entry, *chosen)
+        async with aclosing(events):
+            async for event in events:
+                if isinstance(event, Refused):
+                    refused = event
+                    break
+                yield event
         if refused is None:
             return
-        refusal = _after_refused(refused, request, progress, entry, endpoint)
+        refusal = _after_refused(refused, request, progress, entry, chosen[1])
         if refusal is not None:
             yield refusal
             return
 
 
-def _choose(
-    request: CallerRequest, progress: Progress, entry: EntryState
-) -> tuple[Version, Instance] | Refusal:
-    """Choose version and endpoint for the next attempt, and log why."""
-    fleet = entry.holder.state
-    version = entry.router.choose_version(fleet, request, progress)
-    if isinstance(version, Refusal):
-        return _logged_refusal(request, version)
-    endpoint = entry.router.choose_endpoint(fleet, version, progress)
-    if isinstance(endpoint, Refusal):
-        return _logged_refusal(request, endpoint)
-    log_event(
-        "route",
-        request_id=request.request_id,
-        organisation=request.organisation.name,
-        api=request.api.name,
-        attempt=progress.attempts + 1,
-        version=str(version.id),
-        endpoint=endpoint.name,
-        availability_zone=endpoint.availability_zone,
-        revision=fleet.revision,
-    )
-    return version, endpoint
-
-
-def _logged_refusal(request: CallerRequest, refusal: Refusal) -> Refusal:
-    log_event(
-        "refuse",
-        request_id=request.request_id,
-        organisation=request.organisation.name,
-        reason=refusal.reason,
-        not_run=refusal.not_run,
-        detail=refusal.detail,
-    )
-    return refusal
-
-
-async def _attempt(
+async def _answer_events(
     request: CallerRequest,
     progress: Progress,
     entry: EntryState,
     version: Version,
     endpoint: Instance,
-) -> AsyncIterator[AnswerEvent | Refused]:
-    """Make one attempt; yields a Refused if it did not end well."""
-    progress.attempts += 1
-    progress.version = version.id
-    remaining_s = request.deadline_at_s - asyncio.get_running_loop().time()
-    run = _run_message(request, progress, entry, version, remaining_s)
-    link = entry.link_to(endpoint)
-    attempt = await link.start(run)
-    if isinstance(attempt, Refused):
-        yield attempt
+) -> AsyncGenerator[AnswerEvent | Refused, None]:
+    """Yield one attempt's events, or those of the version it escalates to."""
+    if request.stream:
+        had_head = progress.is_begun
+        events = try_endpoint(request, progress, entry, version, endpoint)
+        async with aclosing(events):
+            async for event in events:
+                if not (had_head and isinstance(event, AnswerHead)):
+                    yield event
         return
-    entry.router.started(endpoint.name)
-    try:
-        async with asyncio.timeout(remaining_s):
-            relayed = _relay(request, progress, attempt, version, endpoint)
-            async for event in relayed if request.stream else _held_back(relayed):
-                yield event
-    except TimeoutError:
-        detail = "the deadline passed while the endpoint was working"
-        yield _refused(run, Reason.DEADLINE_EXCEEDED, detail)
-    finally:
-        entry.router.finished(endpoint.name)
-        link.finish(attempt)
-
-
-async def _held_back(
-    events: AsyncIterator[AnswerEvent | Refused],
-) -> AsyncIterator[AnswerEvent | Refused]:
-    """Keep an answer that is not streamed until it is whole.
-
-    An attempt that fails half-way can then be repeated elsewhere without a trace of
-    the first one in the caller's answer.
-    """
-    held: list[AnswerEvent | Refused] = []
-    async for event in events:
-        if isinstance(event, Refused):
-            yield event
-            return
-        held.append(event)
-    for event in held:
-        yield event
+    whole = await _whole_answer(request, progress, entry, version, endpoint)
+    if isinstance(whole, Refused):
+        yield whole
+        return
+    if _escalates(request, progress, entry, whole):
+        better = await _escalated(request, progress, entry)
+        whole = better or whole
+    yield whole.head
+    for piece in whole.pieces:
+        yield piece
+    yield whole.end
 
 
-async def _relay(
+async def _whole_answer(
     request: CallerRequest,
     progress: Progress,
-    attempt: Attempt,
+    entry: EntryState,
     version: Version,
     endpoint: Instance,
-) -> AsyncIterator[AnswerEvent | Refused]:
-    """Pass an attempt's events on, checking that no piece is missing."""
-    expected_sequence = 0
-    while True:
-        event = await attempt.next_event()
-        match event:
-            case Head():
-                if not (request.stream and progress.is_begun):
-                    yield AnswerHead(
-                        event.status, event.headers, version.id, endpoint.name
-                    )
-            case Chunk():
-                if event.sequence != expected_sequence:
-                    yield _refused_piece(event)
-                    return
-                expected_sequence += 1
-                if request.stream:
-                    progress.delivered_tokens += event.tokens
-                    progress.delivered_bytes += len(event.data)
-                yield AnswerPiece(event.data)
-            case End():
-                if event.chunks != expected_sequence:
-                    yield _refused_piece(event)
-                    return
-                cost = _cost(request, version, event)
-                progress.cost += cost
-                yield AnswerEnd(
-                    version.id,
-                    endpoint.name,
-                    event.prompt_tokens,
-                    event.completion_tokens,
-                    progress.cost,
-                )
-                return
-            case Refused():
-                yield event
-                return
+) -> WholeAnswer | Refused:
+    """Hold an answer back until it is whole.
 
+    An attempt that fails half-way can then be repeated elsewhere without a trace of
+    the first one in the caller's answer.
+    """
+    head: AnswerHead | None = None
+    pieces: list[AnswerPiece] = []
+    events = try_endpoint(request, progress, entry, version, endpoint)
+    async with aclosing(events):
+        async for event in events:
+            match event:
+                case AnswerHead():
+                    head = event
+                case AnswerPiece():
+                    pieces.append(event)
+                case AnswerEnd() if head is not None:
+                    return WholeAnswer(head, tuple(pieces), event)
+                case Refused():
+                    return event
+    raise AssertionError("an attempt ends with AnswerEnd or Refused")
+
+
+def _escalates(
+    request: CallerRequest, progress: Progress, entry: EntryState, whole: WholeAnswer
+) -> bool:
+    """Judge an answer by what is known of it, and say whether to ask a better one."""
+    decision = progress.decision
+    if decision is None or request.non_idempotent or progress.step > 0:
+        return False
+    signal = AnswerSignal(
+        status=whole.head.status,
+        finish_reason=whole.end.finish_reason,
+        completion_tokens=whole.end.completion_tokens,
+    ).value()
+    left_s = request.deadline_at_s - asyncio.get_running_loop().time()
+    has_time = left_s > whole.end.service_s
+    return should_escalate(decision, signal, entry.rng, has_time)
+
+
+async def _escalated(
+    request: CallerRequest, progress: Progress, entry: EntryState
+) -> WholeAnswer | None:
+    """Ask the next version on the ladder; None leaves the answer at hand."""
+    progress.step += 1
+    entry.metrics.escalations.inc({"api": request.api.name})
+    chosen = _choose(request, progress, entry)
+    if isinstance(chosen, Refusal):
+        return None
+    whole = await _whole_answer(request, progress, entry, *chosen)
+    return None if isinstance(whole, Refused) else whole
 
-def _refused_piece(event: Chunk | End) -> Refused:
-    """Refuse an answer with a gap.
 
-    A sidecar that restarts or crosses its streams would otherwise deliver half of
-    an answer as a whole one, which the caller cannot notice.
-    """
-    return Refused(
-        event.request_id,
-        event.attempt,
-        Reason.ANSWER_TRUNCATED,
-        False,
-        "pieces of the answer are missing",
+def _choose(
+    request: CallerRequest, progress: Progress, entry: EntryState
+) -> tuple[Version, Instance] | Refusal:
+    """Choose version and endpoint for the next attempt, and log why."""
+    fleet = entry.holder.state
+    if progress.decision is None:
+        decision = entry.router.choose_version(fleet, request)
+        if isinstance(decision, Refusal):
+            return _refused_choice(request, progress, entry, decision)
+        _log_decision(request, progress, entry, decision.decision)
+        progress.decision = decision
+    version = progress.version
+    assert version is not None
+    if not fleet.is_usable(version):
+        # A release note or the guard stopped the version between two attempts.
+        # Another attempt would be new work on it.
+        refusal = Refusal(Reason.VERSION_WITHDRAWN, True, str(version))
+        return _refused_choice(request, progress, entry, refusal)
+    chosen = entry.router.choose_endpoint(fleet, request, version, progress)
+    if isinstance(chosen, Refusal):
+        return _refused_choice(request, progress, entry, chosen)
+    _log_decision(request, progress, entry, chosen.decision)
+    return fleet.versions[version], chosen.endpoint
+
+
+def _refused_choice(
+    request: CallerRequest, progress: Progress, entry: EntryState, refusal: Refusal
+) -> Refusal:
+    """Log a request that has nowhere to go; "not run" holds for all attempts."""
+    truthful = Refusal(
+        refusal.reason,
+        refusal.not_run and not progress.may_have_run,
+        refusal.detail,
+        refusal.retry_after_s or RETRY_LATER_S,
     )
+    entry.metrics.count_refusal(truthful)
+    log_event(
+        "refuse",
+        request_id=request.request_id,
+        organisation=request.organisation.name,
+        api=request.api.name,
+        reason=truthful.reason,
+        not_run=truthful.not_run,
+        detail=truthful.detail,
+        revision=entry.holder.state.revision,
+    )
+    return truthful
 
 
-def _refused(run: Run, reason: Reason, detail: str) -> Refused:
-    return Refused(run.request_id, run.attempt, reason, False, detail)
+def _log_decision(
+    request: CallerRequest, progress: Progress, entry: EntryState, decision: Decision
+) -> None:
+    """Write the one line that says what was chosen and why the others lost."""
+    log_event(
+        decision.kind,
+        request_id=request.request_id,
+        organisation=request.organisation.name,
+        api=request.api.name,
+        request_class=request.request_class,
+        attempt=progress.attempts + 1,
+        chosen=decision.chosen,
+        why=decision.why,
+        lost={c.name: c.lost for c in decision.candidates if c.lost},
+        revision=entry.holder.state.revision,
+    )
 
 
 def _after_refused(
@@ -213,6 +221,7 @@
     log_event(
         "attempt_failed",
         request_id=request.request_id,
+        attempt=progress.attempts,
         endpoint=endpoint.name,
         reason=refused.reason,
         not_run=refused.not_run,
@@ -221,47 +230,10 @@
     progress.may_have_run |= not refused.not_run
     progress.failed_endpoints.add(endpoint.name)
     final = final_refusal(refused, request, progress)
+    if final is None and progress.attempts >= MAX_ATTEMPTS:
+        final = as_refusal(refused, progress)
+    if final is None and not entry.retries.spend():
+        final = as_refusal(refused, progress)
     if final is not None:
-        return final
-    if progress.attempts >= MAX_ATTEMPTS:
-        return as_refusal(refused, progress)
-    return None
-
-
-def _run_message(
-    request: CallerRequest,
-    progress: Progress,
-    entry: EntryState,
-    version: Version,
-    remaining_s: float,
-) -> Run:
-    """Write the message that asks a sidecar for this attempt."""
-    return Run(
-        request_id=request.request_id,
-        attempt=progress.attempts,
-        revision=entry.holder.state.revision,
-        organisation=request.organisation.name,
-        api=request.api.name,
-        version=str(version.id),
-        session=request.session,
-        idempotency_key=request.idempotency_key,
-        deadline_s=remaining_s,
-        stream=request.stream,
-        non_idempotent=request.non_idempotent,
-        batch=request.batch,
-        estimated_tokens=request.estimated_tokens,
-        request_class=request.request_class,
-        method=request.method,
-        path=request.path,
-        headers=request.headers,
-        body=request.body,
-        received_tokens=progress.delivered_tokens,
-    )
-
-
-def _cost(request: CallerRequest, version: Version, end: End) -> float:
-    """Price an answer: by tokens for models, by call for services."""
-    if end.completion_tokens == 0 and end.prompt_tokens == 0:
-        return version.cost_per_1k_tokens
-    tokens = end.prompt_tokens + end.completion_tokens
-    return version.cost_per_1k_tokens * tokens / TOKENS_PER_PRICE
+        entry.metrics.count_refusal(final)
+    return final
--- a/acaciacove/entry/entry_state.py
+++ b/acaciacove/entry/entry_state.py
@@ -7,10 +7,12 @@
 from attrs import define, field
 
 from acaciacove.daemon.process_lifecycle import ProcessLifecycle
+from acaciacove.decisions.budget import Budget
 from acaciacove.entry.entry_metrics import EntryMetrics
 from acaciacove.entry.router import Router
 from acaciacove.entry.sidecar_link import SidecarLink
 from acaciacove.fleet.instance import Instance
+from acaciacove.messages.refused import Refused
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.state.fleet_holder import FleetHolder
 
@@ -27,6 +29,8 @@
     router: Router
     metrics: EntryMetrics
     rng: Random
+    retries: Budget
+    membership_evidence: Callable[[Instance, Refused], None]
     open_link: Callable[[Instance], SidecarLink]
     links: dict[tuple[str, int], SidecarLink] = field(factory=dict)
     in_flight: int = 0
--- a/acaciacove/entry/progress.py
+++ b/acaciacove/entry/progress.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.version_decision import VersionDecision
 from acaciacove.fleet.version_id import VersionId
 
 
@@ -11,17 +12,23 @@
 
     ``may_have_run`` turns true with the first attempt that an endpoint may have
     seen, after which no refusal may say "not run". ``cost`` sums what finished
-    attempts cost, those that a cascade judged short included.
+    attempts cost, those that a cascade judged short included. ``step`` is the
+    place on the ladder of ``decision``.
     """
 
+    decision: VersionDecision | None = None
+    step: int = 0
     attempts: int = 0
     may_have_run: bool = False
     delivered_tokens: int = 0
     delivered_bytes: int = 0
     cost: float = 0.0
-    version: VersionId | None = None
     failed_endpoints: set[str] = field(factory=set)
-    short_versions: set[VersionId] = field(factory=set)
+
+    @property
+    def version(self) -> VersionId | None:
+        """Return the version to ask now, once one was chosen."""
+        return self.decision.ladder[self.step] if self.decision else None
 
     @property
     def is_begun(self) -> bool:
--- a/acaciacove/entry/read_request.py
+++ b/acaciacove/entry/read_request.py
@@ -6,6 +6,7 @@
 
 from starlette.requests import Request
 
+from acaciacove.decisions.request_class import SERVICE_CLASS, classify_request
 from acaciacove.entry import header_names
 from acaciacove.entry.authenticate import authenticate
 from acaciacove.entry.caller_request import CallerRequest
@@ -101,6 +102,7 @@
         return named
     api, explicit = named
     prompt_tokens = chat.prompt_chars // CHARS_PER_TOKEN
+    batch = _is_batch(request)
     return CallerRequest(
         request_id=request_id,
         organisation=organisation,
@@ -109,11 +111,12 @@
         path=CHAT_PATH,
         body=body,
         stream=chat.stream,
-        batch=_is_batch(request),
+        batch=batch,
         session=request.headers.get(header_names.SESSION_ID, ""),
         explicit=explicit,
         estimated_tokens=prompt_tokens + chat.max_tokens,
-        prefix_hash=crc32(chat.first_message.encode()),
+        prefix_hash=f"{crc32(chat.first_message.encode()):08x}",
+        request_class=classify_request(api, prompt_tokens, batch),
     )
 
 
@@ -158,6 +161,7 @@
         session=request.headers.get(header_names.SESSION_ID, ""),
         idempotency_key=request.headers.get(header_names.IDEMPOTENCY_KEY, ""),
         estimated_tokens=1,
+        request_class=SERVICE_CLASS,
     )
     if call.non_idempotent and not call.idempotency_key:
         detail = "this call may not be repeated: send an Idempotency-Key"
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -1,71 +1,127 @@
-"""The entry's view of endpoints, and the choices that it makes on it."""
+"""The entry's view of the fleet, and the choices that it makes on it."""
 
+import asyncio
 from random import Random
 
 from attrs import define, field
 
+from acaciacove.decisions.endpoint_choice import choose_endpoint
+from acaciacove.decisions.endpoint_decision import EndpointDecision
+from acaciacove.decisions.endpoint_view import EndpointView
+from acaciacove.decisions.plan_cache import PlanCache
+from acaciacove.decisions.quality_estimates import QualityEstimates
+from acaciacove.decisions.rollout_guard import RolloutGuard
+from acaciacove.decisions.subset import choose_subset
+from acaciacove.decisions.version_choice import choose_version
+from acaciacove.decisions.version_decision import VersionDecision
+from acaciacove.decisions.zone_moves import ZoneMoves
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.progress import Progress
 from acaciacove.fleet.fleet_state import FleetState
 from acaciacove.fleet.instance import Instance
-from acaciacove.fleet.instance_status import InstanceStatus
 from acaciacove.fleet.role import Role
-from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.messages.load import Load
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
 
-@define
+@define(eq=False)
 class Router:
-    """Endpoints by name with the attempts that this entry has open on each."""
+    """State of the entry's decisions; the decisions themselves are functions.
 
+    ``subsets`` holds this entry's bounded set of endpoints for each version.
+    """
+
+    name: str
     rng: Random
-    endpoints: dict[str, Instance] = field(factory=dict)
-    in_flight: dict[str, int] = field(factory=dict)
+    subset_size: int
+    estimates: QualityEstimates
+    plans: PlanCache
+    guard: RolloutGuard
+    zone_moves: ZoneMoves = field(factory=ZoneMoves)
+    views: dict[str, EndpointView] = field(factory=dict)
+    subsets: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
 
-    def update(self, instances: list[Instance]) -> None:
-        """Take over the endpoints of a list of instances."""
-        self.endpoints = {i.name: i for i in instances if i.role is Role.ENDPOINT}
+    def update(self, instances: list[Instance], fleet: FleetState) -> None:
+        """Follow the fleet: endpoints keep their views, subsets are made anew."""
+        entries = [i.name for i in instances if i.role is Role.ENTRY]
+        endpoints = [i for i in instances if i.role is Role.ENDPOINT]
+        self.zone_moves.update(fleet, _now_s())
+        names = {endpoint.name for endpoint in endpoints}
+        self.views = {n: view for n, view in self.views.items() if n in names}
+        for endpoint in endpoints:
+            self._view_of(endpoint).instance = endpoint
+        self.subsets = {
+            version: self._subset(entries, endpoints, version)
+            for version in {v for e in endpoints for v in e.versions}
+        }
 
     def choose_version(
-        self, fleet: FleetState, request: CallerRequest, progress: Progress
-    ) -> Version | Refusal:
-        """Choose the cheapest version that is allowed and not yet judged short."""
-        known = fleet.versions_of(request.api.name)
-        allowed = [v for v in known if request.organisation.allows(v.id)]
-        if not allowed:
-            return Refusal(Reason.NOT_ALLOWED, True, f"api {request.api.name}")
-        usable = [
-            v
-            for v in allowed
-            if fleet.is_usable(v.id) and v.id not in progress.short_versions
-        ]
-        if not usable:
-            return Refusal(Reason.VERSION_WITHDRAWN, True)
-        return min(usable, key=lambda version: version.cost_per_1k_tokens)
+        self, fleet: FleetState, request: CallerRequest
+    ) -> VersionDecision | Refusal:
+        """Choose the version to ask first, and the ladder to escalate on."""
+        return choose_version(
+            fleet,
+            request.organisation,
+            request.api,
+            request.request_class,
+            self.plans,
+            self.rng,
+            pinned=request.explicit or request.pinned,
+            session=request.session,
+            shares=self.guard.shares(fleet),
+            serving=self.subsets.keys(),
+        )
 
     def choose_endpoint(
-        self, fleet: FleetState, version: Version, progress: Progress
-    ) -> Instance | Refusal:
-        """Choose between two random live endpoints by open attempts."""
-        live = [
-            e
-            for e in self.endpoints.values()
-            if version.id in e.versions
-            and e.status is InstanceStatus.LIVE
-            and e.availability_zone not in fleet.availability_zones_out
-            and e.name not in fleet.instances_out
-            and e.name not in progress.failed_endpoints
-        ]
-        if not live:
-            return Refusal(Reason.NO_ENDPOINT, True, str(version.id), 1.0)
-        pair = self.rng.sample(live, min(2, len(live)))
-        return min(pair, key=lambda endpoint: self.in_flight.get(endpoint.name, 0))
-
-    def started(self, endpoint: str) -> None:
+        self,
+        fleet: FleetState,
+        request: CallerRequest,
+        version: VersionId,
+        progress: Progress,
+    ) -> EndpointDecision | Refusal:
+        """Choose one of this entry's endpoints of a version."""
+        now_s = _now_s()
+        subset = self.subsets.get(version, ())
+        if not subset:
+            return Refusal(Reason.NO_ENDPOINT, True, str(version), 1.0)
+        zones = {instance.availability_zone for instance in subset}
+        return choose_endpoint(
+            subset,
+            self.views,
+            now_s,
+            self.rng,
+            fleet,
+            excluded=progress.failed_endpoints,
+            prefix_hash=request.prefix_hash,
+            zone_shares={zone: self.zone_moves.share(zone, now_s) for zone in zones},
+        )
+
+    def sent(self, endpoint: Instance, request: CallerRequest) -> None:
         """Count an attempt that was sent."""
-        self.in_flight[endpoint] = self.in_flight.get(endpoint, 0) + 1
+        self._view_of(endpoint).sent(request.prefix_hash)
+
+    def ended(self, endpoint: Instance, load: Load | None, ok: bool) -> None:
+        """Count an attempt that has ended, with the load its answer carried."""
+        view = self._view_of(endpoint)
+        now_s = _now_s()
+        view.ended(ok, now_s)
+        if load is not None:
+            view.reported(load, now_s)
+
+    def _view_of(self, endpoint: Instance) -> EndpointView:
+        view = self.views.get(endpoint.name)
+        if view is None:
+            view = self.views[endpoint.name] = EndpointView(endpoint)
+        return view
+
+    def _subset(
+        self, entries: list[str], endpoints: list[Instance], version: VersionId
+    ) -> tuple[Instance, ...]:
+        serving = [e for e in endpoints if version in e.versions]
+        return choose_subset(self.name, entries, serving, self.subset_size)
+
 
-    def finished(self, endpoint: str) -> None:
-        """Count an attempt that has ended."""
-        self.in_flight[endpoint] -= 1
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/acaciacove/entry/try_endpoint.py
@@ -0,0 +1,157 @@
+"""One attempt at one endpoint, from the message sent to the last piece."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+from acaciacove.entry.answer_end import AnswerEnd
+from acaciacove.entry.answer_event import AnswerEvent
+from acaciacove.entry.answer_head import AnswerHead
+from acaciacove.entry.answer_piece import AnswerPiece
+from acaciacove.entry.attempt import Attempt
+from acaciacove.entry.caller_request import CallerRequest
+from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.progress import Progress
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.version import Version
+from acaciacove.messages.chunk import Chunk
+from acaciacove.messages.end import End
+from acaciacove.messages.head import Head
+from acaciacove.messages.load import Load
+from acaciacove.messages.refused import Refused
+from acaciacove.messages.run import Run
+from acaciacove.reason import Reason
+
+TOKENS_PER_PRICE = 1000.0
+# The sidecar keeps the same deadline and knows more about what became of a call, so
+# its word is awaited a little longer than the deadline itself.
+DEADLINE_GRACE_S = 0.25
+
+
+async def try_endpoint(
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    version: Version,
+    endpoint: Instance,
+) -> AsyncGenerator[AnswerEvent | Refused, None]:
+    """Yield an attempt's events; the last is an AnswerEnd or a Refused."""
+    progress.attempts += 1
+    remaining_s = request.deadline_at_s - asyncio.get_running_loop().time()
+    run = _run_message(request, progress, entry, version, remaining_s)
+    link = entry.link_to(endpoint)
+    attempt = await link.start(run)
+    if isinstance(attempt, Refused):
+        entry.membership_evidence(endpoint, attempt)
+        yield attempt
+        return
+    entry.router.sent(endpoint, request)
+    load: Load | None = None
+    ok = False
+    try:
+        async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
+            expected_sequence = 0
+            while True:
+                event = await attempt.next_event()
+                if _has_gap(event, expected_sequence):
+                    yield _failed(
+                        attempt, Reason.ANSWER_TRUNCATED, "pieces are missing"
+                    )
+                    return
+                match event:
+                    case Head():
+                        yield AnswerHead(
+                            event.status, event.headers, version.id, endpoint.name
+                        )
+                    case Chunk():
+                        expected_sequence += 1
+                        if request.stream:
+                            progress.delivered_tokens += event.tokens
+                            progress.delivered_bytes += len(event.data)
+                        yield AnswerPiece(event.data)
+                    case End():
+                        load = event.load
+                        ok = True
+                        yield _answer_end(progress, version, endpoint, event)
+                        return
+                    case Refused():
+                        load = event.load
+                        ok = event.not_run
+                        entry.membership_evidence(endpoint, event)
+                        yield event
+                        return
+    except TimeoutError:
+        detail = "the deadline passed while the endpoint was working"
+        yield _failed(attempt, Reason.DEADLINE_EXCEEDED, detail)
+    finally:
+        entry.router.ended(endpoint, load, ok)
+        link.finish(attempt)
+
+
+def _has_gap(event: Head | Chunk | End | Refused, expected_sequence: int) -> bool:
+    """Tell whether pieces are missing before this event.
+
+    A sidecar that restarts or crosses its streams would otherwise deliver half of
+    an answer as a whole one, which the caller cannot notice.
+    """
+    if isinstance(event, Chunk):
+        return event.sequence != expected_sequence
+    return isinstance(event, End) and event.chunks != expected_sequence
+
+
+def _failed(attempt: Attempt, reason: Reason, detail: str) -> Refused:
+    """End an attempt that may have run."""
+    return Refused(attempt.request_id, attempt.number, reason, False, detail)
+
+
+def _answer_end(
+    progress: Progress, version: Version, endpoint: Instance, end: End
+) -> AnswerEnd:
+    progress.cost += _cost(version, end)
+    return AnswerEnd(
+        version=version.id,
+        endpoint=endpoint.name,
+        prompt_tokens=end.prompt_tokens,
+        completion_tokens=end.completion_tokens,
+        cost=progress.cost,
+        finish_reason=end.finish_reason,
+        service_s=end.service_s,
+    )
+
+
+def _cost(version: Version, end: End) -> float:
+    """Price an answer: by tokens for models, by call for services."""
+    tokens = end.prompt_tokens + end.completion_tokens
+    if tokens == 0:
+        return version.cost_per_1k_tokens
+    return version.cost_per_1k_tokens * tokens / TOKENS_PER_PRICE
+
+
+def _run_message(
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    version: Version,
+    remaining_s: float,
+) -> Run:
+    """Write the message that asks a sidecar for this attempt."""
+    return Run(
+        request_id=request.request_id,
+        attempt=progress.attempts,
+        revision=entry.holder.state.revision,
+        organisation=request.organisation.name,
+        api=request.api.name,
+        version=str(version.id),
+        session=request.session,
+        idempotency_key=request.idempotency_key,
+        deadline_s=remaining_s,
+        stream=request.stream,
+        non_idempotent=request.non_idempotent,
+        batch=request.batch,
+        estimated_tokens=request.estimated_tokens,
+        request_class=request.request_class,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        received_tokens=progress.delivered_tokens,
+    )
--- /dev/null
+++ b/acaciacove/sidecar/admission.py
@@ -0,0 +1,164 @@
+"""Attempts wait here for a place at the endpoint."""
+
+import asyncio
+
+from attrs import define, field
+
+from acaciacove.decisions.admission_queue import AdmissionQueue
+from acaciacove.decisions.ramp import Ramp
+from acaciacove.decisions.waiting_item import WaitingItem
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.version_id import VersionId, parse_version_id
+from acaciacove.messages.load import Load
+from acaciacove.messages.run import Run
+from acaciacove.refusal import Refusal
+from acaciacove.sidecar.ticket import Ticket
+
+RECHECK_S = 0.05
+SMOOTHING = 0.1
+DEFAULT_WEIGHT = 1.0
+
+
+@define(eq=False)
+class Admission:
+    """Gives out places by the fair queue, never more than the ramps allow.
+
+    The decisions are AdmissionQueue's and Ramp's; this class only knows who waits.
+    """
+
+    queue: AdmissionQueue
+    ramps: dict[VersionId, Ramp] = field(factory=dict)
+    service_s: float = 0.0
+    queue_delay_s: float = 0.0
+    _waiting: dict[str, asyncio.Future[Refusal | None]] = field(factory=dict)
+    _items: dict[str, WaitingItem] = field(factory=dict)
+    _recheck: asyncio.TimerHandle | None = None
+
+    def update(self, fleet: FleetState, served: frozenset[VersionId]) -> None:
+        """Follow the versions in force: each served one has a ramp of its own."""
+        now_s = _now_s()
+        for version in served & fleet.versions.keys():
+            known = self.ramps.get(version)
+            if known is None or known.version != fleet.versions[version]:
+                self.ramps[version] = Ramp(fleet.versions[version], now_s)
+        for version in self.ramps.keys() - served:
+            del self.ramps[version]
+
+    async def enter(self, run: Run, weight: float = DEFAULT_WEIGHT) -> Ticket | Refusal:
+        """Wait for a place; a refusal means that the endpoint never saw the run."""
+        arrived_at_s = _now_s()
+        item = _waiting_item(run, weight, arrived_at_s)
+        refusal = self.queue.offer(item, arrived_at_s)
+        if refusal is not None:
+            return refusal
+        admitted: asyncio.Future[Refusal | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[item.request_id] = admitted
+        self._items[item.request_id] = item
+        self._give_places()
+        try:
+            refusal = await admitted
+        except asyncio.CancelledError:
+            self._withdraw(item)
+            raise
+        if refusal is not None:
+            del self._items[item.request_id]
+            return refusal
+        admitted_at_s = _now_s()
+        self._learn_delay(admitted_at_s - arrived_at_s)
+        return Ticket(run, arrived_at_s, admitted_at_s)
+
+    def leave(self, ticket: Ticket, completed: bool) -> None:
+        """Give a place back, and learn how the endpoint bore the attempt."""
+        now_s = _now_s()
+        item = self._items.pop(_item_id(ticket.run))
+        self.queue.finish(item, now_s, completed)
+        service_s = now_s - ticket.admitted_at_s
+        if completed:
+            self.service_s += SMOOTHING * (service_s - self.service_s)
+        version = parse_version_id(ticket.run.version)
+        ramp = self.ramps.get(version) if version else None
+        if ramp is not None:
+            ramp.finished(ticket.first_piece_s or service_s, completed, now_s)
+        self._give_places()
+
+    def reported(self, load: Load, restarts: int) -> None:
+        """Take in the endpoint's own word on its load and restarts."""
+        for ramp in self.ramps.values():
+            ramp.reported(load, restarts, _now_s())
+
+    def load(self) -> Load:
+        """Return what the endpoint bears just now."""
+        return Load(
+            in_flight=len(self.queue.running),
+            queued=self.queue.queued,
+            limit=self._limit(),
+            cold=any(not ramp.warm for ramp in self.ramps.values()),
+            queue_delay_s=self.queue_delay_s,
+            service_s=self.service_s,
+        )
+
+    def _limit(self) -> int:
+        """Return how many attempts may run: what the coldest version bears.
+
+        Versions share one engine. Adding their limits up would let a cold one fall
+        over under the load that was meant for a warm one.
+        """
+        now_s = _now_s()
+        return min((ramp.limit(now_s) for ramp in self.ramps.values()), default=0)
+
+    def _give_places(self) -> None:
+        """Let in whoever is next, and refuse whoever cannot be served in time."""
+        now_s = _now_s()
+        self.queue.limit = self._limit()
+        while (item := self.queue.next(now_s)) is not None:
+            self._settle(item.request_id, None)
+        for refused in self.queue.take_refused():
+            self._settle(refused.item.request_id, refused.refusal)
+        self._look_again()
+
+    def _settle(self, item_id: str, refusal: Refusal | None) -> None:
+        admitted = self._waiting.pop(item_id, None)
+        if admitted is not None and not admitted.done():
+            admitted.set_result(refusal)
+
+    def _look_again(self) -> None:
+        """Come back while somebody waits: limits and deadlines move with time."""
+        if self._recheck is not None:
+            self._recheck.cancel()
+            self._recheck = None
+        if self.queue.queued:
+            loop = asyncio.get_running_loop()
+            self._recheck = loop.call_later(RECHECK_S, self._give_places)
+
+    def _withdraw(self, item: WaitingItem) -> None:
+        """Take back an attempt that was cancelled while it waited."""
+        self._waiting.pop(item.request_id, None)
+        del self._items[item.request_id]
+        if not self.queue.cancel(item.request_id):
+            self.queue.finish(item, _now_s(), False)
+            self._give_places()
+
+    def _learn_delay(self, delay_s: float) -> None:
+        self.queue_delay_s += SMOOTHING * (delay_s - self.queue_delay_s)
+
+
+def _waiting_item(run: Run, weight: float, now_s: float) -> WaitingItem:
+    return WaitingItem(
+        request_id=_item_id(run),
+        organisation=run.organisation,
+        weight=weight,
+        cost_tokens=max(1, run.estimated_tokens),
+        deadline_at_s=now_s + run.deadline_s,
+        batch=run.batch,
+    )
+
+
+def _item_id(run: Run) -> str:
+    """Name an attempt; hedges of one request may meet at one endpoint."""
+    return f"{run.request_id}/{run.attempt}"
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
