Add platform stand-ins and HTTP adapters for log, list, store, ratings, engine, service

Cause: the daemons need endpoints and platform services to speak to. Change: starlette stand-ins with settable faults, served in the running loop by standins/serve.py; adapters over aiosonic with typed events and refusals; a connection class that is closed when its request fails, notes whether a byte has left, and switches Nagle's algorithm off. PlatformRefusedError (additive, errors.py) is a call known to have had no effect.

--- a/acaciacove/errors.py
+++ b/acaciacove/errors.py
@@ -9,6 +9,13 @@
     """A platform service did not answer, or refused; its effect is unknown."""
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """A call that a platform service is known not to have carried out.
+
+    It never reached the service, or the service's rate limit refused it.
+    """
+
+
 class OffsetExpiredError(AcaciacoveError):
     """Records from the asked offset on are no longer kept by the log."""
 
--- /dev/null
+++ b/acaciacove/platform/engine_head.py
@@ -0,0 +1,13 @@
+"""The head of an engine's answer."""
+
+from attrs import frozen
+
+from acaciacove.messages.header import Header
+
+
+@frozen
+class EngineHead:
+    """Status and end-to-end headers; comes first, once, unless the call failed."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
--- /dev/null
+++ b/acaciacove/platform/engine_order.py
@@ -0,0 +1,23 @@
+"""An order to a model engine."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class EngineAction(StrEnum):
+    """What an engine can be ordered to do."""
+
+    LOAD_VERSION = "load_version"
+    UNLOAD_VERSION = "unload_version"
+    SET_ROLE = "set_role"
+
+
+@frozen
+class EngineOrder:
+    """An order under a fencing number, which some engines ignore."""
+
+    fence: int
+    action: EngineAction
+    version: str = ""
+    role: str = ""
--- /dev/null
+++ b/acaciacove/platform/http_client.py
@@ -0,0 +1,38 @@
+"""One HTTP client for all adapters: pooled, bounded and safe to cancel."""
+
+from typing import Any
+
+from aiosonic import HTTPClient
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from acaciacove.platform.http_connection import SafeConnection
+
+CONNECT_S = 2.0
+IDLE_MS = 4_000
+REUSES = 10_000
+NEVER_REUSED = -1
+
+
+def open_client(connections: int = 256, reuse: bool = True) -> Any:
+    """Open a client with a pool of at most so many connections.
+
+    Without ``reuse`` every request has a fresh connection. The library sends a
+    PUT or DELETE again when a reused connection is lost, and then a booking runs
+    twice; on a fresh connection it never does, so calls that may not be repeated
+    take such a client. There are no timeouts but for connecting: callers bound
+    the whole exchange themselves, which also bounds the reading of a body.
+    """
+    config = PoolConfig(
+        size=connections,
+        max_conn_requests=REUSES if reuse else NEVER_REUSED,
+        max_conn_idle_ms=IDLE_MS,
+    )
+    timeouts = Timeouts(sock_connect=CONNECT_S, sock_read=None, request_timeout=None)
+    connector = TCPConnector(
+        pool_configs={":default": config},
+        timeouts=timeouts,
+        connection_cls=SafeConnection,
+    )
+    return HTTPClient(connector)
--- /dev/null
+++ b/acaciacove/platform/http_engine.py
@@ -0,0 +1,224 @@
+"""A model engine over HTTP, in the usual shape of chat completions."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from typing import Any
+
+import orjson
+from attrs import frozen
+
+from acaciacove.platform.completion import finish_of, read_completion
+from acaciacove.platform.engine_call import EngineCall
+from acaciacove.platform.engine_event import EngineEvent
+from acaciacove.platform.engine_head import EngineHead
+from acaciacove.platform.engine_load import EngineLoad
+from acaciacove.platform.engine_order import EngineOrder
+from acaciacove.platform.engine_piece import EnginePiece
+from acaciacove.platform.http_connection import Sending
+from acaciacove.platform.http_exchange import (
+    EXCHANGE_ERRORS,
+    body_chunks,
+    end_to_end_headers,
+    open_exchange,
+    read_body,
+    refusal_of,
+)
+from acaciacove.platform.http_json import call_json
+from acaciacove.platform.sse_events import BLANK_LINE, SseSplitter, event_data
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+CHAT_PATH = "/v1/chat/completions"
+REQUEST_ID = "X-Request-Id"
+DONE = b"[DONE]"
+OK = 200
+CLIENT_ERRORS = 400
+CONFLICT = 409
+TOO_MANY_REQUESTS = 429
+SERVER_ERRORS = 500
+MAX_ANSWER_BYTES = 8_000_000
+
+
+@frozen
+class HttpEngine:
+    """An Engine at ``url``; ``client`` comes from ``open_client``."""
+
+    url: str
+    client: Any
+
+    async def generate(self, call: EngineCall) -> AsyncGenerator[EngineEvent, None]:
+        """Run a call: a head, pieces, and a finish or a refusal at the end."""
+        sending = Sending()
+        deadline_s = asyncio.get_running_loop().time() + call.timeout_s
+        try:
+            async with aclosing(self._events(call, sending, deadline_s)) as events:
+                async for event in events:
+                    yield event
+        except EXCHANGE_ERRORS as error:
+            yield refusal_of(error, sending)
+
+    async def order(self, order: EngineOrder) -> Refusal | None:
+        """Give an order; None when done, STALE_FENCE when the engine refused it."""
+        document = {
+            "fence": order.fence,
+            "action": order.action,
+            "version": order.version,
+            "role": order.role,
+        }
+        url = f"{self.url}/orders"
+        answer = await call_json(self.client, "POST", url, orjson.dumps(document))
+        if answer.status == CONFLICT:
+            return Refusal(Reason.STALE_FENCE, True, f"fence {order.fence} is old")
+        if answer.status != OK:
+            detail = f"order refused with status {answer.status}"
+            return Refusal(Reason.ENDPOINT_FAILED, True, detail)
+        return None
+
+    async def load(self) -> EngineLoad:
+        """Ask for the load report; raises PlatformUnavailableError."""
+        answer = await call_json(self.client, "GET", f"{self.url}/load")
+        document = answer.document
+        return EngineLoad(
+            in_flight=int(document["in_flight"]),
+            queued=int(document["queued"]),
+            cold=bool(document["cold"]),
+            versions=tuple(document.get("versions", ())),
+            role=str(document.get("role", "")),
+            restarts=int(document.get("restarts", 0)),
+        )
+
+    async def _events(
+        self, call: EngineCall, sending: Sending, deadline_s: float
+    ) -> AsyncGenerator[EngineEvent, None]:
+        body = _body(call)
+        if body is None:
+            yield Refusal(Reason.MALFORMED_REQUEST, True, "the body is no JSON object")
+            return
+        url = self.url + CHAT_PATH
+        headers = [(REQUEST_ID, call.request_id), ("Content-Type", "application/json")]
+        async with asyncio.timeout_at(deadline_s):
+            response = await open_exchange(
+                self.client, sending, "POST", url, headers=headers, data=body
+            )
+        try:
+            async with aclosing(_answer(call, response, deadline_s)) as events:
+                async for event in events:
+                    yield event
+        finally:
+            await response.aclose()
+
+
+async def _answer(
+    call: EngineCall, response: Any, deadline_s: float
+) -> AsyncGenerator[EngineEvent, None]:
+    """Check the head, then read the answer in the shape that was asked for."""
+    status = response.status_code
+    refusal = _head_refusal(call, response)
+    if refusal is not None:
+        yield refusal
+        return
+    yield EngineHead(status, end_to_end_headers(response.raw_headers))
+    if call.stream and status == OK:
+        async with aclosing(_stream(call, response, deadline_s)) as events:
+            async for event in events:
+                yield event
+        return
+    async with asyncio.timeout_at(deadline_s):
+        data = await read_body(response, MAX_ANSWER_BYTES)
+    for event in _whole(call, status, data):
+        yield event
+
+
+def _head_refusal(call: EngineCall, response: Any) -> Refusal | None:
+    """Refuse failures, and an answer that carries another request's id."""
+    status = response.status_code
+    if status == TOO_MANY_REQUESTS:
+        return Refusal(Reason.OVERLOADED, False, "the engine is overloaded")
+    if status >= SERVER_ERRORS:
+        return Refusal(Reason.ENDPOINT_FAILED, False, f"engine status {status}")
+    echoed = response.headers.get(REQUEST_ID, call.request_id)
+    if echoed != call.request_id:
+        return Refusal(Reason.ANSWER_MISMATCH, False, f"answer for {echoed!r}")
+    return None
+
+
+def _whole(call: EngineCall, status: int, data: bytes) -> list[EngineEvent]:
+    """Check a whole answer; client errors of the engine are answers too."""
+    if status >= CLIENT_ERRORS:
+        return [EnginePiece(data), finish_of("error", {})]
+    completion = read_completion(data, call.request_id)
+    if isinstance(completion, Refusal):
+        return [completion]
+    if completion.finish_reason is None:
+        return [Refusal(Reason.ANSWER_TRUNCATED, False, "no finish reason")]
+    finish = finish_of(completion.finish_reason, completion.usage)
+    piece = EnginePiece(data, finish.completion_tokens, completion.text)
+    return [piece, finish]
+
+
+async def _stream(
+    call: EngineCall, response: Any, deadline_s: float
+) -> AsyncGenerator[EngineEvent, None]:
+    """Relay events as they come, each checked, and miss no early end."""
+    splitter = SseSplitter()
+    finish_reason = ""
+    usage: dict[str, Any] = {}
+    done = False
+    async with aclosing(_timed_chunks(call, response, deadline_s)) as chunks:
+        async for chunk in chunks:
+            for event in splitter.feed(chunk):
+                data = event_data(event)
+                if data == DONE:
+                    done = True
+                    continue
+                if data is None and event.startswith(b":"):
+                    continue
+                completion = read_completion(data or event, call.request_id)
+                if isinstance(completion, Refusal):
+                    yield completion
+                    return
+                finish_reason = completion.finish_reason or finish_reason
+                usage = completion.usage or usage
+                text = completion.text
+                yield EnginePiece(event + BLANK_LINE, 1 if text else 0, text)
+    if not (done and finish_reason):
+        yield Refusal(Reason.ANSWER_TRUNCATED, False, "the stream ended early")
+        return
+    yield finish_of(finish_reason, usage)
+
+
+async def _timed_chunks(
+    call: EngineCall, response: Any, deadline_s: float
+) -> AsyncGenerator[bytes, None]:
+    """Yield chunks; a silent engine is given up, so that another can resume.
+
+    A stalled stream looks like a slow one. Without the limit the caller would wait
+    until the whole deadline; TimeoutError ends it after ``stall_s`` of silence.
+    """
+    clock = asyncio.get_running_loop()
+    chunks = body_chunks(response)
+    while True:
+        limit_s = min(deadline_s, clock.time() + call.stall_s)
+        try:
+            async with asyncio.timeout_at(limit_s):
+                chunk = await anext(chunks)
+        except StopAsyncIteration:
+            return
+        yield chunk
+
+
+def _body(call: EngineCall) -> bytes | None:
+    """Set what the system decides in the caller's body; None if it is no object."""
+    try:
+        document = orjson.loads(call.body)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(document, dict):
+        return None
+    document["model"] = call.version
+    document["stream"] = call.stream
+    document["priority"] = call.priority
+    if call.resume_from_tokens:
+        document["resume_from_tokens"] = call.resume_from_tokens
+    return orjson.dumps(document)
--- /dev/null
+++ b/acaciacove/platform/http_instance_list.py
@@ -0,0 +1,26 @@
+"""The platform's instance list over HTTP."""
+
+from typing import Any
+
+from attrs import frozen
+
+from acaciacove.errors import MalformedMessageError, PlatformUnavailableError
+from acaciacove.fleet.instance import Instance
+from acaciacove.platform.http_json import call_json
+from acaciacove.platform.instance_codec import instance_from_document
+
+
+@frozen
+class HttpInstanceList:
+    """An InstanceList at ``url``; ``client`` comes from ``open_client``."""
+
+    url: str
+    client: Any
+
+    async def fetch(self) -> list[Instance]:
+        """Return the list as of now; raises PlatformUnavailableError."""
+        answer = await call_json(self.client, "GET", f"{self.url}/instances")
+        try:
+            return [instance_from_document(d) for d in answer.document["instances"]]
+        except (KeyError, TypeError, MalformedMessageError) as error:
+            raise PlatformUnavailableError(f"bad instance list: {error}") from error
--- /dev/null
+++ b/acaciacove/platform/http_json.py
@@ -0,0 +1,55 @@
+"""JSON calls to platform services."""
+
+import asyncio
+from typing import Any
+
+import orjson
+
+from acaciacove.errors import PlatformRefusedError, PlatformUnavailableError
+from acaciacove.platform.http_connection import Sending
+from acaciacove.platform.http_exchange import EXCHANGE_ERRORS, exchange, read_body
+from acaciacove.platform.json_answer import JsonAnswer
+
+CALL_LIMIT_S = 5.0
+MAX_ANSWER_BYTES = 64_000_000
+TOO_MANY_REQUESTS = 429
+SERVER_ERRORS = 500
+
+
+async def call_json(
+    client: Any,
+    method: str,
+    url: str,
+    body: bytes = b"",
+    params: dict[str, Any] | None = None,
+    limit_s: float = CALL_LIMIT_S,
+) -> JsonAnswer:
+    """Call a service and read its JSON answer.
+
+    Raises PlatformRefusedError when the call is known to have had no effect, and
+    PlatformUnavailableError when that is not known.
+    """
+    sending = Sending()
+    try:
+        async with (
+            asyncio.timeout(limit_s),
+            exchange(
+                client, sending, method, url, data=body or None, params=params
+            ) as response,
+        ):
+            status = response.status_code
+            data = await read_body(response, MAX_ANSWER_BYTES)
+            document = orjson.loads(data) if data else {}
+    except EXCHANGE_ERRORS as error:
+        raise _error(sending, f"{method} {url}: {error!r}") from error
+    if status == TOO_MANY_REQUESTS:
+        raise PlatformRefusedError(f"{method} {url}: rate limit")
+    if status >= SERVER_ERRORS:
+        raise PlatformUnavailableError(f"{method} {url}: status {status}")
+    return JsonAnswer(status, document)
+
+
+def _error(sending: Sending, detail: str) -> PlatformUnavailableError:
+    if sending.begun:
+        return PlatformUnavailableError(detail)
+    return PlatformRefusedError(detail)
--- /dev/null
+++ b/acaciacove/platform/http_rating_service.py
@@ -0,0 +1,56 @@
+"""The platform's rating service over HTTP."""
+
+from typing import Any
+
+import orjson
+from attrs import frozen
+
+from acaciacove.errors import PlatformUnavailableError
+from acaciacove.fleet.version_id import parse_version_id
+from acaciacove.platform.http_json import call_json
+from acaciacove.platform.rating import Rating
+
+
+@frozen
+class HttpRatingService:
+    """A RatingService at ``url``; ``client`` comes from ``open_client``."""
+
+    url: str
+    client: Any
+
+    async def submit(
+        self, request_id: str, version: str, request_class: str, answer: str
+    ) -> None:
+        """Hand in an answer that may be rated."""
+        document = {
+            "request_id": request_id,
+            "version": version,
+            "request_class": request_class,
+            "answer": answer,
+        }
+        body = orjson.dumps(document)
+        await call_json(self.client, "POST", f"{self.url}/answers", body)
+
+    async def fetch(self, after_sequence: int, limit: int) -> list[Rating]:
+        """Return ratings given after a sequence number."""
+        params = {"after": after_sequence, "limit": limit}
+        answer = await call_json(
+            self.client, "GET", f"{self.url}/ratings", params=params
+        )
+        try:
+            return [_rating(document) for document in answer.document["ratings"]]
+        except (KeyError, TypeError, ValueError) as error:
+            raise PlatformUnavailableError(f"bad ratings: {error}") from error
+
+
+def _rating(document: dict[str, Any]) -> Rating:
+    version = parse_version_id(document["version"])
+    if version is None:
+        raise ValueError(f"not a version id: {document['version']!r}")
+    return Rating(
+        request_id=document["request_id"],
+        version=version,
+        request_class=document["request_class"],
+        score=float(document["score"]),
+        sequence=int(document["sequence"]),
+    )
--- /dev/null
+++ b/acaciacove/platform/http_service.py
@@ -0,0 +1,84 @@
+"""A plain service over HTTP."""
+
+import asyncio
+from typing import Any
+
+from attrs import frozen
+
+from acaciacove.platform.http_connection import Sending
+from acaciacove.platform.http_exchange import (
+    EXCHANGE_ERRORS,
+    HOP_BY_HOP,
+    end_to_end_headers,
+    exchange,
+    read_body,
+    refusal_of,
+)
+from acaciacove.platform.service_answer import ServiceAnswer
+from acaciacove.platform.service_call import ServiceCall
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+REQUEST_ID = "x-request-id"
+MAX_ANSWER_BYTES = 8_000_000
+
+
+@frozen
+class HttpService:
+    """A PlainService at ``url``.
+
+    ``client`` reuses connections and serves calls that may be repeated;
+    ``once_client``, opened with ``reuse=False``, serves those that may not.
+    """
+
+    url: str
+    client: Any
+    once_client: Any
+    max_answer_bytes: int = MAX_ANSWER_BYTES
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer | Refusal:
+        """Make one call, and send it once if it may not be repeated."""
+        sending = Sending()
+        try:
+            async with asyncio.timeout(call.timeout_s):
+                answer = await self._exchange(call, sending)
+        except EXCHANGE_ERRORS as error:
+            return refusal_of(error, sending)
+        if call.echo_wanted and _echoed_id(answer) != call.request_id:
+            return Refusal(
+                Reason.ANSWER_MISMATCH,
+                not_run=False,
+                detail=f"the answer is for request {_echoed_id(answer)!r}",
+            )
+        return answer
+
+    async def _exchange(self, call: ServiceCall, sending: Sending) -> ServiceAnswer:
+        client = self.client if call.may_repeat else self.once_client
+        async with exchange(
+            client,
+            sending,
+            call.method,
+            self.url + call.path,
+            headers=_headers(call),
+            data=call.body or None,
+        ) as response:
+            body = await read_body(response, self.max_answer_bytes)
+            headers = end_to_end_headers(response.raw_headers)
+            return ServiceAnswer(response.status_code, headers, body)
+
+
+def _headers(call: ServiceCall) -> list[tuple[str, str]]:
+    """Pass the caller's headers on, with the request's id."""
+    kept = [
+        (header.name, header.value)
+        for header in call.headers
+        if header.name.lower() not in HOP_BY_HOP and header.name.lower() != REQUEST_ID
+    ]
+    return [*kept, (REQUEST_ID, call.request_id)]
+
+
+def _echoed_id(answer: ServiceAnswer) -> str | None:
+    for header in answer.headers:
+        if header.name.lower() == REQUEST_ID:
+            return header.value
+    return None
--- /dev/null
+++ b/acaciacove/platform/http_weight_store.py
@@ -0,0 +1,22 @@
+"""The platform's weight store over HTTP."""
+
+from typing import Any
+
+import orjson
+from attrs import frozen
+
+from acaciacove.platform.http_json import call_json
+
+
+@frozen
+class HttpWeightStore:
+    """A WeightStore at ``url``; ``client`` comes from ``open_client``."""
+
+    url: str
+    client: Any
+
+    async def acquire(self, weights: str) -> float:
+        """Ask for a load; returns seconds to wait first."""
+        body = orjson.dumps({"weights": weights})
+        answer = await call_json(self.client, "POST", f"{self.url}/loads", body)
+        return float(answer.document["wait_s"])
--- /dev/null
+++ b/acaciacove/standins/engine_counters.py
@@ -0,0 +1,23 @@
+"""Counters of one engine stand-in."""
+
+from collections import Counter
+
+from attrs import define, field
+
+
+@define
+class EngineCounters:
+    """What an engine has done since it was made."""
+
+    started: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    failed: int = 0
+    refused: int = 0
+    fell_over: int = 0
+    tokens: int = 0
+    most_in_flight: int = 0
+    most_in_flight_cold: int = 0
+    tokens_by_version: Counter[str] = field(factory=Counter)
+    started_by_version: Counter[str] = field(factory=Counter)
+    started_by_request: Counter[str] = field(factory=Counter)
--- /dev/null
+++ b/acaciacove/standins/engine_state.py
@@ -0,0 +1,111 @@
+"""State of one model-engine stand-in."""
+
+import asyncio
+import heapq
+from collections import deque
+
+from attrs import define, field
+
+from acaciacove.standins.engine_counters import EngineCounters
+from acaciacove.standins.engine_faults import EngineFaults
+from acaciacove.standins.engine_profile import EngineProfile
+from acaciacove.standins.prefix_cache import PrefixCache
+
+NEVER_COLD_S = float("-inf")
+Waiting = tuple[int, int, asyncio.Future[None]]
+
+
+@define
+class EngineState:
+    """One engine: its versions, batch, cache, temperature and counters."""
+
+    versions: set[str] = field(factory=set)
+    profile: EngineProfile = field(factory=EngineProfile)
+    faults: EngineFaults = field(factory=EngineFaults)
+    counters: EngineCounters = field(factory=EngineCounters)
+    cache: PrefixCache = field(init=False)
+    cold_until_s: float = NEVER_COLD_S
+    in_flight: int = 0
+    queue: list[Waiting] = field(factory=list)
+    arrivals: int = 0
+    fence: int = -1
+    role: str = "serve"
+    incarnation: int = 0
+    loads: deque[tuple[float, int, int]] = field(factory=deque)
+
+    def __attrs_post_init__(self) -> None:
+        """Size the prefix cache as the profile says."""
+        self.cache = PrefixCache(self.profile.cache_blocks)
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the engine still bears only a little load."""
+        return now_s < self.cold_until_s
+
+    def turn_cold(self, now_s: float) -> None:
+        """Start the warm-up anew, as after a restart."""
+        self.cold_until_s = now_s + self.profile.warm_up_s
+
+    def fall_over(self, now_s: float) -> None:
+        """Lose everything in flight and be cold again."""
+        self.counters.fell_over += 1
+        self.incarnation += 1
+        self.cache = PrefixCache(self.profile.cache_blocks)
+        self.turn_cold(now_s)
+
+    async def enter(self, priority: int) -> None:
+        """Wait for a place in the batch; a lower priority number goes first."""
+        if self.in_flight >= self.profile.max_batch:
+            await self._queue(priority)
+        else:
+            self.in_flight += 1
+        self._note_load()
+
+    def leave(self) -> None:
+        """Give the place to the first that waits, or free it."""
+        while self.queue:
+            _, _, turn = heapq.heappop(self.queue)
+            if not turn.done():
+                turn.set_result(None)
+                self._note_load()
+                return
+        self.in_flight -= 1
+        self._note_load()
+
+    def reported_load(self, now_s: float) -> tuple[int, int]:
+        """Return in-flight and queued counts as they were a lag ago."""
+        as_of_s = now_s - self.profile.load_lag_s
+        while len(self.loads) > 1 and self.loads[1][0] <= as_of_s:
+            self.loads.popleft()
+        if not self.loads or self.loads[0][0] > as_of_s:
+            return 0, 0
+        return self.loads[0][1], self.loads[0][2]
+
+    def token_time_s(self) -> float:
+        """Return how long one token takes in a batch of this size."""
+        peers = max(0, self.in_flight - 1)
+        return self.profile.token_s + peers * self.profile.token_per_peer_s
+
+    async def _queue(self, priority: int) -> None:
+        turn = asyncio.get_running_loop().create_future()
+        self.arrivals += 1
+        heapq.heappush(self.queue, (priority, self.arrivals, turn))
+        self._note_load()
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self.leave()
+            raise
+
+    def _note_load(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.loads.append((now_s, self.in_flight, len(self.queue)))
+        counters = self.counters
+        counters.most_in_flight = max(counters.most_in_flight, self.in_flight)
+        if self.is_cold(now_s):
+            counters.most_in_flight_cold = max(
+                counters.most_in_flight_cold, self.in_flight
+            )
+        as_of_s = now_s - self.profile.load_lag_s
+        while len(self.loads) > 2 and self.loads[1][0] <= as_of_s:
+            self.loads.popleft()
--- /dev/null
+++ b/acaciacove/standins/faults.py
@@ -0,0 +1,39 @@
+"""Faults of stand-ins, set from tests or over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import orjson
+from starlette.requests import Request
+from starlette.responses import Response
+
+from acaciacove.standins.json_response import json_response
+
+ALWAYS = -1
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+def take(faults: Any, name: str) -> bool:
+    """Use up one occurrence of a counted fault; ``ALWAYS`` never runs out."""
+    left: int = getattr(faults, name)
+    if left > 0:
+        setattr(faults, name, left - 1)
+    return left != 0
+
+
+def faults_endpoint(faults: Any) -> Handler:
+    """Build the handler of ``POST /faults``, which sets fields by name."""
+    names = {field.name for field in attrs.fields(type(faults))}
+
+    async def set_faults(request: Request) -> Response:
+        document = orjson.loads(await request.body())
+        unknown = sorted(set(document) - names)
+        if unknown:
+            return json_response({"error": "unknown faults", "names": unknown}, 400)
+        for name, value in document.items():
+            setattr(faults, name, value)
+        return json_response(attrs.asdict(faults))
+
+    return set_faults
--- /dev/null
+++ b/acaciacove/standins/instance_list_app.py
@@ -0,0 +1,31 @@
+"""The instance-list stand-in over HTTP."""
+
+import asyncio
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from acaciacove.platform.instance_codec import instance_to_document
+from acaciacove.standins.faults import faults_endpoint
+from acaciacove.standins.instance_list_state import InstanceListState
+from acaciacove.standins.json_response import json_response
+
+
+def build_instance_list_app(state: InstanceListState) -> Starlette:
+    """Build the application over a state that a test may hold as well."""
+
+    async def instances(_: Request) -> Response:
+        if state.faults.outage:
+            return json_response({"error": "outage"}, 503)
+        state.fetches += 1
+        seen = state.seen(asyncio.get_running_loop().time())
+        return json_response({"instances": [instance_to_document(i) for i in seen]})
+
+    return Starlette(
+        routes=[
+            Route("/instances", instances, methods=["GET"]),
+            Route("/faults", faults_endpoint(state.faults), methods=["POST"]),
+        ]
+    )
--- /dev/null
+++ b/acaciacove/standins/instance_list_state.py
@@ -0,0 +1,34 @@
+"""State of the instance-list stand-in."""
+
+from attrs import define, evolve, field
+
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.instance_status import InstanceStatus
+from acaciacove.standins.instance_list_faults import InstanceListFaults
+
+
+@define
+class InstanceListState:
+    """Every list that was ever set, with the time it was set at."""
+
+    faults: InstanceListFaults = field(factory=InstanceListFaults)
+    history: list[tuple[float, tuple[Instance, ...]]] = field(factory=list)
+    fetches: int = 0
+
+    def publish(self, now_s: float, instances: tuple[Instance, ...]) -> None:
+        """Set the list that is true from now on."""
+        self.history.append((now_s, instances))
+
+    def seen(self, now_s: float) -> list[Instance]:
+        """Return the list as a reader sees it: late, and with its errors."""
+        as_of_s = now_s - self.faults.lag_s
+        known: tuple[Instance, ...] = ()
+        for since_s, instances in self.history:
+            if since_s <= as_of_s:
+                known = instances
+        return [self._shown(i) for i in known if i.name not in self.faults.hidden]
+
+    def _shown(self, instance: Instance) -> Instance:
+        if instance.name in self.faults.called_live:
+            return evolve(instance, status=InstanceStatus.LIVE)
+        return instance
--- /dev/null
+++ b/acaciacove/standins/log_app.py
@@ -0,0 +1,95 @@
+"""The log stand-in over HTTP."""
+
+import asyncio
+import base64
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from acaciacove.standins.drop import drop_connection
+from acaciacove.standins.faults import Handler, faults_endpoint, take
+from acaciacove.standins.json_response import json_response
+from acaciacove.standins.log_state import LogState, LogStream
+
+DEFAULT_LIMIT = 1000
+MAX_WAIT_S = 60.0
+RETRY_AFTER_S = "1"
+
+
+def build_log_app(state: LogState) -> Starlette:
+    """Build the application over a state that a test may hold as well."""
+    records = "/streams/{stream:path}/records"
+    return Starlette(
+        routes=[
+            Route(records, _append(state), methods=["POST"]),
+            Route(records, _read(state), methods=["GET"]),
+            Route("/faults", faults_endpoint(state.faults), methods=["POST"]),
+        ]
+    )
+
+
+def _append(state: LogState) -> Handler:
+    async def append(request: Request) -> Response:
+        payload = await request.body()
+        await asyncio.sleep(state.faults.delay_s)
+        if state.faults.outage:
+            return _unavailable(state)
+        if not state.admits_append(asyncio.get_running_loop().time()):
+            state.refused += 1
+            return json_response({"error": "rate limit"}, 429, retry_after="1")
+        stream = state.stream(request.path_params["stream"])
+        offset = stream.append(payload, state.faults.keep_records)
+        state.appends += 1
+        if take(state.faults, "lose_replies"):
+            return await drop_connection(request)
+        return json_response({"offset": offset}, 201)
+
+    return append
+
+
+def _read(state: LogState) -> Handler:
+    async def read(request: Request) -> Response:
+        query = request.query_params
+        from_offset = int(query.get("from", "0"))
+        limit = int(query.get("limit", str(DEFAULT_LIMIT)))
+        wait_s = min(float(query.get("wait_s", "0")), MAX_WAIT_S)
+        await asyncio.sleep(state.faults.delay_s)
+        if state.faults.outage:
+            return _unavailable(state)
+        state.reads += 1
+        stream = state.stream(request.path_params["stream"])
+        stream.expire(state.faults.keep_records)
+        if from_offset < stream.first_offset:
+            return json_response({"earliest_offset": stream.first_offset}, 410)
+        await _wait_for_record(stream, from_offset, wait_s)
+        if state.faults.outage:
+            return _unavailable(state)
+        return json_response({"records": _documents(stream, from_offset, limit)})
+
+    return read
+
+
+async def _wait_for_record(stream: LogStream, offset: int, wait_s: float) -> None:
+    """Wait until the stream holds the offset, but not longer than asked."""
+    try:
+        async with asyncio.timeout(wait_s):
+            while stream.next_offset <= offset:
+                await stream.grown.wait()
+    except TimeoutError:
+        return
+
+
+def _documents(
+    stream: LogStream, offset: int, limit: int
+) -> list[dict[str, int | str]]:
+    return [
+        {"offset": at, "payload": base64.b64encode(payload).decode()}
+        for at, payload in stream.read(offset, limit)
+    ]
+
+
+def _unavailable(state: LogState) -> Response:
+    state.refused += 1
+    return json_response({"error": "outage"}, 503, retry_after=RETRY_AFTER_S)
--- /dev/null
+++ b/acaciacove/standins/serve.py
@@ -0,0 +1,78 @@
+"""Serving a stand-in inside the running loop."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+
+from starlette.applications import Starlette
+from uvicorn import Config, Server
+
+from acaciacove.standins.dropping_protocol import DroppingProtocol
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = 0
+BACKLOG = 2048
+START_POLL_S = 0.005
+KEEP_ALIVE_S = 75
+CLOSE_LIMIT_S = 1
+
+
+class _QuietServer(Server):
+    """A server that leaves the process's signal handlers alone."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture nothing: the signals belong to the program around it."""
+        yield
+
+
+@asynccontextmanager
+async def serve(
+    app: Starlette, host: str = LOOPBACK, port: int = ANY_PORT
+) -> AsyncIterator[int]:
+    """Serve an application in the current loop and yield its port."""
+    listener = _listen(host, port)
+    server = _QuietServer(_config(app))
+    running = asyncio.create_task(server.serve(sockets=[listener]))
+    try:
+        await _until_started(server, running)
+        yield listener.getsockname()[1]
+    finally:
+        server.should_exit = True
+        await running
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Open the listening socket here, so that its port is known.
+
+    The protocol is named because asyncio switches Nagle's algorithm off only for
+    sockets that name it; otherwise small writes wait 40 ms for an acknowledgement.
+    """
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, proto=socket.IPPROTO_TCP
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+def _config(app: Starlette) -> Config:
+    return Config(
+        app,
+        http=DroppingProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=CLOSE_LIMIT_S,
+    )
+
+
+async def _until_started(server: Server, running: asyncio.Task[None]) -> None:
+    while not server.started and not running.done():
+        await asyncio.sleep(START_POLL_S)
--- /dev/null
+++ b/acaciacove/standins/service_faults.py
@@ -0,0 +1,21 @@
+"""Faults of the plain-service stand-in."""
+
+from attrs import define
+
+
+@define
+class ServiceFaults:
+    """How many of the next calls fail in each way (-1: all).
+
+    ``hang_after_effect`` keeps the caller waiting for ``hang_s``; the drops close
+    the connection; ``fail`` answers 500 before any effect; ``foreign_id`` answers
+    with the id of another request. ``delay_s`` slows every call.
+    """
+
+    hang_after_effect: int = 0
+    drop_after_effect: int = 0
+    drop_before_effect: int = 0
+    fail: int = 0
+    foreign_id: int = 0
+    hang_s: float = 3600.0
+    delay_s: float = 0.0
--- /dev/null
+++ b/acaciacove/standins/weight_store_faults.py
@@ -0,0 +1,12 @@
+"""Faults of the weight-store stand-in."""
+
+from attrs import define
+
+
+@define
+class WeightStoreFaults:
+    """``lose_replies`` counts permits that are booked and never told (-1: all)."""
+
+    outage: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
