--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -8,7 +8,7 @@
 from acaciacove.state.record_codec import encode_record
 
 
-@define
+@define(slots=False)
 class FakeLog:
     """``lost_replies``: appends that land without a reply; ``lost_appends``: appends
     that neither land nor answer; ``down_reads``: reads that fail."""
--- /dev/null
+++ b/tests/test_cli_release.py
@@ -0,0 +1,250 @@
+"""Operators publish, look at and decide things through the log."""
+
+from io import StringIO
+from pathlib import Path
+
+import async_solipsism
+import orjson
+import pytest
+
+from acaciacove.cli.release_publish import exit_status, publish
+from acaciacove.context import Environment
+from acaciacove.core import main
+from acaciacove.errors import PlatformUnavailableError
+from acaciacove.exit_status import ExitStatus
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.release_format.read_note import read_note
+from acaciacove.settings.publish_settings import PublishSettings
+from acaciacove.state.quarantine_record import QuarantineRecord
+from acaciacove.state.release_note import ReleaseNote
+from acaciacove.state.verdict import Verdict
+from tests.fake_log import FakeLog
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+FIRST = str(EXAMPLES / "swimhole-release.yaml")
+ROLLOUT = str(EXAMPLES / "swimhole-rollout.yaml")
+WITHDRAWAL = str(EXAMPLES / "swimhole-withdrawal.yaml")
+URL = "--log_url=http://127.0.0.1:7000"
+SETTINGS = PublishSettings("-", "http://127.0.0.1:7000", retry_delay_s=1.0)
+
+
+def run(log, *args, stdin=""):
+    out, err = StringIO(), StringIO()
+    env = Environment(StringIO(stdin), out, err, {}, open_log=lambda url: log)
+    status = main(args, env)
+    return status, out.getvalue(), err.getvalue()
+
+
+def published(log, file, settings=SETTINGS):
+    document = read_note(Path(file).read_bytes(), 10**6)
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(publish(document, log, settings))
+    finally:
+        loop.close()
+
+
+def released():
+    log = FakeLog()
+    assert published(log, FIRST).verdict is Verdict.ACCEPTED
+    return log
+
+
+def test_a_published_note_is_in_force_and_shown():
+    log = FakeLog()
+    status, out, _ = run(log, "release", "publish", FIRST, URL, "--operator=maud")
+    assert status is ExitStatus.SUCCESS
+    assert "swimhole-first: in force from revision 0" in out
+    status, out, _ = run(log, "release", "show", URL, "--json")
+    shown = orjson.loads(out)
+    assert status is ExitStatus.SUCCESS
+    assert shown["versions"] == ["bookings@1", "guide-large@1", "guide-small@1"]
+    assert len(shown["organisations"]) == 10
+    assert shown["history"][0]["verdict"] == "accepted"
+    _, out, _ = run(log, "release", "show", URL)
+    assert "guide-large@1" in out
+
+
+def test_a_note_whose_reply_was_lost_is_found_and_not_appended_again():
+    # The log takes a note and its reply is lost. A command that appends again
+    # tells its operator that somebody else was first: he lost against himself.
+    log = FakeLog(lost_replies=1)
+    report = published(log, FIRST)
+    assert report.verdict is Verdict.ACCEPTED
+    assert log.appends == 1
+
+
+def test_a_note_that_never_arrived_is_appended_again():
+    log = FakeLog(lost_appends=2)
+    assert published(log, FIRST).verdict is Verdict.ACCEPTED
+    assert log.appends == 3
+
+
+def test_publishing_the_same_file_again_tells_what_became_of_it():
+    # The operator's shell dies during publish. He runs the command once more and
+    # must learn the fate of his note, not make a second one.
+    log = released()
+    report = published(log, FIRST)
+    assert (report.verdict, report.repeated, report.offset) == (
+        Verdict.ACCEPTED,
+        True,
+        0,
+    )
+    assert log.appends == 1
+
+
+def test_an_id_that_another_note_carries_is_refused():
+    # Somebody edits a note and forgets its id. Taking the earlier note for this
+    # one would say "in force" of changes that never left the desk.
+    log = released()
+    text = Path(FIRST).read_text().replace("quality: 0.72", "quality: 0.73")
+    status, _, err = run(log, "release", "publish", "-", URL, stdin=text)
+    assert status is ExitStatus.INVALID_NOTE
+    assert "line 4: note: swimhole-first is the id of another record" in err
+    assert log.appends == 1
+
+
+def test_a_lost_race_names_the_note_that_was_first():
+    # Two operators publish at one moment. Only one note can be on top of the
+    # release that both looked at; the other operator has to be told by whom.
+    log = released()
+    log.on_append = ReleaseNote("hers", 0, withdrawn=(VersionId("guide-small", "1"),))
+    report = published(log, ROLLOUT)
+    assert exit_status(report) is ExitStatus.RACE_LOST
+    assert (report.beaten_by, report.in_force, report.offset) == ("hers", 1, 2)
+
+
+def test_a_note_based_on_an_older_release_loses_to_the_one_in_force():
+    # An operator reviews a diff over lunch, and a colleague publishes meanwhile.
+    log = released()
+    published(log, ROLLOUT)
+    text = Path(WITHDRAWAL).read_text() + "\nbased_on: 0\n"
+    status, out, _ = run(log, "release", "publish", "-", URL, stdin=text)
+    assert status is ExitStatus.RACE_LOST
+    assert "swimhole-guide-small-2 was first" in out
+
+
+def test_a_log_that_is_down_from_the_start_takes_nothing():
+    with pytest.raises(PlatformUnavailableError):
+        published(FakeLog(down_reads=1), FIRST)
+    status, _, err = run(FakeLog(down_reads=1), "release", "publish", FIRST, URL)
+    assert status is ExitStatus.PLATFORM_UNAVAILABLE
+    assert "the platform did not answer" in err
+
+
+def test_an_outcome_that_stays_unknown_is_said_so():
+    # The log takes the note, loses the reply, and goes down. The command cannot
+    # know; saying "failed" would be a guess, and so would "in force".
+    log = FakeLog()
+    log.append = dying_append(log)
+    report = published(log, FIRST)
+    assert exit_status(report) is ExitStatus.OUTCOME_UNKNOWN
+    assert report.offset is None
+    log.down_reads = 0
+    assert published(log, FIRST).verdict is Verdict.ACCEPTED
+
+
+def dying_append(log):
+    async def append(stream, payload):
+        log.payloads.append(payload)
+        log.down_reads = 10**6
+        raise PlatformUnavailableError("no reply")
+
+    return append
+
+
+def test_history_starts_at_the_oldest_record_that_the_log_still_keeps():
+    log = released()
+    published(log, ROLLOUT)
+    log.earliest = 1
+    status, out, _ = run(log, "release", "show", URL, "--json")
+    assert status is ExitStatus.SUCCESS
+    assert [entry["offset"] for entry in orjson.loads(out)["history"]] == [1]
+
+
+def test_a_record_that_cannot_be_read_does_not_hide_the_others():
+    log = released()
+    log.payloads.append(b"from a newer version")
+    published(log, ROLLOUT)
+    _, out, _ = run(log, "release", "show", URL, "--json")
+    verdicts = [entry["verdict"] for entry in orjson.loads(out)["history"]]
+    assert verdicts == ["accepted", "malformed", "accepted"]
+
+
+def test_diff_shows_what_is_added_changed_and_withdrawn():
+    log = released()
+    log.put(QuarantineRecord(VersionId("guide-large", "1"), "errors"))
+    status, out, _ = run(log, "release", "diff", ROLLOUT, URL)
+    assert status is ExitStatus.SUCCESS
+    assert "against release revision 0" in out
+    assert "+ version guide-small@2" in out
+    assert "weight: 3.0 -> 4.0" in out
+    _, out, _ = run(log, "release", "diff", WITHDRAWAL, URL, "--json")
+    assert orjson.loads(out)["withdrawn"] == ["version guide-small@1"]
+
+
+def test_what_is_in_force_is_printed_as_a_note_that_reads_back():
+    log = released()
+    _, out, _ = run(log, "release", "show", URL, "--yaml")
+    document = read_note(out.encode(), 10**6)
+    first = read_note(Path(FIRST).read_bytes(), 10**6)
+    assert document.added == first.added
+
+
+def test_validate_lists_faults_for_people_and_for_scripts():
+    status, _, err = run(None, "release", "validate", "-", stdin="note: 1\nx: 2\n")
+    assert status is ExitStatus.INVALID_NOTE
+    assert err.startswith("line 2: x: unknown key")
+    status, out, _ = run(
+        None, "release", "validate", "-", "--json", stdin="note: 1\nx: 2\n"
+    )
+    assert status is ExitStatus.INVALID_NOTE
+    assert orjson.loads(out)["faults"][0]["path"] == "x"
+    status, out, _ = run(released(), "release", "validate", ROLLOUT, URL)
+    assert (status, out) == (
+        ExitStatus.SUCCESS,
+        "swimhole-guide-small-2 has no faults\n",
+    )
+    assert run(None, "release", "validate", "none.yaml")[0] is ExitStatus.USAGE
+
+
+@pytest.mark.parametrize(
+    ("word", "name", "key"),
+    [
+        ("zone", "ozark", "availability_zones_out"),
+        ("instance", "guide-3", "instances_out"),
+    ],
+)
+def test_zones_and_instances_go_out_and_come_back(word, name, key):
+    log = released()
+    for way, expected in (("out", [name]), ("in", [])):
+        status, out, _ = run(log, word, way, name, URL, "--json")
+        assert status is ExitStatus.SUCCESS
+        assert orjson.loads(out)["out"] is (way == "out")
+        shown = orjson.loads(run(log, "release", "show", URL, "--json")[1])
+        assert shown[key] == expected
+
+
+def test_a_decision_may_be_repeated_by_its_id():
+    # A reply is lost and the operator repeats the command. Between the two a
+    # colleague brought the zone back; the repeat must not take it out again.
+    log = released()
+    args = ("zone", "out", "ozark", URL, "--decision_id=d1")
+    assert run(log, *args)[0] is ExitStatus.SUCCESS
+    run(log, "zone", "in", "ozark", URL)
+    status, _, _ = run(log, *args)
+    assert status is ExitStatus.SUCCESS
+    shown = orjson.loads(run(log, "release", "show", URL, "--json")[1])
+    assert shown["availability_zones_out"] == []
+    other = ("zone", "out", "piedmont", URL, "--decision_id=d1")
+    assert run(log, *other)[0] is ExitStatus.USAGE
+
+
+def test_the_program_helps_with_what_is_mistyped():
+    assert "did you mean release diff?" in run(None, "relase", "diff")[2]
+    assert "zone needs one of: zone out, zone in" in run(None, "zone")[2]
+    status, out, _ = run(None, "zone", "out", "--help")
+    assert status is ExitStatus.SUCCESS
+    assert "ACACIACOVE_DECISION_ID" in out
+    assert run(None, "--version")[1].strip().count(".") == 2
+    assert run(None)[0] is ExitStatus.USAGE
