Let the instance list tell the HTTP port of an instance

The status command reads each instance's /status, and the list named only the port of the system's own messages. Additive: http_port of Instance defaults to 0, and the list's documents may leave it out.

--- a/acaciacove/fleet/instance.py
+++ b/acaciacove/fleet/instance.py
@@ -12,7 +12,8 @@
     """An entry, or an endpoint with its sidecar.
 
     ``host`` is an IP number; ``port`` is where its process listens for the
-    system's own messages. ``incarnation`` grows with each start under one name
+    system's own messages, ``http_port`` where it serves probes, metrics and status
+    (0 when the list does not tell). ``incarnation`` grows with each start under one name
     (milliseconds of wall clock at the start). ``versions`` are those that an
     endpoint serves.
     """
@@ -26,3 +27,4 @@
     incarnation: int = 0
     status: InstanceStatus = InstanceStatus.LIVE
     versions: tuple[VersionId, ...] = ()
+    http_port: int = 0
--- a/acaciacove/platform/instance_codec.py
+++ b/acaciacove/platform/instance_codec.py
@@ -31,6 +31,7 @@
             incarnation=int(document.get("incarnation", 0)),
             status=InstanceStatus(document.get("status", InstanceStatus.LIVE)),
             versions=tuple(map(_version, document.get("versions", ()))),
+            http_port=int(document.get("http_port", 0)),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedMessageError(f"not an instance: {error}") from error
