Serve the whole thin path: caller, entry, sidecar, endpoint and back

Cause: the parts stood alone. Change: entry and sidecar daemons around the decisions, in process or as processes; they follow the release stream and the instance list, serve probes and metrics, and drain on SIGTERM. Streams end with the closing event only when they are whole.

--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -100,6 +100,12 @@
     "Seconds that a process which was told to stop waits for its requests to finish.",
     "SECONDS",
 )
+DRAIN_NOTICE = Flag(
+    "drain_notice_s",
+    "Seconds that a process which was told to stop still takes new requests while "
+    "its readiness fails, so that the balancer can notice before any is refused.",
+    "SECONDS",
+)
 SEED = Flag(
     "seed",
     "Seed of the random choices; the same seed and the same events choose alike.",
@@ -133,6 +139,7 @@
             "Seconds a request may take when its caller names no deadline.",
             "SECONDS",
         ),
+        DRAIN_NOTICE,
         DRAIN_LIMIT,
         Flag("max_body_bytes", "Refuse larger request bodies.", "BYTES"),
         Flag("max_header_bytes", "Refuse larger request headers.", "BYTES"),
@@ -190,6 +197,7 @@
             "URL",
         ),
         Flag("max_queue", "Requests that may wait for the endpoint.", "COUNT"),
+        DRAIN_NOTICE,
         DRAIN_LIMIT,
         Flag(
             "claim_wait_s",
--- a/acaciacove/cli/entry.py
+++ b/acaciacove/cli/entry.py
@@ -9,6 +9,6 @@
 
 def run(settings: EntrySettings, env: Environment) -> ExitStatus:
     """Run the daemon; it ends after SIGTERM, once its streams have finished."""
-    from acaciacove.entry.daemon import run_entry  # type: ignore[import-not-found]
+    from acaciacove.entry.daemon import run_entry
 
     return asyncio.run(run_entry(settings))
--- a/acaciacove/cli/sidecar.py
+++ b/acaciacove/cli/sidecar.py
@@ -9,6 +9,6 @@
 
 def run(settings: SidecarSettings, env: Environment) -> ExitStatus:
     """Run the daemon; it ends after SIGTERM, once its work has finished."""
-    from acaciacove.sidecar.daemon import run_sidecar  # type: ignore[import-not-found]
+    from acaciacove.sidecar.daemon import run_sidecar
 
     return asyncio.run(run_sidecar(settings))
--- a/acaciacove/context.py
+++ b/acaciacove/context.py
@@ -13,9 +13,10 @@
 
 def open_http_log(url: str) -> PlatformLog:
     """Open the platform's log behind an HTTP URL."""
-    from acaciacove.platform.http_log import HttpLog  # type: ignore[import-not-found]
+    from acaciacove.platform.http_client import open_client
+    from acaciacove.platform.http_log import HttpLog
 
-    return HttpLog(url)
+    return HttpLog(url, open_client())
 
 
 def utc_now() -> datetime:
--- /dev/null
+++ b/acaciacove/daemon/background.py
@@ -0,0 +1,38 @@
+"""Background tasks of a daemon, which end with the block around them."""
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+
+@asynccontextmanager
+async def background(*coroutines: Coroutine[Any, Any, None]) -> AsyncIterator[None]:
+    """Run coroutines while the block runs; a fault in one ends the block with it.
+
+    A task that dies unseen would leave a daemon that answers its probes but no
+    longer follows the log. Its fault ends the process instead.
+    """
+    block = asyncio.current_task()
+    assert block is not None
+    faults: list[BaseException] = []
+
+    def on_done(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            faults.append(fault)
+            block.cancel()
+
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+    for task in tasks:
+        task.add_done_callback(on_done)
+    try:
+        yield
+    except asyncio.CancelledError:
+        if faults:
+            raise faults[0] from None
+        raise
+    finally:
+        for task in tasks:
+            task.remove_done_callback(on_done)
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/acaciacove/daemon/probes.py
+++ b/acaciacove/daemon/probes.py
@@ -26,7 +26,9 @@
         return _json({"state": lifecycle.state})
 
     async def ready(_: Request) -> Response:
-        return _json({"state": lifecycle.state}, 200 if lifecycle.is_ready else 503)
+        return _json(
+            {"state": lifecycle.state}, 200 if lifecycle.accepts_callers else 503
+        )
 
     async def show_status(_: Request) -> Response:
         return _json(status())
--- a/acaciacove/daemon/process_lifecycle.py
+++ b/acaciacove/daemon/process_lifecycle.py
@@ -26,7 +26,7 @@
         _MACHINE.add_model(self)
 
     @property
-    def is_ready(self) -> bool:
+    def accepts_callers(self) -> bool:
         """Tell whether the balancer may send new callers here."""
         return self.state == ProcessState.READY
 
--- a/acaciacove/entry/app.py
+++ b/acaciacove/entry/app.py
@@ -23,6 +23,8 @@
 from acaciacove.refusal import Refusal
 
 EVENT_STREAM = "text/event-stream"
+OK = 200
+DONE_EVENT = b"data: [DONE]\n\n"
 SERVICE_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
 Answers = Callable[[CallerRequest], AsyncGenerator[AnswerEvent, None]]
@@ -89,11 +91,23 @@
         return problem_response(first, request.request_id)
     assert isinstance(first, AnswerHead)
     headers = _headers(request.request_id, first)
+    if first.status != OK:
+        return await _whole(request.request_id, _put_back(first, events))
     headers["cache-control"] = "no-store"
     body = _event_bytes(entry, request.request_id, events)
     return AnswerResponse(body, first.status, headers, media_type=EVENT_STREAM)
 
 
+async def _put_back(
+    first: AnswerHead, events: AsyncGenerator[AnswerEvent, None]
+) -> AsyncGenerator[AnswerEvent, None]:
+    """Yield an event that was looked at, then the rest."""
+    yield first
+    async with aclosing(events):
+        async for event in events:
+            yield event
+
+
 async def _event_bytes(
     entry: EntryState,
     request_id: str,
@@ -106,6 +120,8 @@
                 match event:
                     case AnswerPiece():
                         yield event.data
+                    case AnswerEnd():
+                        yield DONE_EVENT
                     case Refusal():
                         yield _error_event(event, request_id)
 
--- a/acaciacove/entry/entry_metrics.py
+++ b/acaciacove/entry/entry_metrics.py
@@ -35,7 +35,9 @@
         self.cost = self._counter("cost_total", "cost of answers")
         self.tokens = self._counter("tokens_total", "tokens generated")
         self.strays = Gauge(
-            "acaciacove_stray_answers", "answers nobody waited for", self.registry
+            "acaciacove_stray_answers",
+            "answers nobody waited for",
+            registry=self.registry,
         )
         self.in_flight = Gauge(
             "acaciacove_in_flight", "requests being served", registry=self.registry
--- a/acaciacove/settings/entry_settings.py
+++ b/acaciacove/settings/entry_settings.py
@@ -35,6 +35,7 @@
     instance_list_url: str = field(metadata=check(is_url_or_empty))
     rating_url: str = field(default="", metadata=check(is_url_or_empty))
     default_deadline_s: float = field(default=30.0, metadata=check(is_positive))
+    drain_notice_s: float = field(default=1.0, metadata=check(at_least(0)))
     drain_limit_s: float = field(default=30.0, metadata=check(is_positive))
     max_body_bytes: int = field(default=1_000_000, metadata=check(at_least(1)))
     max_header_bytes: int = field(default=16_384, metadata=check(at_least(1)))
--- a/acaciacove/settings/sidecar_settings.py
+++ b/acaciacove/settings/sidecar_settings.py
@@ -37,6 +37,7 @@
     instance_list_url: str = field(metadata=check(is_url_or_empty))
     weight_store_url: str = field(default="", metadata=check(is_url_or_empty))
     max_queue: int = field(default=256, metadata=check(at_least(0)))
+    drain_notice_s: float = field(default=1.0, metadata=check(at_least(0)))
     drain_limit_s: float = field(default=30.0, metadata=check(is_positive))
     claim_wait_s: float = field(default=2.0, metadata=check(is_positive))
     claim_window_s: float = field(default=86_400.0, metadata=check(is_positive))
--- a/acaciacove/sidecar/admission.py
+++ b/acaciacove/sidecar/admission.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from acaciacove.decisions.admission_queue import AdmissionQueue
+from acaciacove.decisions.admission import AdmissionQueue
 from acaciacove.decisions.ramp import Ramp
 from acaciacove.decisions.waiting_item import WaitingItem
 from acaciacove.fleet.fleet_state import FleetState
--- /dev/null
+++ b/acaciacove/sidecar/daemon.py
@@ -0,0 +1,16 @@
+"""The sidecar as a process of its own."""
+
+from acaciacove.daemon.decision_log import start_log
+from acaciacove.daemon.stop_signal import stop_on_signals
+from acaciacove.exit_status import ExitStatus
+from acaciacove.settings.sidecar_settings import SidecarSettings
+from acaciacove.sidecar.running_sidecar import running_sidecar
+
+
+async def run_sidecar(settings: SidecarSettings) -> ExitStatus:
+    """Serve until SIGTERM, then drain."""
+    start_log()
+    stop = stop_on_signals()
+    async with running_sidecar(settings):
+        await stop.wait()
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/tests/embedded.py
@@ -0,0 +1,226 @@
+"""A small fleet in one process: stand-ins, sidecars and entries on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from hashlib import sha256
+from typing import Any
+
+from attrs import define, evolve, field
+
+from acaciacove.entry.running_entry import RunningEntry, running_entry
+from acaciacove.fleet.api import Api
+from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.call_rule import CallRule
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.instance_status import InstanceStatus
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.role import Role
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.platform.http_client import open_client
+from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.settings.sidecar_settings import SidecarSettings
+from acaciacove.sidecar.running_sidecar import RunningSidecar, running_sidecar
+from acaciacove.standins.engine_app import build_engine_app
+from acaciacove.standins.engine_state import EngineState
+from acaciacove.standins.instance_list_app import build_instance_list_app
+from acaciacove.standins.instance_list_state import InstanceListState
+from acaciacove.standins.log_app import build_log_app
+from acaciacove.standins.log_state import LogState
+from acaciacove.standins.serve import serve
+from acaciacove.standins.service_app import build_service_app
+from acaciacove.standins.service_state import ServiceState
+from acaciacove.state.record import RELEASE_STREAM, Record
+from acaciacove.state.record_codec import encode_record
+from acaciacove.state.release_note import ReleaseNote
+
+SMALL = VersionId("guide-small", "1")
+LARGE = VersionId("guide-large", "1")
+BOOKINGS = VersionId("bookings", "1")
+TOKEN = "guides-token"
+ZONES = ("ozark", "piedmont", "cumberland", "gulfcoast")
+WAIT_LIMIT_S = 20.0
+
+
+def release_note() -> ReleaseNote:
+    """One model API with a cheap and a dear version, and one plain service."""
+    digest = sha256(TOKEN.encode()).hexdigest()
+    allowed = {"guide-small": ("*",), "guide-large": ("*",), "bookings": ("*",)}
+    return ReleaseNote(
+        "note-1",
+        -1,
+        apis=(
+            Api("guide", ApiKind.MODEL, 0.5),
+            Api("rides", ApiKind.SERVICE, 0.0, (CallRule("POST", "/shuttles"),)),
+        ),
+        versions=(
+            Version(SMALL, "guide", 1.0, 0.7, cold_bears=8, warm_bears=8),
+            Version(LARGE, "guide", 10.0, 0.9, cold_bears=8, warm_bears=8),
+            Version(BOOKINGS, "rides", 1.0, cold_bears=8, warm_bears=8),
+        ),
+        organisations=(Organisation("ozark-guides", (digest,), allowed),),
+    )
+
+
+@define(eq=False)
+class Embedded:
+    """The parts of a running fleet, for tests to look into and to break."""
+
+    log: LogState
+    listing: InstanceListState
+    engines: dict[str, EngineState] = field(factory=dict)
+    services: dict[str, ServiceState] = field(factory=dict)
+    sidecars: dict[str, RunningSidecar] = field(factory=dict)
+    sidecar_stacks: dict[str, AsyncExitStack] = field(factory=dict)
+    entries: list[RunningEntry] = field(factory=list)
+    instances: dict[str, Instance] = field(factory=dict)
+    client: Any = None
+    log_url: str = ""
+    list_url: str = ""
+
+    def publish(self, record: Record) -> int:
+        """Append a record to the release stream."""
+        stream = self.log.stream(RELEASE_STREAM)
+        return stream.append(encode_record(record), self.log.faults.keep_records)
+
+    def list_instances(self) -> None:
+        """Let the platform's list show the instances as they are now."""
+        now_s = asyncio.get_running_loop().time()
+        self.listing.publish(now_s, tuple(self.instances.values()))
+
+    def mark(self, name: str, status: InstanceStatus) -> None:
+        """Change what the platform's list says of an instance."""
+        self.instances[name] = evolve(self.instances[name], status=status)
+        self.list_instances()
+
+    async def post(self, path: str, body: bytes, entry: int = 0, **headers: str) -> Any:
+        """Send a request to an entry as the test's organisation."""
+        return await self.request("POST", path, body, entry, **headers)
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", entry: int = 0, **headers: str
+    ) -> Any:
+        """Send a request; header names are written with underscores."""
+        url = f"http://127.0.0.1:{self.entries[entry].http_port}{path}"
+        sent = {"Authorization": f"Bearer {TOKEN}"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return await self.client.request(
+            url, method=method, headers=sent, data=body or None
+        )
+
+
+@asynccontextmanager
+async def embedded_fleet(
+    models: int = 2, services: int = 2, entries: int = 1
+) -> AsyncIterator[Embedded]:
+    """Run a fleet until its entries are ready."""
+    fleet = Embedded(LogState(), InstanceListState())
+    async with AsyncExitStack() as stack:
+        log_port = await stack.enter_async_context(serve(build_log_app(fleet.log)))
+        list_app = build_instance_list_app(fleet.listing)
+        list_port = await stack.enter_async_context(serve(list_app))
+        fleet.log_url = f"http://127.0.0.1:{log_port}"
+        fleet.list_url = f"http://127.0.0.1:{list_port}"
+        fleet.client = open_client()
+        fleet.publish(release_note())
+        for number in range(models):
+            await _add_model(fleet, stack, f"guide-{number}", ZONES[number % 4])
+        for number in range(services):
+            await _add_service(fleet, stack, f"bookings-{number}", ZONES[number % 4])
+        fleet.list_instances()
+        for number in range(entries):
+            await add_entry(fleet, stack, f"entry-{number}")
+        yield fleet
+
+
+async def _add_model(
+    fleet: Embedded, stack: AsyncExitStack, name: str, zone: str
+) -> None:
+    engine = EngineState({str(SMALL), str(LARGE)})
+    fleet.engines[name] = engine
+    port = await stack.enter_async_context(serve(build_engine_app(engine)))
+    await add_sidecar(fleet, stack, name, zone, port, (SMALL, LARGE))
+
+
+async def _add_service(
+    fleet: Embedded, stack: AsyncExitStack, name: str, zone: str
+) -> None:
+    service = ServiceState()
+    fleet.services[name] = service
+    port = await stack.enter_async_context(serve(build_service_app(service)))
+    await add_sidecar(fleet, stack, name, zone, port, (BOOKINGS,))
+
+
+async def add_sidecar(
+    fleet: Embedded,
+    stack: AsyncExitStack,
+    name: str,
+    zone: str,
+    endpoint_port: int,
+    versions: tuple[VersionId, ...],
+) -> RunningSidecar:
+    """Start a sidecar beside an endpoint; its own stack can stop it alone."""
+    settings = SidecarSettings(
+        name=name,
+        region="south",
+        availability_zone=zone,
+        host="127.0.0.1",
+        http_port=0,
+        peer_port=0,
+        endpoint_url=f"http://127.0.0.1:{endpoint_port}",
+        versions=versions,
+        log_url=fleet.log_url,
+        instance_list_url=fleet.list_url,
+        drain_notice_s=0.0,
+        drain_limit_s=5.0,
+        seed=1,
+    )
+    own = await stack.enter_async_context(AsyncExitStack())
+    sidecar = await own.enter_async_context(running_sidecar(settings))
+    fleet.sidecars[name] = sidecar
+    fleet.sidecar_stacks[name] = own
+    fleet.instances[name] = Instance(
+        name,
+        Role.ENDPOINT,
+        "south",
+        zone,
+        "127.0.0.1",
+        sidecar.peer_port,
+        versions=versions,
+    )
+    await until(lambda: sidecar.state.lifecycle.accepts_callers)
+    return sidecar
+
+
+async def add_entry(fleet: Embedded, stack: AsyncExitStack, name: str) -> RunningEntry:
+    """Start an entry and wait until it is ready."""
+    settings = EntrySettings(
+        name=name,
+        region="south",
+        availability_zone="ozark",
+        host="127.0.0.1",
+        http_port=0,
+        peer_port=0,
+        log_url=fleet.log_url,
+        instance_list_url=fleet.list_url,
+        drain_notice_s=0.0,
+        drain_limit_s=5.0,
+        seed=7 + len(fleet.entries),
+    )
+    entry = await stack.enter_async_context(running_entry(settings))
+    fleet.entries.append(entry)
+    await until(lambda: entry.state.lifecycle.accepts_callers)
+    return entry
+
+
+async def until(condition: Any) -> None:
+    """Wait for a condition; a bound only keeps a broken test from hanging."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(test: Any) -> None:
+    """Run an async test to its end."""
+    asyncio.run(test())
--- a/tests/run_all.sh
+++ b/tests/run_all.sh
@@ -55,7 +55,7 @@
   failed=$((failed + bad))
 fi
 
-if [ -f acaciacove/cli/demo.py ]; then
+if [ -f acaciacove/demo.py ]; then
   single "demo" "$bin/python" -m acaciacove demo
 fi
 
