Cause every endpoint fault on the real daemons, and refuse a withdrawn version by name

Cause: the path had no test of failures; a caller that named a withdrawn version was silently answered by another one. Change: tests of crossed, truncated, dropped, garbled and failed answers, resumed and broken streams, callers that leave, draining sidecars and entries, withdrawals, zone and instance decisions, cold engines; a named version is answered or refused.

--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -60,7 +60,13 @@
     def choose_version(
         self, fleet: FleetState, request: CallerRequest
     ) -> VersionDecision | Refusal:
-        """Choose the version to ask first, and the ladder to escalate on."""
+        """Choose the version to ask first, and the ladder to escalate on.
+
+        A version that the caller named itself is never replaced by another one.
+        """
+        if request.explicit is not None and not fleet.is_usable(request.explicit):
+            detail = f"{request.explicit} is no longer served"
+            return Refusal(Reason.VERSION_WITHDRAWN, True, detail)
         return choose_version(
             fleet,
             request.organisation,
--- /dev/null
+++ b/tests/test_path_faults.py
@@ -0,0 +1,232 @@
+"""Endpoints that fail, callers that leave, instances that go: on real daemons."""
+
+import asyncio
+
+import orjson
+import pytest
+from attrs import evolve
+
+from acaciacove.standins.engine_profile import EngineProfile
+from acaciacove.standins.engine_text import generated_tokens
+from acaciacove.state.instance_decision import InstanceDecision
+from acaciacove.state.release_note import ReleaseNote
+from acaciacove.state.zone_decision import ZoneDecision
+from tests.embedded import LARGE, SMALL, embedded_fleet, release_note, run, until
+
+QUESTION = {"model": "guide", "messages": [{"role": "user", "content": "Any creeks?"}]}
+CHAT = "/v1/chat/completions"
+
+
+def stream_text(raw):
+    """Join what a stream's events say, and tell whether it ended as whole."""
+    events = [e for e in raw.split(b"\n\n") if e.startswith(b"data: ")]
+    whole = bool(events) and events[-1] == b"data: [DONE]"
+    documents = [orjson.loads(e[6:]) for e in events if e != b"data: [DONE]"]
+    deltas = [c["delta"] for d in documents for c in d.get("choices", ())]
+    return "".join(delta.get("content") or "" for delta in deltas), whole
+
+
+def expected_text(version, body):
+    return "".join(generated_tokens(str(version), body))
+
+
+@pytest.mark.parametrize(
+    "fault", ["crossed", "truncated", "dropped", "garbage", "fail"]
+)
+def test_a_bad_answer_is_never_delivered_but_made_again_elsewhere(fault):
+    # An endpoint answers with somebody else's id, half an answer, or none. The
+    # caller must get its own whole answer from another endpoint, not the bad one.
+    async def test():
+        async with embedded_fleet() as fleet:
+            for engine in fleet.engines.values():
+                setattr(engine.faults, fault, 1)
+            # Two endpoints fail once each; the third attempt has nowhere to go, so
+            # one of them is left whole.
+            setattr(fleet.engines["guide-1"].faults, fault, 0)
+            for _ in range(6):
+                response = await fleet.post(CHAT, orjson.dumps(QUESTION))
+                answer = orjson.loads(await response.content())
+                assert response.status_code == 200, answer
+                text = answer["choices"][0]["message"]["content"]
+                assert text == expected_text(SMALL, QUESTION)
+            assert getattr(fleet.engines["guide-0"].faults, fault) == 0
+
+    run(test)
+
+
+@pytest.mark.parametrize("fault", ["truncated", "dropped"])
+def test_a_stream_that_breaks_is_resumed_without_a_seam(fault):
+    # An endpoint dies in the middle of a stream. The caller sees one whole answer,
+    # with no token missing and none twice.
+    async def test():
+        async with embedded_fleet() as fleet:
+            setattr(fleet.engines["guide-0"].faults, fault, 1)
+            body = {**QUESTION, "stream": True}
+            for _ in range(6):
+                response = await fleet.post(CHAT, orjson.dumps(body))
+                text, whole = stream_text(await response.content())
+                assert whole
+                assert text == expected_text(SMALL, body)
+            assert getattr(fleet.engines["guide-0"].faults, fault) == 0
+
+    run(test)
+
+
+def test_a_stream_that_cannot_go_on_ends_with_a_named_error():
+    # Every endpoint breaks. The caller must not take half an answer for a whole.
+    async def test():
+        async with embedded_fleet() as fleet:
+            for engine in fleet.engines.values():
+                engine.faults.truncated = -1
+            body = orjson.dumps({**QUESTION, "stream": True})
+            response = await fleet.post(CHAT, body)
+            raw = await response.content()
+            assert not stream_text(raw)[1]
+            assert b"event: error" in raw
+            problem = orjson.loads(raw.rsplit(b"data: ", 1)[1])["error"]
+            assert problem["not_run"] is False
+
+    run(test)
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_caller_that_leaves_stops_the_engine(stream):
+    # A caller gives up half-way. Otherwise its engine goes on generating for nobody
+    # while others wait.
+    async def test():
+        async with embedded_fleet(models=1) as fleet:
+            engine = fleet.engines["guide-0"]
+            engine.profile = EngineProfile(token_s=0.05)
+            body = orjson.dumps({**QUESTION, "stream": stream})
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", fleet.entries[0].http_port
+            )
+            head = (
+                f"POST {CHAT} HTTP/1.1\r\nHost: x\r\n"
+                "Authorization: Bearer guides-token\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            await until(lambda: engine.counters.tokens > 0)
+            writer.close()
+            await until(lambda: engine.counters.cancelled == 1)
+            await until(lambda: fleet.entries[0].state.in_flight == 0)
+            assert engine.counters.finished == 0
+
+    run(test)
+
+
+def test_a_leaving_endpoint_finishes_its_streams_and_gets_no_more():
+    # A sidecar is told to stop while it streams. Its callers get whole answers, and
+    # new requests go elsewhere.
+    async def test():
+        async with embedded_fleet() as fleet:
+            for engine in fleet.engines.values():
+                engine.profile = EngineProfile(token_s=0.02)
+            body = {**QUESTION, "stream": True}
+
+            async def ask():
+                response = await fleet.post(CHAT, orjson.dumps(body))
+                return stream_text(await response.content())
+
+            streams = [asyncio.create_task(ask()) for _ in range(6)]
+            leaving = fleet.engines["guide-0"]
+            await until(lambda: leaving.counters.started > 0)
+            stop = asyncio.create_task(fleet.sidecar_stacks["guide-0"].aclose())
+            sidecar = fleet.sidecars["guide-0"].state
+            await until(lambda: not sidecar.lifecycle.takes_work)
+            started = leaving.counters.started
+            streams += [asyncio.create_task(ask()) for _ in range(6)]
+            answers = await asyncio.gather(*streams)
+            await stop
+            assert answers == [(expected_text(SMALL, body), True)] * 12
+            assert leaving.counters.started == started
+
+    run(test)
+
+
+def test_an_entry_that_stops_cuts_no_request():
+    # The entry gets SIGTERM while it answers. Its callers must not notice.
+    async def test():
+        answered = []
+        async with embedded_fleet(models=1) as fleet:
+            fleet.engines["guide-0"].profile = EngineProfile(token_s=0.02)
+            body = {**QUESTION, "stream": True}
+
+            async def ask():
+                response = await fleet.post(CHAT, orjson.dumps(body))
+                answered.append(stream_text(await response.content()))
+
+            asking = asyncio.create_task(ask())
+            await until(lambda: fleet.entries[0].state.in_flight > 0)
+        await asking
+        assert answered == [(expected_text(SMALL, body), True)]
+
+    run(test)
+
+
+def test_a_withdrawn_version_gets_no_new_work():
+    # A release note withdraws the cheap version under traffic.
+    async def test():
+        async with embedded_fleet() as fleet:
+            note = ReleaseNote("note-2", 0, withdrawn=(SMALL,))
+            offset = fleet.publish(note)
+            states = [s.state.holder for s in fleet.sidecars.values()]
+            states += [e.state.holder for e in fleet.entries]
+            await until(lambda: all(h.state.revision == offset for h in states))
+            response = await fleet.post(CHAT, orjson.dumps(QUESTION))
+            assert response.headers["x-version"] == str(LARGE)
+            body = orjson.dumps({**QUESTION, "model": str(SMALL)})
+            response = await fleet.post(CHAT, body)
+            assert orjson.loads(await response.content())["not_run"] is True
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "decision",
+    [
+        ZoneDecision("d1", "ozark", True),
+        InstanceDecision("d1", "guide-0", True),
+    ],
+)
+def test_what_operators_take_out_gets_no_new_work(decision):
+    async def test():
+        async with embedded_fleet() as fleet:
+            offset = fleet.publish(decision)
+            states = [s.state.holder for s in fleet.sidecars.values()]
+            states += [e.state.holder for e in fleet.entries]
+            await until(lambda: all(h.state.revision == offset for h in states))
+            before = fleet.engines["guide-0"].counters.started
+            for _ in range(8):
+                response = await fleet.post(CHAT, orjson.dumps(QUESTION))
+                assert response.headers["x-endpoint"] == "guide-1"
+            assert fleet.engines["guide-0"].counters.started == before
+
+    run(test)
+
+
+def test_a_cold_endpoint_gets_no_more_than_it_bears():
+    # A freshly started engine falls over when it gets more than it bears. Thirty
+    # callers come at once; all must be served, and nothing may fall over.
+    async def test():
+        async with embedded_fleet(models=1) as fleet:
+            engine = fleet.engines["guide-0"]
+            engine.profile = EngineProfile(token_s=0.002, cold_bears=2, warm_up_s=60.0)
+            engine.turn_cold(asyncio.get_running_loop().time())
+            small, large, bookings = release_note().versions
+            slow = {"cold_bears": 2, "warm_up_s": 60.0}
+            versions = (evolve(small, **slow), evolve(large, **slow), bookings)
+            offset = fleet.publish(ReleaseNote("note-2", 0, versions=versions))
+            sidecar = fleet.sidecars["guide-0"].state
+            await until(lambda: sidecar.holder.state.revision == offset)
+
+            async def ask():
+                response = await fleet.post(CHAT, orjson.dumps(QUESTION))
+                return response.status_code
+
+            assert await asyncio.gather(*(ask() for _ in range(30))) == [200] * 30
+            assert engine.counters.fell_over == 0
+            assert engine.counters.most_in_flight_cold <= 2
+
+    run(test)
