--- /dev/null
+++ b/acaciacove/standins/endpoint_spec.py
@@ -0,0 +1,19 @@
+"""One endpoint of a deployment."""
+
+from attrs import frozen
+
+from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.standins.engine_profile import EngineProfile
+
+
+@frozen
+class EndpointSpec:
+    """Where an endpoint stands, what it serves, and how fast its engine is."""
+
+    name: str
+    api: str
+    kind: ApiKind
+    availability_zone: str
+    versions: tuple[VersionId, ...]
+    profile: EngineProfile = EngineProfile()
--- a/acaciacove/standins/serve.py
+++ b/acaciacove/standins/serve.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
 from starlette.applications import Starlette
@@ -32,15 +32,30 @@
     app: Starlette, host: str = LOOPBACK, port: int = ANY_PORT
 ) -> AsyncIterator[int]:
     """Serve an application in the current loop and yield its port."""
-    listener = _listen(host, port)
-    server = _QuietServer(_config(app))
-    running = asyncio.create_task(server.serve(sockets=[listener]))
+    async with serve_all([app], host, [port]) as ports:
+        yield ports[0]
+
+
+@asynccontextmanager
+async def serve_all(
+    apps: Sequence[Starlette],
+    host: str = LOOPBACK,
+    ports: Sequence[int] | None = None,
+) -> AsyncIterator[list[int]]:
+    """Serve several applications, which start and stop together."""
+    listeners = [_listen(host, port) for port in ports or [ANY_PORT] * len(apps)]
+    servers = [_QuietServer(_config(app)) for app in apps]
+    running = [
+        asyncio.create_task(server.serve(sockets=[listener]))
+        for server, listener in zip(servers, listeners, strict=True)
+    ]
     try:
-        await _until_started(server, running)
-        yield listener.getsockname()[1]
+        await _until_started(servers, running)
+        yield [listener.getsockname()[1] for listener in listeners]
     finally:
-        server.should_exit = True
-        await running
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*running)
 
 
 def _listen(host: str, port: int) -> socket.socket:
@@ -73,6 +88,11 @@
     )
 
 
-async def _until_started(server: Server, running: asyncio.Task[None]) -> None:
-    while not server.started and not running.done():
+async def _until_started(
+    servers: Sequence[Server], running: Sequence[asyncio.Task[None]]
+) -> None:
+    while not all(server.started for server in servers):
+        for task in running:
+            if task.done():
+                task.result()
         await asyncio.sleep(START_POLL_S)
