Answer callers without waiting for delayed acknowledgements

Cause: the daemons' listening socket named no protocol, so asyncio left Nagle's algorithm on; head and body of an answer are two writes. Change: name TCP when the socket is made.

--- a/acaciacove/daemon/http_server.py
+++ b/acaciacove/daemon/http_server.py
@@ -28,7 +28,7 @@
     Port 0 binds a free one. Raises OSError when the address is taken. On leaving
     the block, answers that have begun are finished first.
     """
-    listener = socket.create_server((host, port), backlog=BACKLOG)
+    listener = _listen(host, port)
     config = Config(
         app,
         log_level="warning",
@@ -49,3 +49,22 @@
         server.should_exit = True
         await serving
         listener.close()
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Open the listening socket, naming its protocol.
+
+    asyncio switches Nagle's algorithm off only for sockets that name TCP. Without
+    it the body of an answer waits 40 ms for the acknowledgement of its head.
+    """
+    listener = socket.socket(
+        socket.AF_INET, socket.SOCK_STREAM, proto=socket.IPPROTO_TCP
+    )
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
