--- /dev/null
+++ b/acaciacove/cli/ask_instance.py
@@ -0,0 +1,82 @@
+"""Asks one instance for its status."""
+
+from typing import Any
+
+from attrs import evolve
+
+from acaciacove.cli.instance_report import InstanceReport
+from acaciacove.errors import PlatformUnavailableError
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.instance import Instance
+from acaciacove.platform.http_json import call_json
+
+NO_PORT = "no HTTP port listed"
+NO_ANSWER = "no answer"
+BAD_ANSWER = "answered something else than a status"
+
+
+async def ask_instance(
+    client: Any, instance: Instance, fleet: FleetState, timeout_s: float
+) -> InstanceReport:
+    """Return a report, also when the instance is gone or its answer is odd."""
+    listed = _listed(instance, fleet)
+    if not instance.http_port:
+        return evolve(listed, fault=NO_PORT)
+    host = f"[{instance.host}]" if ":" in instance.host else instance.host
+    url = f"http://{host}:{instance.http_port}/status"
+    try:
+        answer = await call_json(client, "GET", url, limit_s=timeout_s)
+    except PlatformUnavailableError:
+        return evolve(listed, fault=NO_ANSWER)
+    if not isinstance(answer.document, dict):
+        return evolve(listed, fault=BAD_ANSWER)
+    return _with_status(listed, answer.document, fleet)
+
+
+def _listed(instance: Instance, fleet: FleetState) -> InstanceReport:
+    """Report what the platform's list and the decisions in force tell."""
+    out = (
+        instance.name in fleet.instances_out
+        or instance.availability_zone in fleet.availability_zones_out
+    )
+    return InstanceReport(
+        instance.name,
+        instance.role.value,
+        instance.availability_zone,
+        instance.status.value,
+        out,
+        tuple(str(version) for version in instance.versions),
+    )
+
+
+def _with_status(
+    listed: InstanceReport, document: dict[str, Any], fleet: FleetState
+) -> InstanceReport:
+    """Add what the instance says of itself.
+
+    An instance that was replaced behind its address answers for another name;
+    its state would be shown under the wrong one, so it is called a fault.
+    """
+    name = document.get("name")
+    if name != listed.name:
+        return evolve(listed, fault=f"answered as {name!r}")
+    revision = _integer(document, "revision")
+    return evolve(
+        listed,
+        state=_text(document, "state"),
+        revision=revision,
+        behind=None if revision is None else max(0, fleet.revision - revision),
+        in_flight=_integer(document, "in_flight"),
+        limit=_integer(document, "limit"),
+        cold=document["cold"] if isinstance(document.get("cold"), bool) else None,
+    )
+
+
+def _integer(document: dict[str, Any], key: str) -> int | None:
+    value = document.get(key)
+    return value if isinstance(value, int) and not isinstance(value, bool) else None
+
+
+def _text(document: dict[str, Any], key: str) -> str | None:
+    value = document.get(key)
+    return value if isinstance(value, str) else None
--- a/acaciacove/cli/decide.py
+++ b/acaciacove/cli/decide.py
@@ -59,11 +59,11 @@
     decision: Decision, settings: DecisionSettings, env: Environment
 ) -> AppendOutcome:
     """Append a decision unless its id is in the log already."""
-    log = env.open_log(settings.log_url)
-    history = await read_history(log)
-    outcome = await append_once(
-        history, log, decision, settings.timeout_s, settings.retry_delay_s
-    )
+    async with env.open_log(settings.log_url) as log:
+        history = await read_history(log)
+        outcome = await append_once(
+            history, log, decision, settings.timeout_s, settings.retry_delay_s
+        )
     if outcome.found is not None and outcome.found.record != decision:
         raise InvalidSettingsError(
             [f"--decision_id {decision.decision_id} is that of another record"]
--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -3,11 +3,14 @@
 from acaciacove.cli import (
     demo,
     entry,
+    help_settings,
     release_diff,
     release_publish,
     release_show,
     release_validate,
     sidecar,
+    standins,
+    status,
 )
 from acaciacove.cli.argument import Argument
 from acaciacove.cli.command import Command
@@ -18,9 +21,12 @@
 from acaciacove.settings.diff_settings import DiffSettings
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.settings.file_settings import FileSettings
+from acaciacove.settings.help_settings_settings import HelpSettingsSettings
 from acaciacove.settings.publish_settings import PublishSettings
 from acaciacove.settings.show_settings import ShowSettings
 from acaciacove.settings.sidecar_settings import SidecarSettings
+from acaciacove.settings.standins_settings import StandinsSettings
+from acaciacove.settings.status_settings import StatusSettings
 
 #
 # Flags that several commands share
@@ -354,6 +360,26 @@
     flags=DECISION_FLAGS,
 )
 
+STATUS = Command(
+    words=("status",),
+    summary="Show the fleet: every instance with its state, load and revision.",
+    help="""
+        Reads what is in force from the log and the instances from the platform's
+        list, asks every instance for its status, and prints one table. An instance
+        that does not answer is shown with what the list says of it.
+
+        Exit status: 0, or 6 when the log or the list did not answer.
+    """,
+    settings=StatusSettings,
+    run=status.run,
+    flags=(
+        LOG_URL,
+        INSTANCE_LIST_URL,
+        Flag("timeout_s", "Seconds that one instance may take to answer.", "SECONDS"),
+        JSON,
+    ),
+)
+
 #
 # Trying it out
 #
@@ -370,6 +396,36 @@
     run=demo.run,
 )
 
+STANDINS = Command(
+    words=("standins",),
+    summary="Run stand-ins of the platform and of endpoints, to try things on.",
+    help="""
+        Serves small stand-ins of the log, the instance list, the rating service, the
+        weight store, and of model engines and plain services, on the ports that a
+        fleet file names, until SIGTERM or SIGINT. They keep everything in memory and
+        are for trying out and for tests only. examples/ holds a fleet file.
+
+        Exit status: 0, or 3 when the file has faults.
+    """,
+    settings=StandinsSettings,
+    run=standins.run,
+    arguments=(
+        Argument("file", "FLEET", "A fleet file in YAML, or - for standard input."),
+    ),
+    flags=(SEED,),
+)
+HELP_SETTINGS = Command(
+    words=("help-settings",),
+    summary="Print the tables of all settings for the operators' page.",
+    help="""
+        Prints every flag of every command, its environment variable, its default and
+        its meaning as Markdown tables. docs/operations.md holds the output, and a
+        test compares the two.
+    """,
+    settings=HelpSettingsSettings,
+    run=help_settings.run,
+)
+
 COMMANDS = (
     ENTRY,
     SIDECAR,
@@ -381,5 +437,8 @@
     ZONE_IN,
     INSTANCE_OUT,
     INSTANCE_IN,
+    STATUS,
     DEMO,
+    STANDINS,
+    HELP_SETTINGS,
 )
--- a/acaciacove/cli/history.py
+++ b/acaciacove/cli/history.py
@@ -1,10 +1,17 @@
 """The release stream as far as the log still keeps it."""
 
+import asyncio
+
 from attrs import define, field
 
 from acaciacove.cli.history_entry import HistoryEntry
 from acaciacove.cli.record_summary import record_id
-from acaciacove.errors import MalformedMessageError, OffsetExpiredError
+from acaciacove.context import Environment
+from acaciacove.errors import (
+    MalformedMessageError,
+    OffsetExpiredError,
+    PlatformUnavailableError,
+)
 from acaciacove.fleet.fleet_state import FleetState
 from acaciacove.platform.log_entry import LogEntry
 from acaciacove.platform.platform_log import PlatformLog
@@ -13,6 +20,7 @@
 from acaciacove.state.reducer import fold
 
 READ_LIMIT = 500
+READ_TIMEOUT_S = 60.0
 
 
 @define
@@ -62,10 +70,25 @@
 async def read_history(log: PlatformLog) -> History:
     """Read and fold the whole stream; raises PlatformUnavailableError."""
     history = History()
-    await catch_up(history, log)
+    try:
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            await catch_up(history, log)
+    except TimeoutError as error:
+        message = f"the log was not read within {READ_TIMEOUT_S:g} s"
+        raise PlatformUnavailableError(message) from error
     return history
 
 
+def fetch_history(url: str, env: Environment) -> History:
+    """Open the log, read it whole, and close it again."""
+
+    async def fetch() -> History:
+        async with env.open_log(url) as log:
+            return await read_history(log)
+
+    return asyncio.run(fetch())
+
+
 def _read_record(payload: bytes) -> Record | None:
     """Read a record; one from a newer version must not stop the others."""
     try:
--- a/acaciacove/cli/release_diff.py
+++ b/acaciacove/cli/release_diff.py
@@ -1,8 +1,6 @@
 """``acaciacove release diff``: what a note would change, before it is published."""
 
-import asyncio
-
-from acaciacove.cli.history import read_history
+from acaciacove.cli.history import fetch_history
 from acaciacove.cli.note_file import read_note_file
 from acaciacove.cli.output import print_json
 from acaciacove.cli.state_difference import StateDifference, difference
@@ -18,7 +16,7 @@
     """Print what a note adds, changes and withdraws."""
     data = read_note_file(settings.file, settings.max_note_bytes, env)
     document = read_note(data, settings.max_note_bytes)
-    state = asyncio.run(read_history(env.open_log(settings.log_url))).state
+    state = fetch_history(settings.log_url, env).state
     faults = check_note(document, state)
     if faults:
         raise InvalidNoteError(faults)
--- a/acaciacove/cli/release_publish.py
+++ b/acaciacove/cli/release_publish.py
@@ -28,8 +28,7 @@
     """Publish a note and tell what became of it."""
     data = read_note_file(settings.file, settings.max_note_bytes, env)
     document = read_note(data, settings.max_note_bytes)
-    log = env.open_log(settings.log_url)
-    report = asyncio.run(publish(document, log, settings))
+    report = asyncio.run(_publish(document, settings, env))
     if settings.json:
         print_json(asdict(report), env)
     else:
@@ -37,6 +36,13 @@
     return exit_status(report)
 
 
+async def _publish(
+    document: NoteDocument, settings: PublishSettings, env: Environment
+) -> PublishReport:
+    async with env.open_log(settings.log_url) as log:
+        return await publish(document, log, settings)
+
+
 async def publish(
     document: NoteDocument, log: PlatformLog, settings: PublishSettings
 ) -> PublishReport:
--- a/acaciacove/cli/release_show.py
+++ b/acaciacove/cli/release_show.py
@@ -1,15 +1,14 @@
 """``acaciacove release show``: what is in force, and how it came about."""
 
-import asyncio
 from typing import Any
 
-from rich.console import Console
 from rich.table import Table
 
-from acaciacove.cli.history import History, read_history
+from acaciacove.cli.history import History, fetch_history
 from acaciacove.cli.history_entry import HistoryEntry
 from acaciacove.cli.output import print_json
 from acaciacove.cli.record_summary import record_id, summarise
+from acaciacove.cli.tables import new_table, open_console
 from acaciacove.context import Environment
 from acaciacove.exit_status import ExitStatus
 from acaciacove.fleet.fleet_state import FleetState
@@ -19,7 +18,7 @@
 
 def run(settings: ShowSettings, env: Environment) -> ExitStatus:
     """Print the release in force and the latest records of the stream."""
-    history = asyncio.run(read_history(env.open_log(settings.log_url)))
+    history = fetch_history(settings.log_url, env)
     if settings.yaml:
         env.print(write_document(document_in_force(history.state)).rstrip())
     elif settings.json:
@@ -64,7 +63,7 @@
 
 def _print(history: History, count: int, env: Environment) -> None:
     state = history.state
-    console = Console(file=env.stdout)
+    console = open_console(env)
     console.print(f"revision {state.revision}, release {state.release_revision}")
     console.print(versions_table(state))
     console.print(organisations_table(state))
@@ -76,7 +75,7 @@
 
 def versions_table(state: FleetState) -> Table:
     """Show every version, withdrawn ones included."""
-    table = Table("version", "API", "cost/1k tokens", "quality", "state")
+    table = new_table("version", "API", "cost/1k tokens", "quality", "state")
     for version in state.versions.values():
         standing = "in force"
         if version.withdrawn:
@@ -92,7 +91,7 @@
 
 def organisations_table(state: FleetState) -> Table:
     """Show every organisation and what it may reach."""
-    table = Table("organisation", "weight", "may reach")
+    table = new_table("organisation", "weight", "may reach")
     for organisation in state.organisations.values():
         allowed = [
             f"{model}@{','.join(versions)}"
@@ -103,7 +102,7 @@
 
 
 def _history_table(entries: list[HistoryEntry]) -> Table:
-    table = Table("offset", "verdict", "record", "detail")
+    table = new_table("offset", "verdict", "record", "detail")
     for entry in entries:
         table.add_row(
             str(entry.offset),
--- a/acaciacove/cli/release_validate.py
+++ b/acaciacove/cli/release_validate.py
@@ -1,10 +1,8 @@
 """``acaciacove release validate``: find every fault before publishing."""
 
-import asyncio
-
 from attrs import asdict
 
-from acaciacove.cli.history import read_history
+from acaciacove.cli.history import fetch_history
 from acaciacove.cli.note_file import read_note_file
 from acaciacove.cli.output import print_json
 from acaciacove.context import Environment
@@ -51,7 +49,7 @@
 ) -> FleetState | None:
     """Return what is in force, as far as it can be known."""
     if settings.log_url:
-        return asyncio.run(read_history(env.open_log(settings.log_url))).state
+        return fetch_history(settings.log_url, env).state
     if document.based_on == NO_REVISION:
         return FleetState()
     return None
--- /dev/null
+++ b/acaciacove/cli/status.py
@@ -0,0 +1,122 @@
+"""``acaciacove status``: the fleet in one table."""
+
+import asyncio
+
+from attrs import asdict
+from rich.table import Table
+
+from acaciacove.cli.ask_instance import ask_instance
+from acaciacove.cli.fleet_report import FleetReport
+from acaciacove.cli.history import read_history
+from acaciacove.cli.instance_report import InstanceReport
+from acaciacove.cli.output import print_json
+from acaciacove.cli.tables import new_table, open_console
+from acaciacove.context import Environment, open_http_client
+from acaciacove.exit_status import ExitStatus
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.instance_status import InstanceStatus
+from acaciacove.platform.http_instance_list import HttpInstanceList
+from acaciacove.settings.status_settings import StatusSettings
+
+ASKED_AT_ONCE = 32
+UNKNOWN = "?"
+LIVE = InstanceStatus.LIVE.value
+
+
+def run(settings: StatusSettings, env: Environment) -> ExitStatus:
+    """Print the fleet as the log, the instance list and the instances tell it."""
+    report = asyncio.run(_report(settings, env))
+    if settings.json:
+        print_json(asdict(report), env)
+    else:
+        _print(report, env)
+    return ExitStatus.SUCCESS
+
+
+async def _report(settings: StatusSettings, env: Environment) -> FleetReport:
+    """Read log and list, then ask every instance; raises PlatformUnavailableError."""
+    async with env.open_log(settings.log_url) as log:
+        fleet = (await read_history(log)).state
+    async with open_http_client() as client:
+        url = settings.instance_list_url.rstrip("/")
+        listed = await HttpInstanceList(url, client).fetch()
+        slots = asyncio.Semaphore(ASKED_AT_ONCE)
+
+        async def ask(instance: Instance) -> InstanceReport:
+            async with slots:
+                return await ask_instance(client, instance, fleet, settings.timeout_s)
+
+        instances = await asyncio.gather(*map(ask, listed))
+    return _fleet_report(fleet, instances)
+
+
+def _fleet_report(fleet: FleetState, instances: list[InstanceReport]) -> FleetReport:
+    in_order = sorted(instances, key=lambda i: (i.role, i.availability_zone, i.name))
+    return FleetReport(
+        fleet.revision,
+        fleet.release_revision,
+        tuple(sorted(fleet.availability_zones_out)),
+        tuple(sorted(fleet.instances_out)),
+        tuple(sorted(str(version) for version in fleet.quarantines)),
+        tuple(in_order),
+    )
+
+
+def _print(report: FleetReport, env: Environment) -> None:
+    console = open_console(env)
+    console.print(f"revision {report.revision}, release {report.release_revision}")
+    for title, names in (
+        ("availability zones out", report.availability_zones_out),
+        ("instances out", report.instances_out),
+        ("quarantined versions", report.quarantined),
+    ):
+        if names:
+            console.print(f"{title}: {', '.join(names)}")
+    console.print(_table(report.instances))
+
+
+def _table(instances: tuple[InstanceReport, ...]) -> Table:
+    columns = ("instance", "role", "zone", "state", "revision", "load", "cold")
+    table = new_table(*columns, "versions", "notes")
+    for instance in instances:
+        table.add_row(
+            instance.name,
+            instance.role,
+            instance.availability_zone,
+            instance.state or UNKNOWN,
+            _shown(instance.revision),
+            _load(instance),
+            _yes(instance.cold),
+            " ".join(instance.versions),
+            _notes(instance),
+        )
+    return table
+
+
+def _shown(value: int | None) -> str:
+    return UNKNOWN if value is None else str(value)
+
+
+def _yes(value: bool | None) -> str:
+    return UNKNOWN if value is None else ("yes" if value else "no")
+
+
+def _load(instance: InstanceReport) -> str:
+    """Show requests in flight, of how many where there is a limit."""
+    if instance.limit is None:
+        return _shown(instance.in_flight)
+    return f"{_shown(instance.in_flight)}/{instance.limit}"
+
+
+def _notes(instance: InstanceReport) -> str:
+    notes = []
+    if instance.listed != LIVE:
+        notes.append(f"listed as {instance.listed}")
+    if instance.out:
+        notes.append("out")
+    if instance.behind:
+        notes.append(f"{instance.behind} revisions behind")
+    if instance.fault:
+        notes.append(instance.fault)
+    return ", ".join(notes)
--- a/acaciacove/context.py
+++ b/acaciacove/context.py
@@ -2,20 +2,33 @@
 
 import os
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from datetime import UTC, datetime
-from typing import TextIO
+from typing import Any, TextIO
 
 from attrs import Factory, define
 
+from acaciacove.platform.http_client import open_client
+from acaciacove.platform.http_log import HttpLog
 from acaciacove.platform.platform_log import PlatformLog
 
 
-def open_http_log(url: str) -> PlatformLog:
-    """Open the platform's log behind an HTTP URL."""
-    from acaciacove.platform.http_log import HttpLog  # type: ignore[import-not-found]
+@asynccontextmanager
+async def open_http_client() -> AsyncIterator[Any]:
+    """Open a client for the block, with few connections: a command is short."""
+    client = open_client(COMMAND_CONNECTIONS)
+    try:
+        yield client
+    finally:
+        await client.connector.cleanup()
 
-    return HttpLog(url)
+
+@asynccontextmanager
+async def open_http_log(url: str) -> AsyncIterator[PlatformLog]:
+    """Open the platform's log behind an HTTP URL for the block."""
+    async with open_http_client() as client:
+        yield HttpLog(url.rstrip("/"), client)
 
 
 def utc_now() -> datetime:
@@ -23,6 +36,10 @@
     return datetime.now(UTC)
 
 
+COMMAND_CONNECTIONS = 32
+OpenLog = Callable[[str], AbstractAsyncContextManager[PlatformLog]]
+
+
 @define
 class Environment:
     """Streams, environment variables, clock and log, handed down to a command.
@@ -36,7 +53,7 @@
     stderr: TextIO = Factory(lambda: sys.stderr)
     env: Mapping[str, str] = Factory(lambda: os.environ)
     now: Callable[[], datetime] = utc_now
-    open_log: Callable[[str], PlatformLog] = open_http_log
+    open_log: OpenLog = open_http_log
 
     @property
     def stdin_isatty(self) -> bool:
--- a/acaciacove/core.py
+++ b/acaciacove/core.py
@@ -32,7 +32,7 @@
     except InvalidNoteError as error:
         for place in error.faults:
             env.stderr.write(f"{place}\n")
-        env.log_error(f"{len(error.faults)} fault(s) in the release note")
+        env.log_error(f"{len(error.faults)} fault(s); nothing was done")
         return ExitStatus.INVALID_NOTE
     except PlatformUnavailableError as error:
         env.log_error(f"the platform did not answer: {error}")
--- a/acaciacove/fleet/instance.py
+++ b/acaciacove/fleet/instance.py
@@ -13,8 +13,8 @@
 
     ``host`` is an IP number; ``port`` is where its process listens for the
     system's own messages, ``http_port`` where it serves probes, metrics and status
-    (0 when the list does not tell). ``incarnation`` grows with each start under one name
-    (milliseconds of wall clock at the start). ``versions`` are those that an
+    (0 when the list does not tell). ``incarnation`` grows with each start under one
+    name (milliseconds of wall clock at the start). ``versions`` are those that an
     endpoint serves.
     """
 
--- a/tests/test_cli_release.py
+++ b/tests/test_cli_release.py
@@ -1,5 +1,6 @@
 """Operators publish, look at and decide things through the log."""
 
+from contextlib import nullcontext
 from io import StringIO
 from pathlib import Path
 
@@ -30,7 +31,9 @@
 
 def run(log, *args, stdin=""):
     out, err = StringIO(), StringIO()
-    env = Environment(StringIO(stdin), out, err, {}, open_log=lambda url: log)
+    env = Environment(
+        StringIO(stdin), out, err, {}, open_log=lambda url: nullcontext(log)
+    )
     status = main(args, env)
     return status, out.getvalue(), err.getvalue()
 
