--- a/acaciacove/cli/demo.py
+++ b/acaciacove/cli/demo.py
@@ -9,6 +9,6 @@
 
 def run(settings: DemoSettings, env: Environment) -> ExitStatus:
     """Run the demo, which sends its own requests and says where they went."""
-    from acaciacove.demo import run_demo  # type: ignore[import-not-found]
+    from acaciacove.demo import run_demo
 
     return asyncio.run(run_demo(env))
