--- /dev/null
+++ b/acaciacove/bench/scenario.py
@@ -0,0 +1,63 @@
+"""The scenarios by name, and how a report is printed."""
+
+from collections.abc import Callable
+from sys import stdout
+from typing import Any
+
+import orjson
+from rich.console import Console
+from rich.table import Table
+
+from acaciacove.bench.policy_runs import OURS
+from acaciacove.bench.scenario_cascade import run_cascade
+from acaciacove.bench.scenario_report import ScenarioReport
+from acaciacove.bench.scenario_settings import ScenarioSettings
+
+Scenario = Callable[[ScenarioSettings], ScenarioReport]
+
+SCENARIOS: dict[str, Scenario] = {
+    "cascade": run_cascade,
+}
+
+
+def report_document(report: ScenarioReport) -> dict[str, Any]:
+    """Return the report as the JSON line spells it."""
+    return {
+        "scenario": report.scenario,
+        "seed": report.seed,
+        "ours": report.ours,
+        "baselines": report.baselines,
+    }
+
+
+def print_report(report: ScenarioReport, as_json: bool) -> None:
+    """Print a table, and with ``as_json`` one JSON object on the last line."""
+    Console(soft_wrap=True).print(_table(report))
+    if as_json:
+        stdout.write(orjson.dumps(report_document(report)).decode() + "\n")
+
+
+def _table(report: ScenarioReport) -> Table:
+    """One row a figure, one column a policy."""
+    policies = {OURS: report.ours, **report.baselines}
+    table = Table(title=f"{report.scenario}, seed {report.seed}")
+    table.add_column("figure")
+    table.add_column("aim", justify="right")
+    for name in policies:
+        table.add_column(name, justify="right")
+    figures = dict.fromkeys(name for part in policies.values() for name in part)
+    for figure in figures:
+        cells = [_cell(part.get(figure)) for part in policies.values()]
+        table.add_row(figure, _aim(report, figure), *cells)
+    return table
+
+
+def _aim(report: ScenarioReport, figure: str) -> str:
+    if figure not in report.aims:
+        return ""
+    bound, is_upper = report.aims[figure]
+    return f"{'≤' if is_upper else '≥'} {bound:g}"
+
+
+def _cell(value: float | None) -> str:
+    return "" if value is None else f"{value:.4g}"
--- a/acaciacove/decisions/cascade.py
+++ b/acaciacove/decisions/cascade.py
@@ -16,7 +16,7 @@
     """
     if len(decision.ladder) < 2 or not budget_left:
         return False
-    if decision.explored:
+    if decision.always_escalates:
         return True
     plan = decision.plan
     bin_ = signal_bin(signal)
--- a/acaciacove/decisions/cascade_planner.py
+++ b/acaciacove/decisions/cascade_planner.py
@@ -5,7 +5,6 @@
 from attrs import evolve, frozen
 
 from acaciacove.decisions.cascade_plan import CascadePlan
-from acaciacove.decisions.choice_settings import ChoiceSettings
 from acaciacove.decisions.quality_estimates import (
     CONFIDENCE_DEVIATIONS,
     PRIOR_RATINGS,
@@ -16,25 +15,28 @@
 from acaciacove.decisions.tally import Tally
 from acaciacove.fleet.version import Version
 
-ESCALATED_STEP = 1
-ESCALATED_DISCOUNT = 0.97
+HARDNESS_CARRIES = 0.6
 
 
 @frozen
 class _Curve:
-    """Per signal bin of one version: share, mean rating, and variance of the mean."""
+    """Per signal bin: share of the answers, mean rating, variance of that mean."""
 
     shares: tuple[float, ...]
     means: tuple[float, ...]
     variances: tuple[float, ...]
 
+    @property
+    def mean(self) -> float:
+        """Mean rating over all bins."""
+        return sum(s * m for s, m in zip(self.shares, self.means, strict=True))
+
 
 def plan_cascade(
     ladder: Sequence[Version],
     estimates: QualityEstimates,
     request_class: str,
     target: float,
-    settings: ChoiceSettings,
     may_escalate: bool = True,
 ) -> CascadePlan:
     """Plan for a class; ``ladder`` is in order of cost and not empty.
@@ -45,20 +47,13 @@
     curves = {v.id: _curve(estimates, v, request_class) for v in ladder}
     plans = [_direct(version, curves[version.id]) for version in ladder]
     if may_escalate:
-        for at, first in enumerate(ladder):
-            for second in ladder[at + 1 :]:
-                escalated = estimates.bins(second.id, request_class, ESCALATED_STEP)
-                prior = _direct(second, curves[second.id]).quality
-                found = _escalating(
-                    first,
-                    second,
-                    curves[first.id],
-                    _pooled(escalated, prior * ESCALATED_DISCOUNT),
-                    target,
-                    settings,
-                )
-                if found is not None:
-                    plans.append(found)
+        for place, first in enumerate(ladder):
+            for second in ladder[place + 1 :]:
+                before = curves[first.id]
+                expected = curves[second.id].mean
+                bins = estimates.bins(second.id, request_class, str(first.id))
+                after = _after(before, expected, bins)
+                plans.append(_escalating(first, second, before, after, target))
     meeting = [plan for plan in plans if plan.lower >= target]
     if meeting:
         return min(meeting, key=lambda plan: plan.cost)
@@ -72,79 +67,77 @@
     rated = sum(tally.count for _, tally in bins)
     total = sum(tally.total for _, tally in bins)
     overall = (total + PRIOR_RATINGS * version.quality) / (rated + PRIOR_RATINGS)
-    shares = tuple((count + 1 / SIGNAL_BINS) / (seen + 1.0) for count, _ in bins)
-    means = tuple(
-        (tally.total + PRIOR_RATINGS * overall) / (tally.count + PRIOR_RATINGS)
-        for _, tally in bins
+    tallies = [tally for _, tally in bins]
+    return _Curve(
+        tuple((count + 1 / SIGNAL_BINS) / (seen + 1.0) for count, _ in bins),
+        tuple(_drawn(tally, overall) for tally in tallies),
+        tuple(_variance(tally) for tally in tallies),
     )
-    variances = tuple(
-        deviation_of(tally) ** 2 / (tally.count + PRIOR_RATINGS) for _, tally in bins
+
+
+def _after(
+    before: _Curve, expected: float, bins: tuple[tuple[float, Tally], ...]
+) -> _Curve:
+    """Return the second answer's ratings by the first one's signal.
+
+    What is hard for the first version is harder for the second too; until ratings
+    tell how much, a part of the first one's shortfall is assumed to carry over.
+    """
+    priors = [
+        expected + HARDNESS_CARRIES * min(0.0, mean - before.mean)
+        for mean in before.means
+    ]
+    tallies = [tally for _, tally in bins]
+    return _Curve(
+        before.shares,
+        tuple(_drawn(t, prior) for t, prior in zip(tallies, priors, strict=True)),
+        tuple(_variance(tally) for tally in tallies),
     )
-    return _Curve(shares, means, variances)
 
 
 def _direct(version: Version, curve: _Curve) -> CascadePlan:
-    quality = sum(s * m for s, m in zip(curve.shares, curve.means, strict=True))
     variance = sum(
         s * s * v for s, v in zip(curve.shares, curve.variances, strict=True)
     )
     return CascadePlan(
         version.id,
-        quality=quality,
-        lower=_lower(quality, variance),
+        quality=curve.mean,
+        lower=_lower(curve.mean, variance),
         cost=version.cost_per_1k_tokens,
     )
 
 
-def _pooled(bins: tuple[tuple[float, Tally], ...], prior: float) -> tuple[float, float]:
-    """Return mean and variance of the mean over all bins."""
-    pooled = Tally()
-    for _, tally in bins:
-        pooled = pooled.plus(tally.count, tally.total, tally.squares)
-    count = pooled.count + PRIOR_RATINGS
-    mean = (pooled.total + PRIOR_RATINGS * prior) / count
-    return mean, deviation_of(pooled) ** 2 / count
-
-
 def _escalating(
-    first: Version,
-    second: Version,
-    curve: _Curve,
-    escalated: tuple[float, float],
-    target: float,
-    settings: ChoiceSettings,
-) -> CascadePlan | None:
+    first: Version, second: Version, before: _Curve, after: _Curve, target: float
+) -> CascadePlan:
     """Raise the threshold bin by bin until the target is met, then share the edge."""
-    below: CascadePlan | None = None
-    for bins_below in range(SIGNAL_BINS):
-        plan = _at_threshold(first, second, curve, escalated, bins_below)
+    below = _at_threshold(first, second, before, after, 0)
+    if below.lower >= target:
+        return below
+    for bins_below in range(1, SIGNAL_BINS + 1):
+        plan = _at_threshold(first, second, before, after, bins_below)
         if plan.lower >= target:
-            return _on_the_edge(below, plan, target) if below else plan
+            return _on_the_edge(below, plan, target)
         below = plan
-    return below if settings.max_wasted_share >= 1.0 else None
+    return below
 
 
 def _at_threshold(
-    first: Version,
-    second: Version,
-    curve: _Curve,
-    escalated: tuple[float, float],
-    bins_below: int,
+    first: Version, second: Version, before: _Curve, after: _Curve, bins_below: int
 ) -> CascadePlan:
-    kept = range(bins_below, SIGNAL_BINS)
-    share = sum(curve.shares[:bins_below])
-    quality = sum(curve.shares[b] * curve.means[b] for b in kept)
-    variance = sum(curve.shares[b] ** 2 * curve.variances[b] for b in kept)
-    mean, mean_variance = escalated
-    quality += share * mean
-    variance += share**2 * mean_variance
+    quality, variance = 0.0, 0.0
+    for bin_, share in enumerate(before.shares):
+        curve = after if bin_ < bins_below else before
+        quality += share * curve.means[bin_]
+        variance += share**2 * curve.variances[bin_]
+    escalated = sum(before.shares[:bins_below])
     return CascadePlan(
         first.id,
         second.id,
         bins_below,
         quality=quality,
         lower=_lower(quality, variance),
-        cost=first.cost_per_1k_tokens + share * second.cost_per_1k_tokens,
+        cost=first.cost_per_1k_tokens + escalated * second.cost_per_1k_tokens,
     )
 
 
@@ -161,5 +154,13 @@
     )
 
 
+def _drawn(tally: Tally, prior: float) -> float:
+    return (tally.total + PRIOR_RATINGS * prior) / (tally.count + PRIOR_RATINGS)
+
+
+def _variance(tally: Tally) -> float:
+    return deviation_of(tally) ** 2 / (tally.count + PRIOR_RATINGS)
+
+
 def _lower(quality: float, variance: float) -> float:
     return quality - CONFIDENCE_DEVIATIONS * float(variance) ** 0.5
--- a/acaciacove/decisions/choice_settings.py
+++ b/acaciacove/decisions/choice_settings.py
@@ -7,14 +7,14 @@
 class ChoiceSettings:
     """How freely versions are tried.
 
-    ``explore_share`` of the requests also ask another version, whose answer is
-    rated but not delivered; ``settled_ratings`` per version and class end the
-    eager phase, in which ``eager_share`` is used. ``max_wasted_share`` bounds the
-    cost of answers that are thrown away, as a share of all cost.
+    Trying may add ``eager_cost_share`` to the cost of a class until a version has
+    ``settled_ratings`` in it, and ``settled_cost_share`` from then on; at most
+    ``max_tried_share`` of the requests try one. Plans are made anew after
+    ``replan_ratings`` ratings.
     """
 
-    explore_share: float = 0.01
-    eager_share: float = 0.06
-    settled_ratings: float = 120.0
-    max_wasted_share: float = 0.35
+    eager_cost_share: float = 0.1
+    settled_cost_share: float = 0.01
+    settled_ratings: float = 200.0
+    max_tried_share: float = 0.5
     replan_ratings: int = 32
--- a/acaciacove/decisions/plan_cache.py
+++ b/acaciacove/decisions/plan_cache.py
@@ -2,9 +2,10 @@
 
 from attrs import define, field
 
-from acaciacove.decisions.cascade_plan import CascadePlan
 from acaciacove.decisions.cascade_planner import plan_cascade
 from acaciacove.decisions.choice_settings import ChoiceSettings
+from acaciacove.decisions.exploration import list_trials
+from acaciacove.decisions.plan_in_use import PlanInUse
 from acaciacove.decisions.quality_estimates import QualityEstimates
 from acaciacove.fleet.version import Version
 
@@ -17,7 +18,7 @@
 
     estimates: QualityEstimates
     settings: ChoiceSettings = ChoiceSettings()
-    _plans: dict[object, tuple[int, CascadePlan]] = field(factory=dict)
+    _plans: dict[object, PlanInUse] = field(factory=dict)
 
     def plan(
         self,
@@ -25,17 +26,27 @@
         request_class: str,
         target: float,
         may_escalate: bool,
-    ) -> CascadePlan:
+    ) -> PlanInUse:
         """Return the plan in use, made anew after ``replan_ratings`` ratings."""
         key = (tuple(v.id for v in ladder), request_class, target, may_escalate)
         known = self._plans.get(key)
-        age = self.estimates.generation - known[0] if known else 0
-        if known and age < self.settings.replan_ratings:
-            return known[1]
+        due = self.estimates.generation - self.settings.replan_ratings
+        if known is not None and known.generation > due:
+            return known
         if len(self._plans) >= MAX_PLANS:
             self._plans.clear()
-        plan = plan_cascade(
-            ladder, self.estimates, request_class, target, self.settings, may_escalate
+        self._plans[key] = self._planned(ladder, request_class, target, may_escalate)
+        return self._plans[key]
+
+    def _planned(
+        self,
+        ladder: tuple[Version, ...],
+        request_class: str,
+        target: float,
+        may_escalate: bool,
+    ) -> PlanInUse:
+        plan = plan_cascade(ladder, self.estimates, request_class, target, may_escalate)
+        trials = list_trials(ladder, plan, request_class, self.estimates, self.settings)
+        return PlanInUse(
+            plan, trials if may_escalate else (), self.estimates.generation
         )
-        self._plans[key] = (self.estimates.generation, plan)
-        return plan
--- a/acaciacove/decisions/quality_estimates.py
+++ b/acaciacove/decisions/quality_estimates.py
@@ -13,11 +13,13 @@
 
 PRIOR_RATINGS = 4.0
 PRIOR_DEVIATION = 0.3
-CONFIDENCE_DEVIATIONS = 1.28
+# A one-sided confidence of 80 in 100.
+CONFIDENCE_DEVIATIONS = 0.84
 EPOCH_RATINGS = 20_000
 KEPT_EPOCHS = 3
 _RATED = "rated"
 _SEEN = "seen"
+_FIRST = ""
 
 
 @define
@@ -50,36 +52,43 @@
             return
         self._turn_to(epoch)
         name = _name(
-            _RATED, epoch, version, rated.request_class, rated.step, rated.signal_bin
+            _RATED, epoch, version, rated.request_class, rated.after, rated.signal_bin
         )
         self._counts.add(name, min(1.0, max(0.0, score)))
         self.generation += 1
 
     def record_answer(
-        self, version: VersionId, request_class: str, step: int, signal_bin: int
+        self, version: VersionId, request_class: str, signal_bin: int
     ) -> None:
-        """Count an answer by its signal, rated or not."""
+        """Count a first answer by its signal, rated or not."""
         self._counts.add(
-            _name(_SEEN, self.epoch, version, request_class, step, signal_bin)
+            _name(_SEEN, self.epoch, version, request_class, _FIRST, signal_bin)
         )
 
     def bins(
-        self, version: VersionId, request_class: str, step: int = 0
+        self, version: VersionId, request_class: str, after: str = _FIRST
     ) -> tuple[tuple[float, Tally], ...]:
-        """Return for each signal bin how many answers were seen, and the ratings."""
+        """Return for each signal bin how many answers were seen, and the ratings.
+
+        With ``after``, the bins are those of that first version's signal.
+        """
         return tuple(
             (
-                self._sum(_SEEN, version, request_class, step, bin_).count,
-                self._sum(_RATED, version, request_class, step, bin_),
+                self._sum(_SEEN, version, request_class, after, bin_).count,
+                self._sum(_RATED, version, request_class, after, bin_),
             )
             for bin_ in range(SIGNAL_BINS)
         )
 
+    def rated_count(self, version: VersionId, request_class: str) -> float:
+        """Count the ratings of a version's first answers."""
+        return sum(tally.count for _, tally in self.bins(version, request_class))
+
     def estimate(
-        self, version: VersionId, request_class: str, prior: float, step: int = 0
+        self, version: VersionId, request_class: str, prior: float, after: str = _FIRST
     ) -> Estimate:
         """Estimate the mean rating; ``prior`` is the release note's word for it."""
-        bins = self.bins(version, request_class, step)
+        bins = self.bins(version, request_class, after)
         return estimate_from_bins(bins, prior)
 
     def export_delta(self, limit: int = DEFAULT_EXPORT) -> tuple[SharedCell, ...]:
@@ -94,12 +103,12 @@
         self.generation += 1
 
     def _sum(
-        self, kind: str, version: VersionId, request_class: str, step: int, bin_: int
+        self, kind: str, version: VersionId, request_class: str, after: str, bin_: int
     ) -> Tally:
         total = Tally()
-        for epoch in range(self.epoch - KEPT_EPOCHS + 1, self.epoch + 1):
+        for epoch in range(max(0, self.epoch - KEPT_EPOCHS + 1), self.epoch + 1):
             part = self._counts.tally(
-                _name(kind, epoch, version, request_class, step, bin_)
+                _name(kind, epoch, version, request_class, after, bin_)
             )
             total = total.plus(part.count, part.total, part.squares)
         return total
@@ -147,6 +156,6 @@
 
 
 def _name(
-    kind: str, epoch: int, version: VersionId, request_class: str, step: int, bin_: int
+    kind: str, epoch: int, version: VersionId, request_class: str, after: str, bin_: int
 ) -> CellName:
-    return (kind, str(epoch), str(version), request_class, str(step), str(bin_))
+    return (kind, str(epoch), str(version), request_class, after, str(bin_))
--- a/acaciacove/decisions/rated_class.py
+++ b/acaciacove/decisions/rated_class.py
@@ -3,26 +3,27 @@
 from attrs import frozen
 
 SIGNAL_BINS = 8
-FIRST_STEP = 0
 _SEPARATOR = ";"
 
 
 @frozen
 class RatedClass:
-    """Request class, cascade step and signal bin of a rated answer.
+    """Request class, first version and its signal bin of a rated answer.
 
     A rating comes back minutes later, perhaps to another entry, after the request
-    is forgotten. Writing these three into the class string that the rating service
-    keeps makes every rating usable by whichever entry fetches it.
+    is forgotten. Writing these into the class string that the rating service keeps
+    makes every rating usable by whichever entry fetches it. ``after`` is empty for
+    a first answer; for a second one it names the version whose answer had the
+    signal, so that quality is learned for the requests that do escalate.
     """
 
     request_class: str
-    step: int = FIRST_STEP
+    after: str = ""
     signal_bin: int = SIGNAL_BINS - 1
 
     def __str__(self) -> str:
         """Write the class as the rating service keeps it."""
-        fields = (self.request_class, str(self.step), str(self.signal_bin))
+        fields = (self.request_class, self.after, str(self.signal_bin))
         return _SEPARATOR.join(fields)
 
 
@@ -32,11 +33,11 @@
 
 
 def parse_rated_class(text: str) -> RatedClass:
-    """Read a rated class; other text is a request class rated at the first step."""
+    """Read a rated class; other text is the class of a first answer."""
     parts = text.split(_SEPARATOR)
-    if len(parts) != 3 or not (parts[1].isdecimal() and parts[2].isdecimal()):
+    if len(parts) != 3 or not (parts[2].isascii() and parts[2].isdecimal()):
         return RatedClass(text)
-    step, bin_ = int(parts[1]), int(parts[2])
+    bin_ = int(parts[2])
     if bin_ >= SIGNAL_BINS:
-        return RatedClass(parts[0], step)
-    return RatedClass(parts[0], step, bin_)
+        return RatedClass(parts[0], parts[1])
+    return RatedClass(parts[0], parts[1], bin_)
--- a/acaciacove/decisions/version_choice.py
+++ b/acaciacove/decisions/version_choice.py
@@ -8,8 +8,10 @@
 from acaciacove.decisions.cascade_plan import CascadePlan
 from acaciacove.decisions.decision import Decision
 from acaciacove.decisions.decision_kind import DecisionKind
+from acaciacove.decisions.exploration import draw_trial
 from acaciacove.decisions.lost import Lost
 from acaciacove.decisions.plan_cache import PlanCache
+from acaciacove.decisions.trial import Trial
 from acaciacove.decisions.version_decision import VersionDecision
 from acaciacove.fleet.api import Api
 from acaciacove.fleet.fleet_state import FleetState
@@ -59,9 +61,9 @@
     draw = _session_draw(session, api) if session else rng.random()
     exposed, substitutes = _exposed(versions, shares or {}, draw, lost)
     ladder = tuple(sorted(exposed, key=lambda v: (v.cost_per_1k_tokens, v.id)))
-    plan = plans.plan(ladder, request_class, api.quality_target, not session)
-    explored = None if session else _explored(ladder, plan, request_class, plans, rng)
-    return _decided(ladder, plan, explored, substitutes, lost)
+    in_use = plans.plan(ladder, request_class, api.quality_target, not session)
+    trial = draw_trial(in_use.trials, rng)
+    return _decided(ladder, in_use.plan, trial, substitutes, lost)
 
 
 def _lost_versions(
@@ -128,30 +130,6 @@
     return list(standing.values()), substitutes
 
 
-def _explored(
-    ladder: tuple[Version, ...],
-    plan: CascadePlan,
-    request_class: str,
-    plans: PlanCache,
-    rng: Random,
-) -> VersionId | None:
-    """Pick a cheaper version to try beside the plan, now and then.
-
-    Its answer is rated and thrown away, so that trying never lowers what callers get.
-    """
-    settings = plans.settings
-    start = next(at for at, v in enumerate(ladder) if v.id == plan.start)
-    if start == 0 or rng.random() >= settings.eager_share:
-        return None
-    tried = ladder[rng.randrange(start)]
-    estimate = plans.estimates.estimate(tried.id, request_class, tried.quality)
-    settled = estimate.count >= settings.settled_ratings
-    kept = settings.explore_share / settings.eager_share
-    if settled and rng.random() >= kept:
-        return None
-    return tried.id
-
-
 def _pinned(
     pinned: VersionId, versions: list[Version], lost: dict[VersionId, Lost]
 ) -> VersionDecision:
@@ -166,23 +144,27 @@
 def _decided(
     ladder: tuple[Version, ...],
     plan: CascadePlan,
-    explored: VersionId | None,
+    trial: Trial | None,
     substitutes: dict[VersionId, VersionId],
     lost: dict[VersionId, Lost],
 ) -> VersionDecision:
-    start = explored or plan.start
-    second = plan.start if explored else plan.escalate_to
-    chosen_at = next(at for at, v in enumerate(ladder) if v.id == start)
-    for at, version in enumerate(ladder):
-        if version.id != start:
-            lost[version.id] = Lost.BELOW_TARGET if at < chosen_at else Lost.DEARER
-    steps: tuple[VersionId, ...] = (start,) if second is None else (start, second)
+    steps = trial.ladder if trial else _steps(plan)
+    is_dearer = False
+    for version in ladder:
+        if version.id == steps[0]:
+            is_dearer = True
+        else:
+            lost[version.id] = Lost.DEARER if is_dearer else Lost.BELOW_TARGET
     for replaced in substitutes.keys() & set(steps):
         lost[replaced] = Lost.REPLACED
     steps = tuple(substitutes.get(version, version) for version in steps)
-    why = "explored" if explored else "cheapest"
-    decision = _decision(steps[0], ladder, lost, why)
-    return VersionDecision(steps[0], plan, steps, decision, explored is not None)
+    decision = _decision(steps[0], ladder, lost, "trial" if trial else "cheapest")
+    always_escalates = trial is not None and trial.always_escalates
+    return VersionDecision(steps[0], plan, steps, decision, always_escalates)
+
+
+def _steps(plan: CascadePlan) -> tuple[VersionId, ...]:
+    return (plan.start,) if plan.escalate_to is None else (plan.start, plan.escalate_to)
 
 
 def _decision(
--- a/acaciacove/decisions/version_decision.py
+++ b/acaciacove/decisions/version_decision.py
@@ -12,13 +12,13 @@
     """The version to ask first, and where its answer may escalate to.
 
     ``ladder`` starts with ``version``; a second element is asked if
-    ``should_escalate`` says so. With ``explored`` it is always asked, the first
-    answer is only rated. ``pinned`` says that a session held to its version.
+    ``should_escalate`` says so. With ``always_escalates`` (a trial) the first answer
+    is only rated. ``pinned`` says that a session held to its version.
     """
 
     version: VersionId
     plan: CascadePlan
     ladder: tuple[VersionId, ...]
     decision: Decision
-    explored: bool = False
+    always_escalates: bool = False
     pinned: bool = False
--- a/tests/test_decisions_interfaces.py
+++ b/tests/test_decisions_interfaces.py
@@ -33,7 +33,7 @@
 
 
 def choose(organisation, pinned=None, fleet=FLEET):
-    plans = PlanCache(QualityEstimates("entry-1"), ChoiceSettings(eager_share=0.0))
+    plans = PlanCache(QualityEstimates("entry-1"), ChoiceSettings(max_tried_share=0.0))
     return choose_version(
         fleet, organisation, API, "interactive-short", plans, Random(1), pinned=pinned
     )
