--- a/acaciacove/standins/run_standins.py
+++ b/acaciacove/standins/run_standins.py
@@ -33,14 +33,17 @@
     Raises OSError when a port is taken.
     """
     async with AsyncExitStack() as stack:
-        for port, app in _applications(fleet, seed):
+        applications, _ = standin_applications(fleet, seed)
+        for port, app in applications:
             await stack.enter_async_context(serve(app, fleet.host, port))
         started.set()
         await stop.wait()
 
 
-def _applications(fleet: FleetFile, seed: int) -> list[tuple[int, Starlette]]:
-    """Build each stand-in with the port that it listens on."""
+def standin_applications(
+    fleet: FleetFile, seed: int
+) -> tuple[list[tuple[int, Starlette]], InstanceListState]:
+    """Build each stand-in with its port, and the state of the instance list."""
     listed = InstanceListState()
     listed.publish(asyncio.get_running_loop().time(), fleet.instances)
     qualities = {str(v): e.quality for e in fleet.endpoints for v in e.versions}
@@ -52,7 +55,7 @@
         (fleet.weight_store_port, build_weight_store_app(WeightStoreState())),
     ]
     endpoints = [(e.port, _endpoint_application(e)) for e in fleet.endpoints]
-    return platform + endpoints
+    return platform + endpoints, listed
 
 
 def _endpoint_application(endpoint: EndpointEntry) -> Starlette:
