--- a/acaciacove/state/fleet_holder.py
+++ b/acaciacove/state/fleet_holder.py
@@ -89,7 +89,7 @@
         from a peer, covers what is missing.
         """
 
-    def apply_records(self, message: Records) -> None:
+    def offer_records(self, message: Records) -> None:
         """Fold what a peer sent: a snapshot of its state, then records."""
         before = self.state
         if message.snapshot:
--- /dev/null
+++ b/acaciacove/state/outgoing.py
@@ -0,0 +1,13 @@
+"""A message on its way to one instance."""
+
+from attrs import frozen
+
+from acaciacove.messages.message import Message
+
+
+@frozen
+class Outgoing:
+    """A message and the name of the instance that it goes to."""
+
+    instance: str
+    message: Message
--- /dev/null
+++ b/acaciacove/state/spread.py
@@ -0,0 +1,182 @@
+"""Spreads the release stream between processes, without the log if need be.
+
+A pure state machine: time, peers and randomness are handed in, and messages to
+send are returned. Its cost per process does not depend on the fleet's size.
+"""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from acaciacove.fleet.fleet_state import NO_REVISION
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.instance_status import InstanceStatus
+from acaciacove.messages.digest import Digest
+from acaciacove.messages.message import Message
+from acaciacove.messages.pull import Pull
+from acaciacove.messages.records import Records
+from acaciacove.state.fleet_holder import FleetHolder
+from acaciacove.state.outgoing import Outgoing
+from acaciacove.state.spread_settings import SpreadSettings
+
+NOT_YET_S = -1e9
+CHOICE_TRIES = 4
+
+
+class Spread:
+    """One process's share of the spread.
+
+    ``status`` returns the process's own lifecycle status and ``evidence`` what it
+    has seen of others lately, in the form of ``Digest.peers``.
+    """
+
+    def __init__(
+        self,
+        me: Instance,
+        holder: FleetHolder,
+        settings: SpreadSettings,
+        random: Random,
+        status: Callable[[], InstanceStatus] = lambda: InstanceStatus.LIVE,
+        evidence: Callable[[], tuple[str, ...]] = tuple,
+    ) -> None:
+        """Take what the spread works with."""
+        self._me = me
+        self._holder = holder
+        self._settings = settings
+        self._random = random
+        self._status = status
+        self._evidence = evidence
+        self._next_tick_s = NOT_YET_S
+        self._told_revision = NO_REVISION
+        self._pulled_s = NOT_YET_S
+        self._peer_revisions: dict[str, int] = {}
+        self._log_read = False
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this process knows enough to decide.
+
+        It does once it has read the log to its end, or has caught up with the
+        highest revision that ``start_peers`` peers told it. A process that served
+        from nothing would refuse allowed teams and serve withdrawn versions.
+        """
+        if self._holder.revision == NO_REVISION:
+            return False
+        if self._log_read:
+            return True
+        told = self._peer_revisions.values()
+        enough = len(told) >= self._settings.start_peers
+        return enough and self._holder.revision >= max(told)
+
+    def log_caught_up(self) -> None:
+        """Learn that the release stream has been read to its end."""
+        self._log_read = not self._holder.gap
+
+    def tick(self, now_s: float, peers: Sequence[Instance]) -> list[Outgoing]:
+        """Return what to send now; call it every 0.1 s or so, and on each change.
+
+        ``peers`` are the instances of the fleet that are not known to be gone;
+        the own one is skipped.
+        """
+        outgoing: list[Outgoing] = []
+        if self._holder.revision > self._told_revision:
+            outgoing += self._tell(peers, self._settings.eager_peers)
+            self._told_revision = self._holder.revision
+        if now_s >= self._next_tick_s:
+            # A fixed phase would let a thousand processes that were started
+            # together speak in the same instant, for ever.
+            interval_s = self._settings.interval_s * self._random.uniform(0.8, 1.2)
+            self._next_tick_s = now_s + interval_s
+            outgoing += self._tell(peers, 1)
+        return outgoing
+
+    def announce(self, peers: Sequence[Instance], count: int) -> list[Outgoing]:
+        """Return digests for ``count`` peers now, such as the word that it leaves."""
+        return self._tell(peers, count)
+
+    def on_message(self, sender: str, message: Message, now_s: float) -> list[Outgoing]:
+        """Take a Digest, Pull or Records in and return the replies."""
+        match message:
+            case Digest():
+                return self._on_digest(sender, message, now_s)
+            case Pull():
+                return [Outgoing(sender, self._holder.records_for(message))]
+            case Records():
+                return self._on_records(sender, message, now_s)
+        return []
+
+    def needs_from_peer(self, revision: int) -> Pull | None:
+        """Return what to ask the sender of a data message with ``revision`` for."""
+        return self._holder.needs_from_peer(revision)
+
+    def _on_digest(self, sender: str, digest: Digest, now_s: float) -> list[Outgoing]:
+        self._note_peer(sender, digest.revision)
+        if digest.revision > self._holder.revision:
+            return self._pull(sender, digest.revision, now_s)
+        if digest.reply_wanted and digest.revision < self._holder.revision:
+            return [Outgoing(sender, self._digest(reply_wanted=False))]
+        if digest.reply_wanted and not self.ready:
+            return [Outgoing(sender, self._digest(reply_wanted=False))]
+        if digest.reply_wanted and digest.status == InstanceStatus.STARTING:
+            return [Outgoing(sender, self._digest(reply_wanted=False))]
+        return []
+
+    def _on_records(
+        self, sender: str, message: Records, now_s: float
+    ) -> list[Outgoing]:
+        self._note_peer(sender, message.revision)
+        self._holder.offer_records(message)
+        self._pulled_s = NOT_YET_S
+        return self._pull(sender, message.revision, now_s)
+
+    def _pull(self, sender: str, revision: int, now_s: float) -> list[Outgoing]:
+        """Ask one peer at a time, so that a new record is not fetched many times."""
+        pull = self._holder.needs_from_peer(revision)
+        if pull is None or now_s - self._pulled_s < self._settings.pull_timeout_s:
+            return []
+        self._pulled_s = now_s
+        return [Outgoing(sender, pull)]
+
+    def _note_peer(self, sender: str, revision: int) -> None:
+        """Remember what peers hold until this process knows enough itself."""
+        if not self.ready and revision != NO_REVISION:
+            known = self._peer_revisions.get(sender, NO_REVISION)
+            self._peer_revisions[sender] = max(known, revision)
+
+    def _tell(self, peers: Sequence[Instance], count: int) -> list[Outgoing]:
+        digest = self._digest(reply_wanted=True)
+        return [Outgoing(peer, digest) for peer in self._choose(peers, count)]
+
+    def _digest(self, reply_wanted: bool) -> Digest:
+        return Digest(
+            instance=self._me.name,
+            incarnation=self._me.incarnation,
+            revision=self._holder.revision,
+            status=self._status(),
+            reply_wanted=reply_wanted,
+            peers=self._evidence(),
+        )
+
+    def _choose(self, peers: Sequence[Instance], count: int) -> list[str]:
+        """Choose distinct peers at random, some of them far on purpose.
+
+        In a fleet whose zones differ in size, a small or cut-off zone would
+        otherwise hear of a release late. Nothing here scans the fleet.
+        """
+        chosen: dict[str, None] = {}
+        for _ in range(CHOICE_TRIES * count):
+            if len(chosen) >= count or not peers:
+                break
+            peer = self._random.choice(peers)
+            if self._random.random() < self._settings.far_share:
+                peer = self._far(peers, peer)
+            if peer.name != self._me.name:
+                chosen[peer.name] = None
+        return list(chosen)
+
+    def _far(self, peers: Sequence[Instance], otherwise: Instance) -> Instance:
+        """Look a few times for a peer in another zone."""
+        for _ in range(CHOICE_TRIES):
+            peer = self._random.choice(peers)
+            if peer.availability_zone != self._me.availability_zone:
+                return peer
+        return otherwise
--- /dev/null
+++ b/acaciacove/state/spread_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the spread of releases between processes."""
+
+from attrs import frozen
+
+
+@frozen
+class SpreadSettings:
+    """How often a process speaks to how many peers.
+
+    Every ``interval_s`` one peer gets a digest. A process that has just learned
+    of a new revision tells ``eager_peers`` at once. ``far_share`` of the peers
+    are chosen from other availability zones and regions on purpose. A pull that
+    is not answered within ``pull_timeout_s`` is sent again to somebody else.
+    """
+
+    interval_s: float = 0.4
+    eager_peers: int = 3
+    far_share: float = 0.3
+    pull_timeout_s: float = 0.4
+    start_peers: int = 2
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -87,11 +87,11 @@
             start = random.randrange(len(kept))
             late.offer(kept[start : start + 4])
         elif random.random() < 0.5:
-            late.apply_records(full.records_for(late.needs_from_peer(10**6)))
+            late.offer_records(full.records_for(late.needs_from_peer(10**6)))
         else:
             some = [PeerRecord(e.offset, e.payload) for e in kept]
             random.shuffle(some)
-            late.apply_records(Records(full.revision, records=tuple(some[:3])))
+            late.offer_records(Records(full.revision, records=tuple(some[:3])))
         assert late.state == states[late.revision + 1]
     assert seen == sorted(set(seen))
 
