Write messages field by field: a tenth of the time

Cause: profiling the path showed encode() first; pycapnp spends its time on turning whole dicts into structs. Ruled out: the frame itself (1.3 us) and to_bytes (0.3 us). Change: a writer for each field, made once for each class; defaults are not set.

--- a/acaciacove/wire/codec.py
+++ b/acaciacove/wire/codec.py
@@ -24,12 +24,14 @@
 _ABSENT_NUMBER = math.nan
 
 _Converter = Callable[[Any], Any]
+_Writer = Callable[[Any, Any], None]
 
 
 def encode(message: Message) -> bytes:
     """Write one message as a Cap'n Proto frame."""
+    frame = _schema.Frame.new_message()
     name = _camel(type(message).__name__, first_upper=False)
-    frame = _schema.Frame.new_message(**{name: _to_plain(message)})
+    _fill(frame.init(name), message)
     data: bytes = frame.to_bytes()
     return data
 
@@ -53,6 +55,7 @@
     return {_camel(c.__name__, first_upper=False): c for c in get_args(Message)}
 
 
+@cache
 def _camel(name: str, first_upper: bool) -> str:
     """Spell a class or field name as the schema does."""
     if "_" in name or name.islower():
@@ -66,22 +69,17 @@
     return value
 
 
-def _number_out(value: float | None) -> float:
-    """Write an absent number as NaN."""
-    return _ABSENT_NUMBER if value is None else value
-
-
 def _number_in(value: float) -> float | None:
     """Read NaN as an absent number."""
     return None if math.isnan(value) else value
 
 
 @cache
-def _writers(cls: Any) -> tuple[tuple[str, str, _Converter], ...]:
-    """List a class's fields with their schema names and writers."""
+def _writers(cls: Any) -> tuple[tuple[str, _Writer], ...]:
+    """List a class's fields with what writes them into a struct's builder."""
     hints = get_type_hints(cls)
     return tuple(
-        (f.name, _camel(f.name, first_upper=False), _writer(hints[f.name]))
+        (f.name, _writer(_camel(f.name, first_upper=False), hints[f.name]))
         for f in attrs.fields(cls)
     )
 
@@ -96,15 +94,44 @@
     )
 
 
-def _writer(hint: Any) -> _Converter:
-    """Choose how values of a type are written."""
+def _writer(name: str, hint: Any) -> _Writer:
+    """Choose how a field of a type is written.
+
+    Fields are set one by one: handing the library whole dicts took ten times as
+    long. What equals the schema's default (zero, false, empty) need not be set.
+    """
     if attrs.has(hint):
-        return _to_plain
+        return lambda builder, value: _fill(builder.init(name), value)
     if isinstance(hint, UnionType):
-        return _number_out
-    if get_args(hint):
-        return _list_writer(_writer(get_args(hint)[0]))
-    return _keep
+        return lambda builder, value: setattr(
+            builder, name, _ABSENT_NUMBER if value is None else value
+        )
+    if not get_args(hint):
+        return lambda builder, value: _set(builder, name, value)
+    if attrs.has(get_args(hint)[0]):
+        return lambda builder, values: _fill_list(builder, name, values)
+    return lambda builder, values: _set(builder, name, list(values))
+
+
+def _set(builder: Any, name: str, value: Any) -> None:
+    if value:
+        setattr(builder, name, value)
+
+
+def _fill_list(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    """Write a list of structs."""
+    if not values:
+        return
+    items = builder.init(name, len(values))
+    for place, value in enumerate(values):
+        _fill(items[place], value)
+
+
+def _fill(builder: Any, message: Any) -> None:
+    """Write an attrs value into a struct's builder."""
+    cls: Any = type(message)
+    for field, write in _writers(cls):
+        write(builder, getattr(message, field))
 
 
 def _reader(hint: Any) -> _Converter:
@@ -118,21 +145,10 @@
     return _keep
 
 
-def _list_writer(item: _Converter) -> _Converter:
-    return lambda values: [item(value) for value in values]
-
-
 def _list_reader(item: _Converter) -> _Converter:
     return lambda values: tuple(item(value) for value in values)
 
 
-def _to_plain(message: Any) -> dict[str, Any]:
-    """Turn an attrs value into what the schema's builder takes."""
-    cls: Any = type(message)
-    writers = _writers(cls)
-    return {name: write(getattr(message, field)) for field, name, write in writers}
-
-
 def _from_reader(cls: type, reader: Any) -> Any:
     """Build an attrs value from a struct that was read."""
     return cls(*[read(getattr(reader, name)) for name, read in _readers(cls)])
