Write messages field by field, several times faster

Cause: a profile of one entry and one sidecar under load showed encode() first: the builder was handed nested dictionaries. Change: wire/codec.py sets fields on the builder directly; schema and readers are as before. Touches wire/codec.py, which others own.

--- a/acaciacove/wire/codec.py
+++ b/acaciacove/wire/codec.py
@@ -24,12 +24,18 @@
 _ABSENT_NUMBER = math.nan
 
 _Converter = Callable[[Any], Any]
+_Writer = Callable[[Any, str, Any], None]
 
 
 def encode(message: Message) -> bytes:
-    """Write one message as a Cap'n Proto frame."""
-    name = _camel(type(message).__name__, first_upper=False)
-    frame = _schema.Frame.new_message(**{name: _to_plain(message)})
+    """Write one message as a Cap'n Proto frame.
+
+    Fields are set one by one: handing the builder nested dictionaries costs several
+    times as much, on every token of every stream.
+    """
+    frame = _schema.Frame.new_message()
+    cls: Any = type(message)
+    _write(frame.init(_union_name(cls)), message)
     data: bytes = frame.to_bytes()
     return data
 
@@ -47,6 +53,12 @@
         raise MalformedMessageError(str(error)) from error
 
 
+@cache
+def _union_name(cls: type) -> str:
+    """Return the name of a class in the frame's union."""
+    return _camel(cls.__name__, first_upper=False)
+
+
 @cache
 def _classes() -> dict[str, type]:
     """Map the names of the frame's union to message classes."""
@@ -66,18 +78,13 @@
     return value
 
 
-def _number_out(value: float | None) -> float:
-    """Write an absent number as NaN."""
-    return _ABSENT_NUMBER if value is None else value
-
-
 def _number_in(value: float) -> float | None:
     """Read NaN as an absent number."""
     return None if math.isnan(value) else value
 
 
 @cache
-def _writers(cls: Any) -> tuple[tuple[str, str, _Converter], ...]:
+def _writers(cls: Any) -> tuple[tuple[str, str, _Writer], ...]:
     """List a class's fields with their schema names and writers."""
     hints = get_type_hints(cls)
     return tuple(
@@ -96,15 +103,15 @@
     )
 
 
-def _writer(hint: Any) -> _Converter:
+def _writer(hint: Any) -> _Writer:
     """Choose how values of a type are written."""
     if attrs.has(hint):
-        return _to_plain
+        return _write_struct
     if isinstance(hint, UnionType):
-        return _number_out
+        return _write_number
     if get_args(hint):
-        return _list_writer(_writer(get_args(hint)[0]))
-    return _keep
+        return _write_structs if attrs.has(get_args(hint)[0]) else _write_list
+    return setattr
 
 
 def _reader(hint: Any) -> _Converter:
@@ -118,19 +125,37 @@
     return _keep
 
 
-def _list_writer(item: _Converter) -> _Converter:
-    return lambda values: [item(value) for value in values]
-
-
 def _list_reader(item: _Converter) -> _Converter:
     return lambda values: tuple(item(value) for value in values)
 
 
-def _to_plain(message: Any) -> dict[str, Any]:
-    """Turn an attrs value into what the schema's builder takes."""
-    cls: Any = type(message)
-    writers = _writers(cls)
-    return {name: write(getattr(message, field)) for field, name, write in writers}
+def _write(builder: Any, value: Any) -> None:
+    """Write every field of an attrs value into a struct."""
+    cls: Any = type(value)
+    for field, name, write in _writers(cls):
+        write(builder, name, getattr(value, field))
+
+
+def _write_number(builder: Any, name: str, value: float | None) -> None:
+    """Write an absent number as NaN."""
+    setattr(builder, name, _ABSENT_NUMBER if value is None else value)
+
+
+def _write_struct(builder: Any, name: str, value: Any) -> None:
+    _write(builder.init(name), value)
+
+
+def _write_structs(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    if not values:
+        return
+    items = builder.init(name, len(values))
+    for item, value in zip(items, values, strict=True):
+        _write(item, value)
+
+
+def _write_list(builder: Any, name: str, values: tuple[Any, ...]) -> None:
+    if values:
+        setattr(builder, name, list(values))
 
 
 def _from_reader(cls: type, reader: Any) -> Any:
