Write the pages, and let tests run what they show

Tests compare settings tables, exit statuses, metrics and reason codes with the code, follow console sessions and curl lines, run the Python examples and check links.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,15 +9,21 @@
 from pathlib import Path
 
 import pytest
+from aioprometheus import Registry
 
 from acaciacove.cli.definition import COMMANDS
 from acaciacove.cli.help_settings import settings_tables
 from acaciacove.context import Environment
 from acaciacove.core import main
+from acaciacove.daemon.process_metrics import ProcessMetrics
+from acaciacove.entry.entry_metrics import EntryMetrics
+from acaciacove.entry.problem import DEFAULT_STATUS, STATUSES
+from acaciacove.exit_status import ExitStatus
 from acaciacove.fleet.fleet_state import FleetState
 from acaciacove.reason import Reason
 from acaciacove.release_format.check_note import check_note
 from acaciacove.release_format.read_note import read_note
+from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
 from tests.fake_log import FakeLog
 from tests.hand_started import hand_started
 
@@ -59,20 +65,45 @@
     assert same, f"{command}\n{printed}"
 
 
+async def start(shells):
+    """Start what README starts, without its callers and operators."""
+    standins, *daemons = "".join(fences("README.md", "shell")).splitlines()
+    await shells.run(standins)
+    await shells.run("acaciacove release publish examples/swimhole-release.yaml")
+    for daemon in daemons:
+        await shells.run(daemon)
+
+
+async def follow(shells, page):
+    """Run a page's commands in turn and compare what they print."""
+    for language, body in FENCE.findall((ROOT / page).read_text()):
+        if language == "shell":
+            for command in body.splitlines():
+                await shells.run(command)
+            continue
+        for command, expected in commands_in(body):
+            assert_same(command, expected, await shells.run(command))
+
+
 def test_the_commands_of_the_readme_do_what_it_shows(monkeypatch):
     monkeypatch.chdir(ROOT)
 
-    async def follow():
+    async def test():
+        async with hand_started() as shells:
+            await follow(shells, "README.md")
+
+    asyncio.run(test())
+
+
+def test_what_callers_are_told_to_send_is_answered_as_shown(monkeypatch):
+    monkeypatch.chdir(ROOT)
+
+    async def test():
         async with hand_started() as shells:
-            for language, body in FENCE.findall((ROOT / "README.md").read_text()):
-                if language == "shell":
-                    for command in body.splitlines():
-                        await shells.run(command)
-                    continue
-                for command, expected in commands_in(body):
-                    assert_same(command, expected, await shells.run(command))
+            await start(shells)
+            await follow(shells, "docs/callers.md")
 
-    asyncio.run(follow())
+    asyncio.run(test())
 
 
 @pytest.mark.parametrize("page", ["docs/release-notes.md", "docs/operations.md"])
@@ -99,10 +130,30 @@
     assert settings_tables(COMMANDS) in page
 
 
+def test_every_exit_status_is_explained_to_operators():
+    page = (ROOT / "docs/operations.md").read_text()
+    explained = re.findall(r"^\| (\d+) \| `(\w+)` \|", page, re.MULTILINE)
+    assert explained == [(str(s.value), s.name) for s in ExitStatus]
+
+
+def test_every_metric_is_explained_to_operators():
+    page = (ROOT / "docs/operations.md").read_text()
+    table = page.partition("## Metrics")[2].partition("##")[0]
+    explained = re.findall(r"^\| \**`(\w+)`\** \|", table, re.MULTILINE)
+    served = set()
+    for metrics in (EntryMetrics, SidecarMetrics, ProcessMetrics):
+        registry = Registry()
+        metrics(registry)
+        served.update(registry.collectors)
+    assert {f"acaciacove_{name}" for name in explained} == served
+
+
 def test_every_reason_code_is_explained_to_callers():
     page = (ROOT / "docs/callers.md").read_text()
-    explained = re.findall(r"^\| `(\w+)` \|", page, re.MULTILINE)
-    assert sorted(explained) == sorted(reason.value for reason in Reason)
+    table = page.partition("## Reasons")[2]
+    explained = re.findall(r"^\| `(\w+)` \| (\d+) \|", table, re.MULTILINE)
+    sent = {r.value: str(STATUSES.get(r, DEFAULT_STATUS).value) for r in Reason}
+    assert dict(explained) == sent
 
 
 def test_python_on_the_library_page_runs():
