Run benches and load runs from the command line

bench runs a scenario or the overhead measurement, load is many callers who check each answer and fails the check when one was wrong. Found by its test: a report with failures has enum keys, which orjson refuses; print_json allows them (bench/load_process.py prints the same report and would fail alike). The example notes equal those of the demo's deployments, held by a test.

--- /dev/null
+++ b/acaciacove/cli/bench.py
@@ -0,0 +1,53 @@
+"""``acaciacove bench``: measure the decisions, and what the daemons add."""
+
+import asyncio
+from collections.abc import Callable
+
+import orjson
+from attrs import fields
+
+from acaciacove.context import Environment
+from acaciacove.errors import InvalidSettingsError
+from acaciacove.exit_status import ExitStatus
+from acaciacove.settings.bench_settings import BenchSettings
+
+Bench = Callable[[BenchSettings, Environment], ExitStatus]
+
+
+def run(settings: BenchSettings, env: Environment) -> ExitStatus:
+    """Run the bench that is asked for; raises InvalidSettingsError."""
+    from acaciacove.bench.scenario import SCENARIOS
+
+    bench = _BENCHES.get(settings.bench)
+    if bench is not None:
+        return bench(settings, env)
+    if settings.bench in SCENARIOS:
+        return _run_scenario(settings, env)
+    known = ", ".join([*_BENCHES, *SCENARIOS])
+    raise InvalidSettingsError([f"BENCH must be one of {known}"])
+
+
+def _run_scenario(settings: BenchSettings, env: Environment) -> ExitStatus:
+    """Run one scenario of the decisions, ours beside the baselines."""
+    from acaciacove.bench.scenario import SCENARIOS, print_report
+    from acaciacove.bench.scenario_settings import ScenarioSettings
+
+    names = [attribute.name for attribute in fields(ScenarioSettings)]
+    values = {name: getattr(settings, name) for name in names}
+    report = SCENARIOS[settings.bench](ScenarioSettings(**values))
+    print_report(report, settings.json)
+    return ExitStatus.SUCCESS
+
+
+def _run_overhead(settings: BenchSettings, env: Environment) -> ExitStatus:
+    """Measure what entry and sidecar add, with processes of its own."""
+    from acaciacove.bench.overhead import run_overhead
+
+    document = asyncio.run(run_overhead())
+    env.print(orjson.dumps(document).decode())
+    return ExitStatus.SUCCESS
+
+
+_BENCHES: dict[str, Bench] = {
+    "overhead": _run_overhead,
+}
--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -1,9 +1,11 @@
 """Every command with every flag, in one place."""
 
 from acaciacove.cli import (
+    bench,
     demo,
     entry,
     help_settings,
+    load,
     release_diff,
     release_publish,
     release_show,
@@ -16,12 +18,14 @@
 from acaciacove.cli.command import Command
 from acaciacove.cli.decide import decide, instance_decision, zone_decision
 from acaciacove.cli.flag import Flag
+from acaciacove.settings.bench_settings import BenchSettings
 from acaciacove.settings.decision_settings import DecisionSettings
 from acaciacove.settings.demo_settings import DemoSettings
 from acaciacove.settings.diff_settings import DiffSettings
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.settings.file_settings import FileSettings
 from acaciacove.settings.help_settings_settings import HelpSettingsSettings
+from acaciacove.settings.load_settings import LoadSettings
 from acaciacove.settings.publish_settings import PublishSettings
 from acaciacove.settings.show_settings import ShowSettings
 from acaciacove.settings.sidecar_settings import SidecarSettings
@@ -422,6 +426,81 @@
     ),
     flags=(SEED,),
 )
+BENCH = Command(
+    words=("bench",),
+    summary="Measure the decisions, and what entry and sidecar add to a call.",
+    help="""
+        Runs one bench. cascade and the other scenarios run the decisions on drawn
+        load, ours beside baselines on the same arrivals, and print one table.
+        overhead starts a small fleet of processes on loopback and compares calls
+        through entry and sidecar with calls of the engine itself.
+
+        With --json the last line is one JSON object. Flags that a bench does not
+        know are left alone; empty ones take the bench's own default.
+    """,
+    settings=BenchSettings,
+    run=bench.run,
+    arguments=(Argument("bench", "BENCH", "Name of the bench, such as cascade."),),
+    flags=(
+        Flag("seed", "Seed of all random draws.", "NUMBER"),
+        Flag("policy", "Run this policy alone, such as ours.", "NAME"),
+        Flag("duration_s", "Simulated seconds of load.", "SECONDS"),
+        Flag("rate_per_s", "Requests that arrive in a second.", "RATE"),
+        Flag(
+            "load",
+            "Offered work as a share of what the warm fleet can serve.",
+            "SHARE",
+        ),
+        Flag("entries", "How many entries choose side by side.", "COUNT"),
+        Flag("endpoints", "How many endpoints serve.", "COUNT"),
+        Flag("organisations", "How many organisations send.", "COUNT"),
+        Flag("rated_share", "Share of the answers that get a rating.", "SHARE"),
+        Flag("rating_delay_s", "Seconds until a rating arrives.", "SECONDS"),
+        Flag("report_lag_s", "Age of load reports in seconds.", "SECONDS"),
+        JSON,
+    ),
+)
+LOAD = Command(
+    words=("load",),
+    summary="Send requests from many callers and check every answer.",
+    help="""
+        Is a number of callers who send one request after another to a running entry,
+        and checks that each answer is whole and the caller's own. Prints counts,
+        refusals by reason and quantiles of the times.
+
+        Exit status: 0, or 7 when an answer was short, broken off without a word, or
+        somebody else's.
+    """,
+    settings=LoadSettings,
+    run=load.run,
+    flags=(
+        Flag("entry_url", "URL of an entry or of the balancer.", "URL"),
+        Flag(
+            "token",
+            "Bearer token of the organisation to be. Pass it by its environment "
+            "variable: flags show in process lists.",
+            "TOKEN",
+            secret=True,
+        ),
+        Flag("chat_api", "API, or model@version, that chat requests name.", "API"),
+        Flag("service_api", "API of the plain service that is called.", "API"),
+        Flag("service_path", "Path of its calls that may not be repeated.", "PATH"),
+        Flag("callers", "Callers that send side by side.", "COUNT"),
+        Flag("requests", "Stop after so many requests in all.", "COUNT"),
+        Flag("seconds", "Stop after so many seconds.", "SECONDS"),
+        Flag("chat_share", "Share of chat requests, 0 to 1; the rest call.", "SHARE"),
+        Flag("stream_share", "Share of chat requests that are streamed.", "SHARE"),
+        Flag("max_tokens", "Tokens that a chat request asks for.", "COUNT"),
+        Flag("prompt_words", "Words of a chat request's prompt.", "COUNT"),
+        Flag("timeout_s", "Seconds that a caller waits for an answer.", "SECONDS"),
+        Flag(
+            "check_text",
+            "Compare answers with the text that the stand-ins generate.",
+        ),
+        Flag("seed", "Seed of the requests that are made up.", "NUMBER"),
+        JSON,
+    ),
+)
 HELP_SETTINGS = Command(
     words=("help-settings",),
     summary="Print the tables of all settings for the operators' page.",
@@ -448,5 +527,7 @@
     STATUS,
     DEMO,
     STANDINS,
+    BENCH,
+    LOAD,
     HELP_SETTINGS,
 )
--- a/acaciacove/cli/output.py
+++ b/acaciacove/cli/output.py
@@ -9,4 +9,4 @@
 
 def print_json(document: dict[str, Any], env: Environment) -> None:
     """Write one JSON object on one line."""
-    env.print(orjson.dumps(document).decode())
+    env.print(orjson.dumps(document, option=orjson.OPT_NON_STR_KEYS).decode())
--- a/acaciacove/cli/read_settings.py
+++ b/acaciacove/cli/read_settings.py
@@ -52,6 +52,8 @@
     bool: _parser(BooleanParser(), "true or false"),
     int: _parser(IntegerParser(), "a whole number"),
     float: _parser(FloatParser(), "a number"),
+    int | None: _parser(IntegerParser(), "a whole number"),
+    float | None: _parser(FloatParser(), "a number"),
     tuple[VersionId, ...]: _parse_versions,
 }
 
@@ -173,6 +175,6 @@
     default = fields_dict(command.settings)[flag.name].default
     if default is NOTHING:
         return "required"
-    if default == "":
+    if default == "" or default is None:
         return "empty"
     return str(default).lower() if isinstance(default, bool) else str(default)
--- a/acaciacove/settings/checks.py
+++ b/acaciacove/settings/checks.py
@@ -91,6 +91,15 @@
     return check_minimum
 
 
+def optional(inner: Check) -> Check:
+    """Make a check that takes None, or what another check takes."""
+
+    def check_optional(value: Any) -> str | None:
+        return None if value is None else inner(value)
+
+    return check_optional
+
+
 def one_of(*choices: str) -> Check:
     """Make a check for a closed list of words."""
 
--- a/tests/test_release_format.py
+++ b/tests/test_release_format.py
@@ -17,6 +17,8 @@
 from acaciacove.release_format.invalid_note_error import InvalidNoteError
 from acaciacove.release_format.read_note import read_note
 from acaciacove.release_format.write_note import document_of, write_document
+from acaciacove.standins.souk import SOUK
+from acaciacove.standins.swimhole import SWIMHOLE
 from acaciacove.state.reducer import fold
 from acaciacove.state.release_note import ReleaseNote
 
@@ -269,6 +271,13 @@
     ]
 
 
+@pytest.mark.parametrize("deployment", [SWIMHOLE, SOUK], ids=lambda d: d.name)
+def test_the_demo_publishes_the_first_example_of_each_deployment(deployment):
+    file = EXAMPLES / f"{deployment.name}-release.yaml"
+    document = read_note(file.read_bytes(), MAX_BYTES)
+    assert document.release_note(based_on=-1) == deployment.note
+
+
 @pytest.mark.parametrize("deployment", ["swimhole", "souk"])
 def test_the_examples_of_a_deployment_apply_one_after_the_other(deployment):
     state = FleetState()
