Correct the platform's list by direct evidence, one incarnation at a time

Cause: the list lags by up to a minute and can be wrong; work sent to a leaving or frozen endpoint is cut or waits out its deadline. Change: Membership folds the list, digests, refusals, failed connections and silence over one shared lifecycle machine; word of leaving is final for an incarnation and passed on in digests; a lost instance comes back by its own word.

--- /dev/null
+++ b/acaciacove/state/membership.py
@@ -0,0 +1,286 @@
+"""Who gets work: the platform's list, corrected by direct evidence.
+
+The list lags by up to a minute and may be wrong. What an instance says of itself
+outweighs it, and so does a connection that fails. Word of leaving is final for an
+incarnation; being gone is not, since a paused process can wake up.
+"""
+
+from collections.abc import Callable, Iterable
+
+from attrs import evolve
+
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.instance_status import InstanceStatus
+from acaciacove.messages.digest import Digest
+from acaciacove.reason import Reason
+from acaciacove.state.member import LIFECYCLE, Member
+from acaciacove.state.membership_settings import MembershipSettings
+
+SEPARATOR = "/"
+
+
+class Membership:
+    """Fold of all evidence in one process; ``now_s`` is the loop's time.
+
+    The owner calls ``check`` a few times a second, sends a digest that wants a
+    reply to each instance of ``to_probe``, and reports what it sees.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Start with nobody; ``on_change`` is called when the usable set changed."""
+        self._settings = settings
+        self._on_change = on_change
+        self._members: dict[str, Member] = {}
+        self._learned: list[Member] = []
+
+    def usable(self) -> list[Instance]:
+        """List the instances that may get new work."""
+        return [m.instance for m in self._members.values() if _is_usable(m)]
+
+    def peers(self) -> list[Instance]:
+        """List the instances that digests may be sent to."""
+        return [
+            m.instance for m in self._members.values() if m.state != InstanceStatus.GONE
+        ]
+
+    def status_of(self, name: str) -> InstanceStatus:
+        """Return how an instance stands; an unknown one is gone."""
+        member = self._members.get(name)
+        return InstanceStatus.GONE if member is None else member.status
+
+    def is_gone(self, name: str, incarnation: int) -> bool:
+        """Tell whether a process that wrote a record has surely ended or is silent."""
+        member = self._members.get(name)
+        if member is None or member.incarnation > incarnation:
+            return True
+        return member.state == InstanceStatus.GONE
+
+    def watch(self, names: Iterable[str]) -> None:
+        """Notice the silence of these instances, those that this process uses."""
+        watched = set(names)
+        for name, member in self._members.items():
+            member.watched = name in watched
+
+    def on_list(self, listed: list[Instance], now_s: float) -> None:
+        """Take in the platform's list."""
+        names = {instance.name for instance in listed}
+        for instance in listed:
+            self._list_one(instance, now_s)
+        for name, member in list(self._members.items()):
+            if name not in names and member.missing_since_s is None:
+                member.missing_since_s = now_s
+        self.check(now_s)
+
+    def on_digest(self, digest: Digest, now_s: float) -> None:
+        """Take in what an instance says of itself, and of others."""
+        status = _status(digest.status)
+        self.heard(digest.instance, digest.incarnation, now_s, status)
+        for text in digest.peers:
+            self._hearsay(text, now_s)
+
+    def heard(
+        self,
+        name: str,
+        incarnation: int,
+        now_s: float,
+        status: InstanceStatus = InstanceStatus.LIVE,
+    ) -> None:
+        """Take in an instance's own word: any message of it proves that it lives."""
+        member = self._members.get(name)
+        if member is None or not self._is_current(member, incarnation, now_s):
+            return
+        member.heard_s = now_s
+        if status in (InstanceStatus.LEAVING, InstanceStatus.GONE):
+            self._mark_left(member, now_s)
+        elif member.left:
+            self._move(member, InstanceStatus.LEAVING)
+        elif status is InstanceStatus.LIVE:
+            self._move(member, InstanceStatus.LIVE)
+
+    def connect_failed(self, name: str, now_s: float) -> None:
+        """Take in that an instance refused or lost a connection."""
+        member = self._members.get(name)
+        if member is None:
+            return
+        member.probed_s = now_s
+        self._lose(member, now_s)
+
+    def refused(
+        self, name: str, incarnation: int, reason: Reason, now_s: float
+    ) -> None:
+        """Take in a refusal: one for leaving is the instance's word that it leaves."""
+        status = InstanceStatus.LIVE
+        if reason in (Reason.LEAVING, Reason.DRAINING):
+            status = InstanceStatus.LEAVING
+        self.heard(name, incarnation, now_s, status)
+
+    def check(self, now_s: float) -> None:
+        """Notice silence, and forget instances that are long gone."""
+        for name, member in list(self._members.items()):
+            if self._is_silent(member, now_s):
+                self._lose(member, now_s)
+            if self._is_forgotten(member, now_s):
+                LIFECYCLE.remove_model(member)
+                del self._members[name]
+
+    def to_probe(self, now_s: float) -> list[Instance]:
+        """List whom to ask for a sign of life now; each call counts as asked."""
+        due = [m for m in self._members.values() if self._wants_probe(m, now_s)]
+        for member in due:
+            member.probed_s = now_s
+        return [member.instance for member in due]
+
+    def evidence(self, now_s: float) -> tuple[str, ...]:
+        """Return what this process learned lately, for ``Digest.peers``."""
+        oldest_s = now_s - self._settings.evidence_s
+        lost = (InstanceStatus.LEAVING, InstanceStatus.GONE)
+        self._learned = [m for m in self._learned if m.learned_s > oldest_s]
+        recent = [m for m in reversed(self._learned) if m.state in lost]
+        return tuple(_spell(m) for m in recent[: self._settings.evidence_count])
+
+    def _list_one(self, listed: Instance, now_s: float) -> None:
+        member = self._members.get(listed.name)
+        if member is None:
+            member = Member(listed, listed.incarnation, now_s)
+            self._members[listed.name] = member
+        if listed.incarnation < member.incarnation:
+            return
+        self._is_current(member, listed.incarnation, now_s)
+        member.missing_since_s = None
+        if listed != member.instance:
+            member.instance = evolve(listed, status=member.status)
+        if listed.status in (InstanceStatus.LEAVING, InstanceStatus.GONE):
+            # The list is wrong now and then. An instance that has just said of
+            # itself that it serves is believed, or a false list would empty the
+            # fleet; it tells everyone itself when it does leave.
+            if not self._is_fresh(member, now_s):
+                self._move(member, listed.status)
+            return
+        if member.state == InstanceStatus.STARTING:
+            self._move(member, listed.status)
+        elif member.state == InstanceStatus.LEAVING and not member.left:
+            self._move(member, InstanceStatus.GONE)
+
+    def _is_current(self, member: Member, incarnation: int, now_s: float) -> bool:
+        """Tell whether evidence is on the running process; note a new one."""
+        if incarnation < member.incarnation:
+            return False
+        if incarnation > member.incarnation:
+            was_usable = _is_usable(member)
+            member.incarnation = incarnation
+            member.left = False
+            member.known_since_s = now_s
+            member.restart()
+            self._announce_if(was_usable)
+        return True
+
+    def _hearsay(self, text: str, now_s: float) -> None:
+        """Take in a third party's word; only leaving is believed from it.
+
+        A peer that cannot reach an instance may be the one that is cut off, so
+        its word of a lost instance only leads to a probe.
+        """
+        name, incarnation, status = _parse(text)
+        member = self._members.get(name)
+        if member is None or not self._is_current(member, incarnation, now_s):
+            return
+        if status is InstanceStatus.LEAVING:
+            self._mark_left(member, now_s)
+        elif status is InstanceStatus.GONE and not self._is_fresh(member, now_s):
+            member.probed_s = min(member.probed_s, now_s - self._settings.retry_s)
+            member.watched = True
+
+    def _mark_left(self, member: Member, now_s: float) -> None:
+        if not member.left:
+            member.left = True
+            self._learn(member, now_s)
+        self._move(member, InstanceStatus.LEAVING)
+
+    def _lose(self, member: Member, now_s: float) -> None:
+        if member.state != InstanceStatus.GONE:
+            self._learn(member, now_s)
+        self._move(member, InstanceStatus.GONE)
+
+    def _learn(self, member: Member, now_s: float) -> None:
+        """Remember to pass on what was learned of an instance."""
+        member.learned_s = now_s
+        if member in self._learned:
+            self._learned.remove(member)
+        self._learned.append(member)
+
+    def _is_fresh(self, member: Member, now_s: float) -> bool:
+        return now_s - member.heard_s < self._settings.fresh_s
+
+    def _is_silent(self, member: Member, now_s: float) -> bool:
+        """Tell whether an instance was given the time to answer and did not."""
+        if member.state == InstanceStatus.GONE:
+            return False
+        if not member.watched and member.missing_since_s is None:
+            return False
+        since_s = max(member.heard_s, member.known_since_s)
+        if member.missing_since_s is not None and not member.watched:
+            since_s = max(since_s, member.missing_since_s)
+        return now_s - since_s >= self._settings.silent_s
+
+    def _is_forgotten(self, member: Member, now_s: float) -> bool:
+        if member.missing_since_s is None:
+            return False
+        since_s = max(member.missing_since_s, member.heard_s)
+        return now_s - since_s >= self._settings.forget_s
+
+    def _wants_probe(self, member: Member, now_s: float) -> bool:
+        if now_s - member.probed_s < self._settings.retry_s / 2:
+            return False
+        if member.state == InstanceStatus.GONE:
+            return now_s - member.probed_s >= self._settings.retry_s
+        if not member.watched and member.missing_since_s is None:
+            return False
+        return now_s - member.heard_s >= self._settings.probe_after_s
+
+    def _move(self, member: Member, status: InstanceStatus) -> None:
+        """Follow the lifecycle to a status, if it leads there."""
+        if member.state == status.value:
+            return
+        was_usable = _is_usable(member)
+        match status:
+            case InstanceStatus.LIVE:
+                member.serve()
+            case InstanceStatus.LEAVING:
+                member.leave()
+            case InstanceStatus.GONE:
+                member.lose()
+        member.instance = evolve(member.instance, status=member.status)
+        self._announce_if(was_usable is not _is_usable(member))
+
+    def _announce_if(self, changed: bool) -> None:
+        if changed:
+            self._on_change()
+
+
+def _is_usable(member: Member) -> bool:
+    return member.state == InstanceStatus.LIVE.value
+
+
+def _status(text: str) -> InstanceStatus:
+    """Read a status; one of a later release counts as starting: no work yet."""
+    try:
+        return InstanceStatus(text)
+    except ValueError:
+        return InstanceStatus.STARTING
+
+
+def _spell(member: Member) -> str:
+    parts = (member.instance.name, str(member.incarnation), member.state)
+    return SEPARATOR.join(parts)
+
+
+def _parse(text: str) -> tuple[str, int, InstanceStatus]:
+    """Read ``name/incarnation/status``; junk names nobody."""
+    parts = text.rsplit(SEPARATOR, 2)
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return "", 0, InstanceStatus.STARTING
+    return parts[0], int(parts[1]), _status(parts[2])
