Keep a roll-out's earned share in the release stream

Cause: every entry would have needed all evidence to know a version's share, and sessions would have moved when two entries disagreed. Change: an ExposureRecord beside the quarantine; shares only grow until a release note declares the version anew. Conclusion: a few entries judge, everyone follows the log.

--- a/acaciacove/cli/record_summary.py
+++ b/acaciacove/cli/record_summary.py
@@ -1,5 +1,6 @@
 """Records of the release stream in one line each, for people."""
 
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.instance_decision import InstanceDecision
 from acaciacove.state.quarantine_record import QuarantineRecord
 from acaciacove.state.record import Record
@@ -21,6 +22,8 @@
             return f"instance {record.instance} {_way(record.out)}"
         case QuarantineRecord():
             return f"quarantine of {record.version}: {record.reason}"
+        case ExposureRecord():
+            return f"{record.version} earned a share of {record.share:g}"
         case Snapshot():
             return f"snapshot of revision {record.state.revision}"
     return UNREADABLE
--- a/acaciacove/fleet/fleet_state.py
+++ b/acaciacove/fleet/fleet_state.py
@@ -31,6 +31,7 @@
     availability_zones_out: frozenset[str] = frozenset()
     instances_out: frozenset[str] = frozenset()
     quarantines: dict[VersionId, Quarantine] = field(factory=dict)
+    exposures: dict[VersionId, float] = field(factory=dict)
     release_note_id: str = ""
     decision_ids: tuple[str, ...] = ()
     declared_at: dict[VersionId, int] = field(factory=dict)
--- a/acaciacove/state/record_codec.py
+++ b/acaciacove/state/record_codec.py
@@ -8,6 +8,7 @@
 
 from acaciacove.errors import MalformedMessageError
 from acaciacove.fleet.version_id import VersionId, parse_version_id
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.instance_decision import InstanceDecision
 from acaciacove.state.quarantine_record import QuarantineRecord
 from acaciacove.state.record import Record
@@ -22,6 +23,7 @@
     "zone_decision": ZoneDecision,
     "instance_decision": InstanceDecision,
     "quarantine": QuarantineRecord,
+    "exposure": ExposureRecord,
     "snapshot": Snapshot,
 }
 _NAMES = {cls: kind for kind, cls in _KINDS.items()}
--- a/acaciacove/state/reducer.py
+++ b/acaciacove/state/reducer.py
@@ -1,5 +1,7 @@
 """The one deterministic reducer: every reader folds the same records alike."""
 
+from typing import TypeVar
+
 from attrs import evolve
 
 from acaciacove.fleet.fleet_state import FleetState
@@ -7,6 +9,7 @@
 from acaciacove.fleet.quarantine import Quarantine
 from acaciacove.fleet.version import Version
 from acaciacove.fleet.version_id import VersionId
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.folded import Folded
 from acaciacove.state.instance_decision import InstanceDecision
 from acaciacove.state.quarantine_record import QuarantineRecord
@@ -18,6 +21,8 @@
 
 REMEMBERED_DECISIONS = 256
 
+_T = TypeVar("_T")
+
 
 def fold(state: FleetState, offset: int, record: Record | None) -> Folded:
     """Fold the record at ``offset``; None stands for one that cannot be read.
@@ -35,6 +40,8 @@
             return _fold_decision(moved, record)
         case QuarantineRecord():
             return _fold_quarantine(moved, record)
+        case ExposureRecord():
+            return _fold_exposure(moved, record)
         case Snapshot():
             return _compare_snapshot(state, moved, record)
     return Folded(moved, Verdict.MALFORMED)
@@ -70,6 +77,7 @@
         versions=versions,
         organisations=_organisations(state, note),
         quarantines=_without(state.quarantines, declared),
+        exposures=_without(state.exposures, declared),
         declared_at={**state.declared_at, **dict.fromkeys(declared, state.revision)},
     )
     return Folded(accepted, Verdict.ACCEPTED)
@@ -121,6 +129,19 @@
     return Folded(evolve(state, quarantines=quarantines), Verdict.ACCEPTED)
 
 
+def _fold_exposure(state: FleetState, record: ExposureRecord) -> Folded:
+    """Widen a roll-out; a share never shrinks, so sessions move at most once."""
+    version = state.versions.get(record.version)
+    if version is None:
+        return Folded(state, Verdict.UNKNOWN_NAME, f"unknown {record.version}")
+    if 0 <= record.based_on < state.declared_at.get(record.version, -1):
+        return Folded(state, Verdict.STALE_BASE, "declared again since")
+    if record.share <= state.exposures.get(version.id, version.first_share):
+        return Folded(state, Verdict.DUPLICATE)
+    exposures = {**state.exposures, version.id: min(1.0, record.share)}
+    return Folded(evolve(state, exposures=exposures), Verdict.ACCEPTED)
+
+
 def _compare_snapshot(
     before: FleetState, moved: FleetState, snapshot: Snapshot
 ) -> Folded:
@@ -146,10 +167,10 @@
 
 
 def _without(
-    quarantines: dict[VersionId, Quarantine], declared: set[VersionId]
-) -> dict[VersionId, Quarantine]:
-    """Lift the quarantine of versions that a note declares anew."""
-    return {v: q for v, q in quarantines.items() if v not in declared}
+    by_version: dict[VersionId, _T], declared: set[VersionId]
+) -> dict[VersionId, _T]:
+    """Forget what evidence said of versions that a note declares anew."""
+    return {v: kept for v, kept in by_version.items() if v not in declared}
 
 
 def _toggled(names: frozenset[str], name: str, out: bool) -> frozenset[str]:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -13,6 +13,7 @@
 from acaciacove.messages.record import Record as PeerRecord
 from acaciacove.messages.records import Records
 from acaciacove.platform.log_entry import LogEntry
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.fleet_holder import FleetHolder
 from acaciacove.state.instance_decision import InstanceDecision
 from acaciacove.state.quarantine_record import QuarantineRecord
@@ -188,3 +189,18 @@
                 payloads.append(payload)
     assert 2 <= len(written_s) <= 3 * 15
     assert {s // 3600 for s in written_s} >= {1, 2}
+
+
+def test_a_share_only_grows_until_the_version_is_declared_anew():
+    # Two entries judge the same roll-out, one of them on older evidence. If its
+    # smaller share won, sessions would move to and fro between versions.
+    note = ReleaseNote("a", -1, versions=(Version(OLD, "guide", 1.0, first_share=0.1),))
+    state = fold(FleetState(), 0, note).state
+    state = fold(state, 1, ExposureRecord(OLD, 0.5, based_on=0)).state
+    assert fold(state, 2, ExposureRecord(OLD, 0.25)).verdict is Verdict.DUPLICATE
+    assert state.exposures == {OLD: 0.5}
+    again = evolve(note, note_id="b", based_on=0)
+    state = fold(state, 2, again).state
+    assert state.exposures == {}
+    stale = fold(state, 3, ExposureRecord(OLD, 1.0, based_on=1))
+    assert stale.verdict is Verdict.STALE_BASE
