Queue fairly with bounded credit, choose endpoints without herds, measure both

Cause: tags of start-time fair queuing put an organisation's next request behind a whole flood after one long answer; many choices on reports a second old make every entry meet on the same endpoints. Change: organisations below their share earn bounded credit; two choices, more where the load is the entry's own; prefixes live where rendezvous hashing puts them.

--- a/acaciacove/bench/scenario.py
+++ b/acaciacove/bench/scenario.py
@@ -9,7 +9,9 @@
 from rich.table import Table
 
 from acaciacove.bench.policy_runs import OURS
+from acaciacove.bench.scenario_balance import run_balance
 from acaciacove.bench.scenario_cascade import run_cascade
+from acaciacove.bench.scenario_fairness import run_fairness
 from acaciacove.bench.scenario_report import ScenarioReport
 from acaciacove.bench.scenario_settings import ScenarioSettings
 
@@ -17,6 +19,8 @@
 
 SCENARIOS: dict[str, Scenario] = {
     "cascade": run_cascade,
+    "fairness": run_fairness,
+    "balance": run_balance,
 }
 
 
--- a/acaciacove/decisions/admission.py
+++ b/acaciacove/decisions/admission.py
@@ -1,67 +1,114 @@
 """The queue before one endpoint: fair by organisation, early to refuse."""
 
-from heapq import heappop, heappush
+from collections.abc import Callable
 
 from attrs import define, field
 
 from acaciacove.decisions.admission_settings import AdmissionSettings
+from acaciacove.decisions.lane import Lane
 from acaciacove.decisions.refused_item import RefusedItem
 from acaciacove.decisions.waiting_item import WaitingItem
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
+_MAX_LANES = 1024
+
 
 @define
 class AdmissionQueue:
     """Start-time fair queuing over organisations; state only, no clock, no task.
 
-    ``limit`` is set from outside (ramp) before ``next`` is asked.
+    Each item gets a start tag, the finish tag of its organisation's item before it
+    or the present virtual time; the least start tag runs next. So an organisation
+    that sends ten times its share waits behind itself. ``limit`` is set from
+    outside (ramp and adaptive limit) before ``next`` is asked.
     """
 
     settings: AdmissionSettings = AdmissionSettings()
     limit: int = 1
-    running: dict[str, WaitingItem] = field(factory=dict)
-    _queue: list[tuple[float, int, WaitingItem]] = field(factory=list)
-    _finish_tags: dict[str, float] = field(factory=dict)
+    running: dict[str, tuple[WaitingItem, float]] = field(factory=dict)
+    _lanes: dict[str, Lane] = field(factory=dict)
     _virtual: float = 0.0
-    _sequence: int = 0
+    _kind_tags: dict[bool, float] = field(factory=lambda: {False: 0.0, True: 0.0})
+    _kind_counts: dict[bool, int] = field(factory=lambda: {False: 0, True: 0})
     _refused: list[RefusedItem] = field(factory=list)
+    _token_s: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start from the settings' guess of the speed."""
+        self._token_s = self.settings.token_s
 
     def offer(self, item: WaitingItem, now_s: float) -> Refusal | None:
         """Queue an item, or return the refusal at once."""
-        if item.deadline_at_s <= now_s:
-            return Refusal(Reason.DEADLINE_EXCEEDED, not_run=True)
-        if len(self._queue) >= self.settings.max_queue:
-            return Refusal(Reason.OVERLOADED, not_run=True, retry_after_s=1.0)
-        start = max(self._virtual, self._finish_tags.get(item.organisation, 0.0))
-        self._finish_tags[item.organisation] = start + item.cost_tokens / item.weight
-        self._sequence += 1
-        heappush(self._queue, (start, self._sequence, item))
+        lane = self._lane(item, now_s)
+        wait_s = self._expected_wait_s(lane, now_s)
+        service_s = item.cost_tokens * self._token_s
+        if now_s + wait_s + service_s > item.deadline_at_s:
+            return self._overloaded(Reason.DEADLINE_EXCEEDED, wait_s)
+        if self.queued >= self.settings.max_queue and not self._push_out(lane, now_s):
+            return self._overloaded(Reason.OVERLOADED, wait_s)
+        start = self._start_tag(lane, now_s)
+        lane.finish_tag = start + item.cost_tokens / item.weight
+        self._enter_kind(item.batch)
+        lane.waiting(item.batch).append((start, item))
         return None
 
     def next(self, now_s: float) -> WaitingItem | None:
-        """Take the next item to run, if the limit has room."""
-        while self._queue and len(self.running) < self.limit:
-            start, _, item = heappop(self._queue)
-            self._virtual = max(self._virtual, start)
-            if item.deadline_at_s <= now_s:
-                refusal = Refusal(Reason.DEADLINE_EXCEEDED, not_run=True)
-                self._refused.append(RefusedItem(item, refusal))
+        """Take the next item to run, if the limit has room.
+
+        Items whose deadline has passed meanwhile are given up, see
+        ``take_refused``.
+        """
+        while len(self.running) < self.limit:
+            found = self._pick(now_s)
+            if found is None:
+                return None
+            lane, batch = found
+            start, item = lane.waiting(batch).popleft()
+            self._kind_counts[batch] -= 1
+            if now_s + item.cost_tokens * self._token_s / 2 > item.deadline_at_s:
+                lane.finish_tag -= item.cost_tokens / item.weight
+                self._give_up(item, Reason.DEADLINE_EXCEEDED, now_s)
                 continue
-            self.running[item.request_id] = item
+            self._virtual = max(self._virtual, start)
+            share = self._kind_share(batch)
+            self._kind_tags[batch] += item.cost_tokens / share
+            lane.running += 1
+            self.running[item.request_id] = (item, now_s)
             return item
         return None
 
-    def finish(self, item: WaitingItem, now_s: float, ok: bool) -> None:
-        """Free the slot of an item that ``next`` gave out."""
-        self.running.pop(item.request_id, None)
+    def finish(
+        self,
+        item: WaitingItem,
+        now_s: float,
+        ok: bool,
+        used_tokens: float | None = None,
+    ) -> None:
+        """Free the slot of an item that ``next`` gave out.
+
+        ``used_tokens`` corrects the expected work, so that asking for little and
+        using much gains nothing.
+        """
+        _, started_at_s = self.running.pop(item.request_id)
+        lane = self._lanes[item.organisation]
+        lane.running -= 1
+        used = item.cost_tokens if used_tokens is None else used_tokens
+        lane.finish_tag += (used - item.cost_tokens) / item.weight
+        if ok and used > 0:
+            token_s = (now_s - started_at_s) / used
+            self._token_s += self.settings.smoothing * (token_s - self._token_s)
 
     def cancel(self, request_id: str) -> bool:
         """Drop a waiting item; False when it is not waiting."""
-        kept = [entry for entry in self._queue if entry[2].request_id != request_id]
-        found = len(kept) < len(self._queue)
-        self._queue = sorted(kept)
-        return found
+        for lane in self._lanes.values():
+            for queue in (lane.interactive, lane.batch):
+                for entry in queue:
+                    if entry[1].request_id == request_id:
+                        queue.remove(entry)
+                        self._kind_counts[entry[1].batch] -= 1
+                        return True
+        return False
 
     def take_refused(self) -> tuple[RefusedItem, ...]:
         """Return the items given up since the last call; they never ran."""
@@ -72,4 +119,128 @@
     @property
     def queued(self) -> int:
         """Count the waiting items."""
-        return len(self._queue)
+        return self._kind_counts[False] + self._kind_counts[True]
+
+    def _lane(self, item: WaitingItem, now_s: float) -> Lane:
+        """Return the organisation's lane, forgetting idle ones beyond a bound."""
+        lane = self._lanes.get(item.organisation)
+        if lane is None:
+            if len(self._lanes) >= _MAX_LANES:
+                self._forget_idle(now_s)
+            lane = self._lanes[item.organisation] = Lane(item.weight, now_s)
+        lane.weight = item.weight
+        lane.seen_at_s = now_s
+        return lane
+
+    def _forget_idle(self, now_s: float) -> None:
+        oldest = now_s - self.settings.active_s
+        for name, lane in list(self._lanes.items()):
+            if not lane.queued and not lane.running and lane.seen_at_s < oldest:
+                del self._lanes[name]
+
+    def _pick(self, now_s: float) -> tuple[Lane, bool] | None:
+        """Pick the lane and the kind that run next."""
+        free = self.limit - len(self.running)
+        scarce = free <= int(self.settings.reserved_share * self.limit)
+        fits = self._fits_reserve(now_s) if scarce else _always
+        picked: dict[bool, Lane] = {}
+        for batch in (False, True):
+            if not self._kind_counts[batch] or (batch and scarce):
+                continue
+            lanes = [n for n in self._lanes.values() if n.waiting(batch) and fits(n)]
+            if lanes:
+                picked[batch] = min(lanes, key=lambda n: n.waiting(batch)[0][0])
+        if not picked:
+            return None
+        batch = min(picked, key=lambda kind: self._kind_tags[kind])
+        return picked[batch], batch
+
+    def _fits_reserve(self, now_s: float) -> Callable[[Lane], bool]:
+        """Admit only lanes below their share to the last free slots.
+
+        Without this, a flood holds every slot whenever a slot is free, and each
+        other organisation's request waits for a whole answer to end.
+        """
+
+        def fits(lane: Lane) -> bool:
+            return self._is_entitled(lane, now_s)
+
+        return fits
+
+    def _start_tag(self, lane: Lane, now_s: float) -> float:
+        """Start where the lane's work before ends, at most a credit behind the present.
+
+        An organisation that has used less than its share may burst. Without credit, a
+        long answer or two requests at once at one endpoint put its next request
+        behind a whole flood, though over a minute it uses a part of its share.
+        """
+        return max(self._virtual - self._credit(now_s), lane.finish_tag)
+
+    def _credit(self, now_s: float) -> float:
+        """Return the tokens by weight that are served in ``credit_s``."""
+        tokens_per_s = self.limit / self._token_s
+        return self.settings.credit_s * tokens_per_s / self._active_weight(now_s)
+
+    def _is_entitled(self, lane: Lane, now_s: float) -> bool:
+        """Tell whether a lane is in credit, or one more slot is within its share."""
+        if lane.waiting_tag < self._virtual:
+            return True
+        share = self.limit / self._active_weight(now_s)
+        return (lane.running + 1) / lane.weight <= share
+
+    def _active_weight(self, now_s: float) -> float:
+        """Sum the weights of organisations with work here, or lately."""
+        oldest = now_s - self.settings.active_s
+        return sum(
+            lane.weight
+            for lane in self._lanes.values()
+            if lane.queued or lane.running or lane.seen_at_s >= oldest
+        )
+
+    def _enter_kind(self, batch: bool) -> None:
+        """Start a kind that was idle level with the other: idling earns no credit."""
+        if not self._kind_counts[batch]:
+            level = max(self._kind_tags[batch], self._kind_tags[not batch])
+            self._kind_tags[batch] = level
+        self._kind_counts[batch] += 1
+
+    def _kind_share(self, batch: bool) -> float:
+        share = self.settings.batch_share
+        return share if batch else 1.0 - share
+
+    def _expected_wait_s(self, lane: Lane, now_s: float) -> float:
+        """Estimate the wait: every lane's tokens that are served before a new item."""
+        if self.queued == 0 and len(self.running) < self.limit:
+            return 0.0
+        start = max(0.0, self._start_tag(lane, now_s) - self._virtual)
+        ahead = lane.queued_tokens + sum(
+            min(other.queued_tokens, start * other.weight)
+            for other in self._lanes.values()
+            if other is not lane and other.queued
+        )
+        return ahead * self._token_s / max(1, self.limit)
+
+    def _overloaded(self, reason: Reason, wait_s: float) -> Refusal:
+        retry_after_s = max(self.settings.min_retry_after_s, wait_s)
+        return Refusal(reason, not_run=True, retry_after_s=retry_after_s)
+
+    def _push_out(self, arriving: Lane, now_s: float) -> bool:
+        """Make room at the cost of the longest lane by weight, if not the own one."""
+        longest = max(self._lanes.values(), key=lambda n: n.queued / n.weight)
+        if longest.queued / longest.weight <= (arriving.queued + 1) / arriving.weight:
+            return False
+        queue = longest.batch or longest.interactive
+        _, item = queue.pop()
+        self._kind_counts[item.batch] -= 1
+        longest.finish_tag -= item.cost_tokens / item.weight
+        self._give_up(item, Reason.OVERLOADED, now_s)
+        return True
+
+    def _give_up(self, item: WaitingItem, reason: Reason, now_s: float) -> None:
+        lane = self._lanes[item.organisation]
+        wait_s = self._expected_wait_s(lane, now_s)
+        self._refused.append(RefusedItem(item, self._overloaded(reason, wait_s)))
+
+
+def _always(_: Lane) -> bool:
+    return True
--- a/acaciacove/decisions/admission_settings.py
+++ b/acaciacove/decisions/admission_settings.py
@@ -7,15 +7,19 @@
 class AdmissionSettings:
     """How work waits.
 
-    ``batch_share`` of the served tokens goes to batch work while both kinds wait.
-    ``reserved_share`` of the slots stays free for organisations that run less than
-    their share. ``max_queue`` counts requests.
+    ``max_queue`` counts waiting requests. ``batch_share`` of the tokens goes to
+    batch work while both kinds wait. ``reserved_share`` of the slots is kept for
+    interactive work of organisations that run less than their share; an
+    organisation that used less than its share may burst by what its share brings in
+    ``credit_s``. It counts for the shares until ``active_s`` after its last request.
+    ``token_s`` is the first guess of the time per token, then it is learned.
     """
 
     max_queue: int = 256
     batch_share: float = 0.1
-    reserved_share: float = 0.15
-    default_tokens_per_s: float = 200.0
-    rate_smoothing: float = 0.05
-    latency_tolerance: float = 2.0
-    min_limit: int = 1
+    reserved_share: float = 0.2
+    credit_s: float = 60.0
+    active_s: float = 30.0
+    token_s: float = 0.02
+    smoothing: float = 0.05
+    min_retry_after_s: float = 0.1
--- /dev/null
+++ b/acaciacove/decisions/concurrency_limit.py
@@ -0,0 +1,39 @@
+"""A concurrency limit that follows what the endpoint shows it can do."""
+
+from attrs import define
+
+SLOWER_THAN_USUAL = 2.0
+BACK_OFF = 0.8
+MIN_LIMIT = 1.0
+SMOOTHING = 0.02
+MIN_SAMPLES = 20
+
+
+@define
+class ConcurrencyLimit:
+    """Additive increase, multiplicative decrease on the time per token.
+
+    An endpoint may bear less than declared (a noisy neighbour, a throttled
+    accelerator). More work only makes it slower then; one notices by the time per
+    token. ``ceiling`` is the ramp's limit and always holds.
+    """
+
+    limit: float
+    _usual_token_s: float = 0.0
+    _samples: int = 0
+    _cut_at_s: float = float("-inf")
+
+    def finished(
+        self, token_s: float, started_at_s: float, ok: bool, now_s: float, ceiling: int
+    ) -> None:
+        """Learn from one finished request."""
+        slow = token_s > SLOWER_THAN_USUAL * self._usual_token_s
+        if not ok or (self._samples >= MIN_SAMPLES and slow):
+            if started_at_s > self._cut_at_s:
+                self.limit = max(MIN_LIMIT, self.limit * BACK_OFF)
+                self._cut_at_s = now_s
+            return
+        weight = max(SMOOTHING, 1.0 / (self._samples + 1))
+        self._usual_token_s += weight * (token_s - self._usual_token_s)
+        self._samples += 1
+        self.limit = min(float(ceiling), self.limit + 1.0 / self.limit)
--- a/acaciacove/decisions/endpoint_choice.py
+++ b/acaciacove/decisions/endpoint_choice.py
@@ -1,7 +1,9 @@
 """Which endpoint runs an attempt."""
 
 from collections.abc import Collection, Mapping, Sequence
+from math import exp
 from random import Random
+from zlib import crc32
 
 from acaciacove.decisions.candidate import Candidate
 from acaciacove.decisions.decision import Decision
@@ -10,6 +12,7 @@
 from acaciacove.decisions.endpoint_settings import EndpointSettings
 from acaciacove.decisions.endpoint_view import EndpointView
 from acaciacove.decisions.lost import Lost
+from acaciacove.decisions.usual import Usual
 from acaciacove.fleet.fleet_state import FleetState
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.instance_status import InstanceStatus
@@ -34,6 +37,7 @@
     excluded: Collection[str] = (),
     session_endpoint: str = "",
     prefix_hash: str = "",
+    organisation: str = "",
     zone_shares: Mapping[str, float] | None = None,
     settings: EndpointSettings = DEFAULT_SETTINGS,
 ) -> EndpointDecision | Refusal:
@@ -53,15 +57,16 @@
     if not usable:
         return _refusal(set(lost.values()))
     usable = _thinned(usable, zone_shares or {}, rng)
-    drawn = _drawn(usable, views, rng, session_endpoint, prefix_hash, settings)
-    mean = _mean_load([views[i.name] for i in drawn if i.name in views])
+    homes = _homes(usable, session_endpoint, prefix_hash)
+    drawn = _drawn(usable, views, rng, homes, settings)
+    usual = _usual([views[i.name] for i in drawn if i.name in views], settings)
     scores = {
         i.name: _expected_s(
             views.get(i.name) or EndpointView(i),
-            mean,
+            usual,
             now_s,
-            i.name == session_endpoint,
-            prefix_hash,
+            _affinity(i, views, homes, session_endpoint, prefix_hash, settings),
+            organisation,
             settings,
         )
         for i in drawn
@@ -110,50 +115,93 @@
     usable: list[Instance],
     views: Mapping[str, EndpointView],
     rng: Random,
-    session_endpoint: str,
-    prefix_hash: str,
+    homes: Collection[str],
     settings: EndpointSettings,
 ) -> list[Instance]:
-    """Draw a few at random, and those with affinity."""
-    drawn = rng.sample(usable, min(settings.choices, len(usable)))
-    for instance in usable:
-        if instance in drawn:
-            continue
-        view = views.get(instance.name)
-        holds = view is not None and bool(prefix_hash) and prefix_hash in view.prefixes
-        if holds or instance.name == session_endpoint:
-            drawn.append(instance)
+    """Draw a few at random, and those with affinity.
+
+    More are drawn where most of the load is the entry's own, which it knows exactly.
+    With more choices from reports that lag, all entries would meet on the endpoints
+    that were emptiest a moment ago, and their requests would wait there.
+    """
+    known = [views[i.name] for i in usable if i.name in views]
+    own = sum(view.own_in_flight for view in known)
+    all_ = sum(view.at_endpoint for view in known)
+    exact = all_ > 0 and own >= settings.own_share * all_
+    choices = settings.exact_choices if exact else settings.choices
+    drawn = rng.sample(usable, min(choices, len(usable)))
+    drawn += [i for i in usable if i.name in homes and i not in drawn]
     return drawn
 
 
-def _mean_load(views: list[EndpointView]) -> float:
-    """Return the mean reported requests per admitted slot."""
-    loads = [
-        (v.load.in_flight + v.load.queued) / v.load.limit for v in views if v.load.limit
-    ]
-    return sum(loads) / len(loads) if loads else 0.0
+def _homes(usable: list[Instance], session_endpoint: str, prefix_hash: str) -> set[str]:
+    """Name the endpoints of the session and of the prompt's prefix.
+
+    A prefix lives where rendezvous hashing puts it. Every entry computes the same
+    place, so no cache event has to arrive for its requests to meet there.
+    """
+    homes = {session_endpoint} if session_endpoint else set()
+    if prefix_hash:
+        homes.add(max(usable, key=lambda i: _rank(i.name, prefix_hash)).name)
+    return homes
+
+
+def _rank(name: str, prefix_hash: str) -> int:
+    return crc32(f"{prefix_hash}/{name}".encode())
+
+
+def _usual(views: list[EndpointView], settings: EndpointSettings) -> Usual:
+    """Average the reports of the endpoints that are compared."""
+    told = [v for v in views if v.load.limit]
+    if not told:
+        return Usual(0.0, settings.default_service_s, settings.default_limit)
+    services = [v.load.service_s for v in told if v.load.service_s]
+    return Usual(
+        sum(v.at_endpoint for v in told) / sum(v.load.limit for v in told),
+        sum(services) / len(services) if services else settings.default_service_s,
+        max(v.load.limit for v in told),
+    )
+
+
+def _affinity(
+    instance: Instance,
+    views: Mapping[str, EndpointView],
+    homes: Collection[str],
+    session_endpoint: str,
+    prefix_hash: str,
+    settings: EndpointSettings,
+) -> float:
+    """Return the share of a service time that caches at an endpoint save."""
+    if instance.name == session_endpoint:
+        return settings.session_gain
+    view = views.get(instance.name)
+    sent_there = view is not None and prefix_hash in view.prefixes
+    return settings.prefix_gain if sent_there or instance.name in homes else 0.0
 
 
 def _expected_s(
     view: EndpointView,
-    mean_load: float,
+    usual: Usual,
     now_s: float,
-    holds_session: bool,
-    prefix_hash: str,
+    affinity: float,
+    organisation: str,
     settings: EndpointSettings,
 ) -> float:
     """Estimate the seconds until an answer, from a report of some age."""
-    limit = view.load.limit or settings.default_limit
-    service_s = view.load.service_s or settings.default_service_s
-    others = max(0, view.load.in_flight + view.load.queued - view.own_at_report)
-    say = 0.5 ** ((now_s - view.reported_at_s) / settings.half_life_s)
-    believed = say * others + (1.0 - say) * mean_load * limit
-    load = (believed + view.own_in_flight + 1) / limit
-    expected_s = service_s * (1.0 + load)
-    if prefix_hash and prefix_hash in view.prefixes:
-        expected_s -= settings.prefix_gain * service_s
-    if holds_session:
-        expected_s -= settings.session_gain * service_s
+    limit = view.load.limit or usual.limit
+    fade_s = max(settings.min_fade_s, settings.fade_services * usual.service_s)
+    say = exp((view.reported_at_s - now_s) / fade_s)
+    unheard = max(float(view.own_in_flight), usual.load * limit)
+    believed = say * view.at_endpoint + (1.0 - say) * unheard
+    slower = view.load.service_s / (settings.slower_factor * usual.service_s)
+    service_s = usual.service_s * max(1.0, slower)
+    expected_s = service_s * (1.0 + (believed + 1.0) / limit)
+    alike = view.by_organisation[organisation]
+    expected_s += settings.spread_weight * service_s * alike / limit
+    crowding = believed + 1.0 - settings.full_share * limit
+    if crowding > 0.0:
+        return expected_s + settings.wait_weight * service_s * crowding / limit
+    expected_s -= affinity * service_s
     if now_s - view.failed_at_s < settings.failure_pause_s * view.failures:
         expected_s += service_s * view.failures
     return expected_s
--- /dev/null
+++ b/acaciacove/decisions/usual.py
@@ -0,0 +1,12 @@
+"""What is usual among the endpoints that are compared."""
+
+from attrs import frozen
+
+
+@frozen
+class Usual:
+    """Requests per admitted slot, seconds of service, and slots of an endpoint."""
+
+    load: float
+    service_s: float
+    limit: int
