--- a/acaciacove/errors.py
+++ b/acaciacove/errors.py
@@ -9,6 +9,13 @@
     """A platform service did not answer, or refused; its effect is unknown."""
 
 
+class PlatformRefusedError(PlatformUnavailableError):
+    """A call that a platform service is known not to have carried out.
+
+    It never reached the service, or the service's rate limit refused it.
+    """
+
+
 class OffsetExpiredError(AcaciacoveError):
     """Records from the asked offset on are no longer kept by the log."""
 
@@ -29,3 +36,12 @@
         """Keep every fault, one sentence each."""
         super().__init__("; ".join(faults))
         self.faults = faults
+
+
+class LogQueueFullError(AcaciacoveError):
+    """The log writer's queue has no room for an item of this class."""
+
+    def __init__(self, queued: int) -> None:
+        """Keep how many items wait already."""
+        super().__init__(f"{queued} items wait for the log already")
+        self.queued = queued
