Tell an endpoint's view when an attempt was sent

Cause: a report that lags is completed by the entry's own sends since it was made. Change: one argument at the router's call. Conclusion: no other caller is affected.

--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -106,7 +106,7 @@
 
     def sent(self, endpoint: Instance, request: CallerRequest) -> None:
         """Count an attempt that was sent."""
-        self._view_of(endpoint).sent(request.prefix_hash)
+        self._view_of(endpoint).sent(_now_s(), request.prefix_hash)
 
     def ended(self, endpoint: Instance, load: Load | None, ok: bool) -> None:
         """Count an attempt that has ended, with the load its answer carried."""
