--- a/acaciacove/bench/scenario.py
+++ b/acaciacove/bench/scenario.py
@@ -14,12 +14,14 @@
 from acaciacove.bench.scenario_fairness import run_fairness
 from acaciacove.bench.scenario_report import ScenarioReport
 from acaciacove.bench.scenario_settings import ScenarioSettings
+from acaciacove.bench.scenario_zone_move import run_zone_move
 
 Scenario = Callable[[ScenarioSettings], ScenarioReport]
 
 SCENARIOS: dict[str, Scenario] = {
     "cascade": run_cascade,
     "fairness": run_fairness,
+    "zone_move": run_zone_move,
     "balance": run_balance,
 }
 
