Refuse a named version that the caller may not reach, instead of taking another

A caller who named model@version without being allowed it was answered by some other version under status 200; so was one that named a version no endpoint serves. Found by the behave scenario 'A team that was not approved for the dear model cannot name it', which was red before and passes now.

--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -64,9 +64,10 @@
 
         A version that the caller named itself is never replaced by another one.
         """
-        if request.explicit is not None and not fleet.is_usable(request.explicit):
-            detail = f"{request.explicit} is no longer served"
-            return Refusal(Reason.VERSION_WITHDRAWN, True, detail)
+        if request.explicit is not None:
+            refusal = self._refuse_named(fleet, request, request.explicit)
+            if refusal is not None:
+                return refusal
         return choose_version(
             fleet,
             request.organisation,
@@ -80,6 +81,24 @@
             serving=self.subsets.keys(),
         )
 
+    def _refuse_named(
+        self, fleet: FleetState, request: CallerRequest, named: VersionId
+    ) -> Refusal | None:
+        """Refuse a named version that is not allowed, not usable or not served.
+
+        The choice would otherwise pass it over and take another one: a caller who
+        named the dear version would get the cheap one's answer under status 200.
+        """
+        if not request.organisation.allows(named):
+            detail = f"{request.organisation.name} may not reach {named}"
+            return Refusal(Reason.NOT_ALLOWED, True, detail)
+        if not fleet.is_usable(named):
+            detail = f"{named} is no longer served"
+            return Refusal(Reason.VERSION_WITHDRAWN, True, detail)
+        if named not in self.subsets:
+            return Refusal(Reason.NO_ENDPOINT, True, str(named), 1.0)
+        return None
+
     def choose_endpoint(
         self,
         fleet: FleetState,
