List every fault although a flag cannot be read; example settings

A wrong boolean or a flag without its value ended the reading, so that other faults came one restart later. A word that begins with a hyphen is an unknown flag, no argument. status tells when it was read. Example settings of both deployments are held valid by a test.

--- a/acaciacove/cli/fleet_report.py
+++ b/acaciacove/cli/fleet_report.py
@@ -7,8 +7,12 @@
 
 @frozen
 class FleetReport:
-    """The configuration in force and every instance on the platform's list."""
+    """The configuration in force and every instance on the platform's list.
 
+    ``read_at`` is the wall clock of the reader, in UTC.
+    """
+
+    read_at: str
     revision: int
     release_revision: int
     availability_zones_out: tuple[str, ...]
--- a/acaciacove/cli/read_settings.py
+++ b/acaciacove/cli/read_settings.py
@@ -5,18 +5,20 @@
 from typing import Any
 
 from absl.flags import (
+    ArgumentParser,
     BooleanParser,
-    DEFINE_boolean,
-    DEFINE_string,
+    DEFINE_flag,
     FlagValues,
     FloatParser,
     IntegerParser,
 )
 from absl.flags import Error as FlagError
+from absl.flags import Flag as AbslFlag
 from attrs import NOTHING, fields_dict
 
 from acaciacove.cli.command import Command
 from acaciacove.cli.flag import Flag
+from acaciacove.cli.note_file import STANDARD_INPUT
 from acaciacove.errors import InvalidSettingsError
 from acaciacove.fleet.version_id import VersionId, parse_version_id
 from acaciacove.settings.checked_settings import CheckedSettings, field_faults
@@ -81,12 +83,14 @@
 ) -> tuple[dict[str, str], dict[str, str], list[str]]:
     """Collect the text of each setting, how its user wrote it, and faults."""
     flag_values = _define(command)
+    faults: list[str] = []
+    rest: list[str] = []
     try:
         rest = flag_values([command.name, *args], known_only=True)[1:]
     except FlagError as error:
-        raise InvalidSettingsError([str(error)]) from error
-    faults = [_unknown_flag(command, word) for word in rest if word.startswith("--")]
-    words = [word for word in rest if not word.startswith("--")]
+        faults.append(str(error))
+    faults += [_unknown_flag(command, word) for word in rest if _is_flag(word)]
+    words = [word for word in rest if not _is_flag(word)]
     texts: dict[str, str] = {}
     sources: dict[str, str] = {}
     for argument, word in zip(command.arguments, words, strict=False):
@@ -114,13 +118,26 @@
     flag_values.set_gnu_getopt(True)
     settings_fields = fields_dict(command.settings)
     for flag in command.flags:
-        define: Callable[..., Any] = DEFINE_string
-        if settings_fields[flag.name].type is bool:
-            define = DEFINE_boolean
-        define(flag.name, None, flag.help, flag_values=flag_values)
+        is_boolean = settings_fields[flag.name].type is bool
+        parser = _TextOfBoolean() if is_boolean else ArgumentParser[str]()
+        defined = AbslFlag(parser, None, flag.name, None, flag.help, boolean=is_boolean)
+        DEFINE_flag(defined, flag_values=flag_values)
     return flag_values
 
 
+class _TextOfBoolean(BooleanParser):
+    """Lets ``--json`` and ``--nojson`` stand alone, and checks nothing."""
+
+    def parse(self, argument: Any) -> Any:
+        """Keep the text; it is checked with all the others."""
+        return str(argument)
+
+
+def _is_flag(word: str) -> bool:
+    """Tell a flag from an argument; a hyphen alone is standard input."""
+    return word.startswith("-") and word != STANDARD_INPUT
+
+
 def _parsed(
     command: Command, texts: dict[str, str], sources: dict[str, str]
 ) -> tuple[dict[str, Any], list[str]]:
--- a/acaciacove/cli/status.py
+++ b/acaciacove/cli/status.py
@@ -48,12 +48,15 @@
                 return await ask_instance(client, instance, fleet, settings.timeout_s)
 
         instances = await asyncio.gather(*map(ask, listed))
-    return _fleet_report(fleet, instances)
+    return _fleet_report(fleet, instances, env)
 
 
-def _fleet_report(fleet: FleetState, instances: list[InstanceReport]) -> FleetReport:
+def _fleet_report(
+    fleet: FleetState, instances: list[InstanceReport], env: Environment
+) -> FleetReport:
     in_order = sorted(instances, key=lambda i: (i.role, i.availability_zone, i.name))
     return FleetReport(
+        env.now().isoformat(timespec="seconds"),
         fleet.revision,
         fleet.release_revision,
         tuple(sorted(fleet.availability_zones_out)),
@@ -65,7 +68,10 @@
 
 def _print(report: FleetReport, env: Environment) -> None:
     console = open_console(env)
-    console.print(f"revision {report.revision}, release {report.release_revision}")
+    console.print(
+        f"revision {report.revision}, release {report.release_revision}, "
+        f"read at {report.read_at}"
+    )
     for title, names in (
         ("availability zones out", report.availability_zones_out),
         ("instances out", report.instances_out),
--- a/acaciacove/core.py
+++ b/acaciacove/core.py
@@ -16,7 +16,8 @@
 from acaciacove.exit_status import ExitStatus
 from acaciacove.release_format.invalid_note_error import InvalidNoteError
 
-HELP_FLAGS = frozenset({"--help", "-h", "help"})
+HELP_FLAGS = frozenset({"--help", "-h"})
+HELP_WORD = "help"
 VERSION_FLAGS = frozenset({"--version"})
 
 
@@ -49,7 +50,7 @@
 
 def program(args: list[str], env: Environment) -> ExitStatus:
     """Find the command, read its settings whole, and run it."""
-    if not args or args[0] in HELP_FLAGS:
+    if not args or args[0] in HELP_FLAGS or args[0] == HELP_WORD:
         env.print(program_help(COMMANDS))
         return ExitStatus.SUCCESS if args else ExitStatus.USAGE
     if args[0] in VERSION_FLAGS:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,13 +1,16 @@
 """Settings are read from flags and environment variables and checked whole."""
 
+from pathlib import Path
+
 import pytest
 
-from acaciacove.cli.definition import COMMANDS, ENTRY, SIDECAR
+from acaciacove.cli.definition import COMMANDS, ENTRY, SIDECAR, STATUS
 from acaciacove.cli.read_settings import read_settings
 from acaciacove.errors import InvalidSettingsError
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.settings.entry_settings import EntrySettings
 
+EXAMPLES = Path(__file__).parent.parent / "examples"
 ENTRY_ARGS = [
     "--name=entry-1",
     "--region=south",
@@ -42,6 +45,7 @@
     args = [
         *ENTRY_ARGS[:-3],
         "--http_port=x",
+        "-x",
         "--host=localhost",
         "--log_ulr=http://a",
         "stray",
@@ -50,6 +54,7 @@
     faults = "\n".join(faults_of(ENTRY, args, env))
     for expected in (
         "unknown flag --log_ulr; did you mean --log_url?",
+        "unknown flag --x",
         "unexpected argument 'stray'",
         "--http_port must be a whole number, not 'x'",
         "--host must be an IP number",
@@ -61,6 +66,32 @@
     assert "short" not in faults
 
 
+def test_a_wrong_boolean_or_a_missing_value_hides_no_other_fault():
+    faults = faults_of(STATUS, ["--json=maybe", "--timeout_s=0"])
+    assert "--json must be true or false, not 'maybe'" in faults
+    assert "--timeout_s must be above 0, not 0.0" in faults
+    faults = faults_of(STATUS, ["--timeout_s=0", "--log_url"])
+    assert any("--log_url" in fault for fault in faults)
+    assert "--timeout_s must be above 0, not 0.0" in faults
+
+
+@pytest.mark.parametrize(("word", "value"), [("--json", True), ("--nojson", False)])
+def test_a_boolean_flag_needs_no_value(word, value):
+    urls = ["--log_url=http://a", "--instance_list_url=http://b"]
+    assert read_settings(STATUS, [word, *urls], {"ACACIACOVE_JSON": "1"}).json is value
+
+
+@pytest.mark.parametrize("deployment", ["swimhole", "souk"])
+@pytest.mark.parametrize("command", [ENTRY, SIDECAR], ids=lambda c: c.name)
+def test_the_example_settings_have_no_faults(deployment, command):
+    file = EXAMPLES / f"{deployment}-{command.name}.env"
+    lines = [line for line in file.read_text().splitlines() if "=" in line]
+    env = dict(line.split("=", 1) for line in lines if not line.startswith("#"))
+    known = {flag.variable for flag in command.flags}
+    assert set(env) <= known
+    assert read_settings(command, [], env).host
+
+
 def test_two_listeners_on_one_port_are_refused():
     faults = faults_of(ENTRY, [*ENTRY_ARGS, "--peer_port=8080"])
     assert faults == ["http_port and peer_port must differ, both are 8080"]
