--- a/acaciacove/bench/bench_fleet.py
+++ b/acaciacove/bench/bench_fleet.py
@@ -1,41 +1,26 @@
 """A small fleet of real processes: stand-ins, sidecars and one entry."""
 
 import asyncio
-import base64
 from asyncio.subprocess import Process
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
-import orjson
 from aiosonic.exceptions import AiosonicError
 from attrs import frozen
 
 from acaciacove.bench.bench_error import BenchError
+from acaciacove.bench.bench_note import ORGANISATION, VERSION
 from acaciacove.bench.child import child
 from acaciacove.bench.free_ports import LOOPBACK, free_ports
-from acaciacove.fleet.api import Api
-from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.bench.platform_client import start_platform
 from acaciacove.fleet.instance import Instance
-from acaciacove.fleet.organisation import Organisation
 from acaciacove.fleet.role import Role
-from acaciacove.fleet.version import Version
-from acaciacove.fleet.version_id import VersionId
 from acaciacove.platform.http_client import open_client
-from acaciacove.platform.instance_codec import instance_to_document
-from acaciacove.standins.example_organisations import (
-    example_organisation,
-    example_token,
-)
-from acaciacove.state.record_codec import encode_record
-from acaciacove.state.release_note import ReleaseNote
+from acaciacove.standins.example_organisations import example_token
 
 REGION = "bench"
 ZONE = "bench-a"
-API = "guide"
-VERSION = VersionId("guide-small", "1")
-ORGANISATION = "bench-callers"
-BEARS = 512
 READY_LIMIT_S = 30.0
 READY_POLL_S = 0.05
 PLATFORM = "acaciacove.bench.platform_process"
@@ -63,7 +48,7 @@
     ]
     async with AsyncExitStack() as stack:
         platform = await stack.enter_async_context(child(PLATFORM))
-        urls = await _start_platform(platform, sidecars)
+        urls = await start_platform(platform, sidecars, len(sidecars))
         processes = [
             await stack.enter_async_context(
                 child(
@@ -97,19 +82,6 @@
         )
 
 
-def bench_note() -> ReleaseNote:
-    """Return a note with one version that bears whatever the bench sends."""
-    organisation: Organisation = example_organisation(ORGANISATION, (VERSION.model,))
-    version = Version(VERSION, API, 0.1, 1.0, cold_bears=BEARS, warm_bears=BEARS)
-    return ReleaseNote(
-        note_id="bench",
-        based_on=-1,
-        apis=(Api(API, ApiKind.MODEL),),
-        versions=(version,),
-        organisations=(organisation,),
-    )
-
-
 def _sidecar(number: int, port: int) -> Instance:
     return Instance(
         name=f"guide-{number + 1}",
@@ -135,30 +107,6 @@
     ]
 
 
-async def _start_platform(process: Process, sidecars: list[Instance]) -> dict[str, Any]:
-    """Tell the platform's process what to serve and read its URLs."""
-    description = {
-        "note": base64.b64encode(encode_record(bench_note())).decode(),
-        "instances": [instance_to_document(sidecar) for sidecar in sidecars],
-        "versions": [str(VERSION)],
-        "engines": len(sidecars),
-        "max_batch": BEARS,
-    }
-    return await ask_child(process, description)
-
-
-async def ask_child(process: Process, document: Any) -> dict[str, Any]:
-    """Write one JSON line to a process and read one."""
-    assert process.stdin is not None
-    assert process.stdout is not None
-    process.stdin.write(orjson.dumps(document) + b"\n")
-    line = await process.stdout.readline()
-    if not line:
-        raise BenchError("a process of the measurement has ended early")
-    answer: dict[str, Any] = orjson.loads(line)
-    return answer
-
-
 async def _until_ready(urls: list[str]) -> None:
     client = open_client()
     try:
--- a/acaciacove/bench/chat_reading.py
+++ b/acaciacove/bench/chat_reading.py
@@ -51,7 +51,8 @@
         content = choice.get("delta") or choice.get("message") or {}
         if content.get("content"):
             self._time_token()
-            self.tokens += 1
+            usage = document.get("usage") or {}
+            self.tokens += int(usage.get("completion_tokens") or 1)
             self.text += content["content"]
         self.finish_reason = choice.get("finish_reason") or self.finish_reason
 
--- a/acaciacove/bench/load_run.py
+++ b/acaciacove/bench/load_run.py
@@ -26,7 +26,9 @@
     started_s = loop.time()
     end_s = started_s + settings.seconds
     callers = [
-        _call_until(settings, caller, Random(settings.seed + n), numbers, end_s, tally)
+        _call_until(
+            settings, caller, Random(f"{settings.seed}/{n}"), numbers, end_s, tally
+        )
         for n in range(settings.callers)
     ]
     await asyncio.gather(*callers)
@@ -68,3 +70,8 @@
         "max_tokens": settings.max_tokens,
         "stream": random.random() < settings.stream_share,
     }
+
+
+def _random(settings: LoadSettings, caller: int) -> Random:
+    """Give every caller draws of its own, the same in each run."""
+    return Random(f"{settings.seed}/{caller}")
--- a/acaciacove/bench/overhead.py
+++ b/acaciacove/bench/overhead.py
@@ -12,18 +12,14 @@
 import orjson
 from attrs import define, field
 
-from acaciacove.bench.bench_fleet import (
-    API,
-    VERSION,
-    BenchFleet,
-    ask_child,
-    bench_fleet,
-)
+from acaciacove.bench.bench_fleet import BenchFleet, bench_fleet
+from acaciacove.bench.bench_note import API, VERSION
 from acaciacove.bench.call_outcome import CallOutcome
 from acaciacove.bench.caller import Caller
 from acaciacove.bench.child import child
 from acaciacove.bench.load_run import chat_body
 from acaciacove.bench.overhead_report import OverheadReport, RateReport
+from acaciacove.bench.platform_client import ask_child
 from acaciacove.bench.process_usage import ProcessUsage, process_usage
 from acaciacove.bench.quantiles import TimeSketch
 from acaciacove.platform.http_client import open_client
@@ -77,11 +73,13 @@
     return _report(callers, stream, direct, routed)
 
 
-async def measure_rate(fleet: BenchFleet, seconds: float) -> RateReport:
+async def measure_rate(
+    fleet: BenchFleet, seconds: float, max_tokens: int, stream: bool
+) -> RateReport:
     """Load one entry from several processes and see what it used."""
     pids = [fleet.entry.pid, *(sidecar.pid for sidecar in fleet.sidecars)]
     before = [process_usage(pid) for pid in pids]
-    reports = await _load(fleet, seconds)
+    reports = await _load(fleet, seconds, max_tokens, stream)
     after = [process_usage(pid) for pid in pids]
     whole = sum(report["whole"] for report in reports)
     longest_s = max(report["seconds"] for report in reports)
@@ -93,6 +91,8 @@
             failures[name] = failures.get(name, 0) + count
     return RateReport(
         callers=LOAD_PROCESSES * LOAD_CALLERS,
+        max_tokens=max_tokens,
+        stream=stream,
         seconds=longest_s,
         requests_per_s=round(whole / longest_s, 1),
         tokens_per_s=round(sum(report["tokens_per_s"] for report in reports), 1),
@@ -143,35 +143,32 @@
     )
 
 
-async def _load(fleet: BenchFleet, seconds: float) -> list[dict[str, Any]]:
+async def _load(
+    fleet: BenchFleet, seconds: float, max_tokens: int, stream: bool
+) -> list[dict[str, Any]]:
     """Run load processes side by side and return their reports."""
     async with AsyncExitStack() as stack:
         processes = [
             await stack.enter_async_context(child(LOAD_PROCESS))
             for _ in range(LOAD_PROCESSES)
         ]
+        settings = LoadSettings(
+            entry_url=fleet.entry_url,
+            token=fleet.token,
+            chat_api=API,
+            callers=LOAD_CALLERS,
+            requests=MANY,
+            seconds=seconds,
+            stream_share=float(stream),
+            max_tokens=max_tokens,
+        )
         asked = [
-            ask_child(process, _load_document(fleet, seconds, seed))
-            for seed, process in enumerate(processes)
+            ask_child(process, attrs.asdict(attrs.evolve(settings, seed=number)))
+            for number, process in enumerate(processes)
         ]
         return list(await asyncio.gather(*asked))
 
 
-def _load_document(fleet: BenchFleet, seconds: float, seed: int) -> dict[str, Any]:
-    settings = LoadSettings(
-        entry_url=fleet.entry_url,
-        token=fleet.token,
-        chat_api=API,
-        callers=LOAD_CALLERS,
-        requests=MANY,
-        seconds=seconds,
-        stream_share=0.0,
-        max_tokens=MAX_TOKENS,
-        seed=seed * LOAD_CALLERS,
-    )
-    return attrs.asdict(settings)
-
-
 def _cpu_s(usages: list[ProcessUsage]) -> float:
     return sum(usage.cpu_s for usage in usages)
 
@@ -184,7 +181,7 @@
             for callers, rounds in ROUNDS.items()
             for stream in (False, True)
         ]
-        rate = await measure_rate(fleet, LOAD_S)
+        rate = await measure_rate(fleet, LOAD_S, MAX_TOKENS, stream=False)
     return {
         "overhead": [attrs.asdict(report) for report in overheads],
         "rate": attrs.asdict(rate),
--- a/acaciacove/bench/overhead_report.py
+++ b/acaciacove/bench/overhead_report.py
@@ -29,6 +29,8 @@
     """Requests per second through one entry, and what the processes used."""
 
     callers: int
+    max_tokens: int
+    stream: bool
     seconds: float
     requests_per_s: float
     tokens_per_s: float
--- a/acaciacove/platform/http_client.py
+++ b/acaciacove/platform/http_client.py
@@ -15,7 +15,11 @@
 REUSES = 10_000
 
 
-def open_client(connections: int = 256, reuse: bool = True) -> Any:
+def open_client(
+    connections: int = 256,
+    reuse: bool = True,
+    connection_cls: type[SafeConnection] = SafeConnection,
+) -> Any:
     """Open a client with a pool of at most so many connections.
 
     Without ``reuse`` every request has a fresh connection. The library sends a
@@ -33,6 +37,6 @@
     connector = TCPConnector(
         pool_configs={":default": config},
         timeouts=timeouts,
-        connection_cls=SafeConnection if reuse else OnceConnection,
+        connection_cls=connection_cls if reuse else OnceConnection,
     )
     return HTTPClient(connector)
