Project measured slopes to the size to design for, beside the budgets

Cause: the control budget of a node and the shared appends have to hold at 380 entries before 600 endpoints. Change: bench/capacity.py measures all slopes, works totals for each role out, names what is over budget, and ends with one JSON object.

--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,120 @@
+"""Capacity is worked out from measured slopes, and overruns are named."""
+
+import asyncio
+
+from acaciacove.bench.budget_line import BudgetLine
+from acaciacove.bench.capacity_appends import AppendCost, measure_appends
+from acaciacove.bench.capacity_codec import CodecCost, measure_codec
+from acaciacove.bench.capacity_connections import measure_connection_bytes
+from acaciacove.bench.capacity_decisions import DecisionCost, measure_decisions
+from acaciacove.bench.capacity_memory import (
+    MemorySlopes,
+    ResidentSizes,
+    bytes_per_item,
+    measure_memory,
+)
+from acaciacove.bench.capacity_polling import PollCost
+from acaciacove.bench.capacity_projection import (
+    LIST_POLLS_PER_S,
+    MEMORY,
+    TAIL_POLLS_PER_S,
+    TRAFFIC,
+    facts,
+    project,
+)
+from acaciacove.bench.capacity_relay import RelayCost
+from acaciacove.bench.capacity_report import CapacityReport
+from acaciacove.bench.capacity_settings import CapacitySettings
+from acaciacove.bench.capacity_slopes import CapacitySlopes
+from acaciacove.bench.capacity_spread import SpreadLoad
+from acaciacove.bench.control_budget import ControlBudget
+from acaciacove.bench.design_size import DesignSize
+
+SIZE = DesignSize(entries=10, endpoints=20, organisations=2, versions=1)
+SLOPES = CapacitySlopes(
+    memory=MemorySlopes(500.0, 200.0, 20_000.0, 1000.0, 300.0),
+    resident=ResidentSizes(1, 2, 3, 4),
+    connection_bytes=4000.0,
+    decisions=[DecisionCost(20, 1, 20.0, 60.0, 100.0, 8)],
+    codec=[CodecCost("Run", 1000, 20.0, 20.0)],
+    polls=[PollCost("log", 0, 120.0, 0.6), PollCost("instance_list", 30, 3000.0, 0.5)],
+    appends=[
+        AppendCost("billing", 1.0, 0.2, 5.0, 1.0, 0),
+        AppendCost("claims", 1.0, 0.1, 5.0, 1.0, 0),
+    ],
+    spread=[SpreadLoad(30, 500.0, 900.0, 3000, 0.0004, 1.1)],
+    relay=RelayCost(1000.0, 40.0, 900.0, 50.0, 1, 2, 3, 4, 0),
+)
+
+
+def line(name, slopes=SLOPES, role="entry"):
+    """Return one projected figure."""
+    lines = project(slopes, SIZE, ControlBudget())
+    return next(found for found in lines if (found.role, found.name) == (role, name))
+
+
+def test_an_item_weighs_what_it_holds():
+    light = bytes_per_item(lambda n: bytes(1000))
+    heavy = bytes_per_item(lambda n: bytes(3000))
+    assert 1900 < heavy - light < 2100
+
+
+def test_state_grows_with_the_classes_that_hold_it():
+    memory = measure_memory(versions=2)
+    assert memory.endpoint_view_full > 10 * memory.endpoint_view > 0
+
+
+def test_entry_memory_adds_up_views_names_and_connections():
+    views = 8 * 20_000 + 12 * 200
+    names = 30 * 500 + 2 * 1000 + 300
+    assert line(MEMORY).value == names + views + 8 * 4000
+
+
+def test_control_traffic_adds_up_spread_tail_list_and_notes():
+    tail = 120.0 * TAIL_POLLS_PER_S
+    listing = 3000.0 * LIST_POLLS_PER_S
+    notes = 920 * 2000 / 86_400
+    assert line(TRAFFIC).value == round(500.0 + tail + listing + notes, 1)
+
+
+def test_the_data_path_is_told_apart_from_control():
+    found = facts(SLOPES, SIZE)
+    per_entry_us = (7800 * 1000 + 1_800_000 * 40) / 10
+    assert found["entry_data_core_share"] == per_entry_us / 1_000_000
+
+
+def test_what_exceeds_its_budget_is_named():
+    # A page that only listed figures would let an overrun pass unread.
+    lines = (
+        BudgetLine("entry", "traffic", 3001.0, 3000.0, "bytes/s"),
+        BudgetLine("entry", "state", 1.0, 2.0, "bytes"),
+    )
+    report = CapacityReport(CapacitySettings(), SLOPES, lines, {})
+    assert report.over_budget == ["entry: traffic"]
+    assert report.document()["over_budget"] == ["entry: traffic"]
+
+
+def test_an_entry_compares_no_more_endpoints_in_a_larger_fleet():
+    by_size = {c.endpoints: c.subset for c in measure_decisions() if c.versions == 2}
+    assert by_size[600] == by_size[100] < 30
+
+
+def test_appends_do_not_grow_with_requests():
+    # Bills are appended in batches. One append a bill would use up the log at a
+    # fraction of the requests, and bookings could make no claims.
+    costs = [c for c in measure_appends(DesignSize()) if c.stream == "billing"]
+    assert all(cost.unsettled < 300 for cost in costs)
+    assert max(c.appends_per_s for c in costs) < 2 * min(c.appends_per_s for c in costs)
+
+
+def test_every_frequent_message_is_measured():
+    assert {cost.message for cost in measure_codec()} >= {
+        "Run",
+        "Chunk",
+        "End",
+        "Digest",
+    }
+
+
+def test_a_connection_between_processes_weighs_a_few_kilobytes():
+    assert 500 < asyncio.run(measure_connection_bytes()) < 50_000
