--- a/acaciacove/bench/capacity_memory.py
+++ b/acaciacove/bench/capacity_memory.py
@@ -106,7 +106,7 @@
     view = EndpointView(_ENDPOINT)
     random = Random(number)
     for _ in range(MAX_PREFIXES):
-        view.sent(f"{random.getrandbits(PREFIX_BITS):08x}")
+        view.sent(0.0, f"{random.getrandbits(PREFIX_BITS):08x}")
     return view
 
 
--- a/acaciacove/bench/capacity_projection.py
+++ b/acaciacove/bench/capacity_projection.py
@@ -8,7 +8,8 @@
 from acaciacove.bench.control_budget import ControlBudget
 from acaciacove.bench.design_size import DesignSize
 from acaciacove.daemon.follow_instances import POLL_S
-from acaciacove.daemon.follow_release import PAUSE_S, WAIT_S
+from acaciacove.state.log_tail import IDLE_DELAY_S as PAUSE_S
+from acaciacove.state.log_tail import READ_WAIT_S as WAIT_S
 
 ENTRY = "entry"
 SIDECAR = "sidecar"
--- a/tests/test_path_spread.py
+++ b/tests/test_path_spread.py
@@ -107,9 +107,7 @@
                 fleet.mark(name, InstanceStatus.LEAVING)
             fetches = fleet.listing.fetches
             await until(lambda: fleet.listing.fetches > fetches + 12)
-            await until(
-                lambda: membership.status_of("guide-0") is InstanceStatus.LIVE
-            )
+            await until(lambda: membership.status_of("guide-0") is InstanceStatus.LIVE)
             response = await fleet.post(CHAT, QUESTION)
             assert response.status_code == 200
 
