Let a guess of an engine's speed delay early requests, not refuse them

Cause: the fair queue refuses what cannot be answered in time, and judged 30 callers of a cold engine by a guess of 20 ms a token and 256 tokens each: 504 for 20 of them. Change: the guess is 5 ms until answers teach better, 64 tokens where the caller sets no limit, and finished attempts report the tokens they used. Views count in flight by organisation.

--- a/acaciacove/entry/parse_chat.py
+++ b/acaciacove/entry/parse_chat.py
@@ -8,7 +8,8 @@
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
-DEFAULT_MAX_TOKENS = 256
+# A guess of what is generated when the caller sets no limit; sidecars correct it.
+USUAL_TOKENS = 64
 MAX_TOKENS_LIMIT = 1_000_000
 MAX_MESSAGES = 10_000
 
@@ -29,7 +30,7 @@
         model=document["model"],
         stream=document.get("stream", False),
         prompt_chars=sum(len(text) for text in texts),
-        max_tokens=document.get("max_tokens") or DEFAULT_MAX_TOKENS,
+        max_tokens=document.get("max_tokens") or USUAL_TOKENS,
         first_message=texts[0],
         document=document,
     )
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -120,18 +120,23 @@
             fleet,
             excluded=progress.failed_endpoints,
             prefix_hash=request.prefix_hash,
+            organisation=request.organisation.name,
             zone_shares={zone: self.zone_moves.share(zone, now_s) for zone in zones},
         )
 
     def sent(self, endpoint: Instance, request: CallerRequest) -> None:
         """Count an attempt that was sent."""
-        self._view_of(endpoint).sent(_now_s(), request.prefix_hash)
+        self._view_of(endpoint).sent(
+            _now_s(), request.prefix_hash, request.organisation.name
+        )
 
-    def ended(self, endpoint: Instance, load: Load | None, ok: bool) -> None:
+    def ended(
+        self, endpoint: Instance, request: CallerRequest, load: Load | None, ok: bool
+    ) -> None:
         """Count an attempt that has ended, with the load its answer carried."""
         view = self._view_of(endpoint)
         now_s = _now_s()
-        view.ended(ok, now_s)
+        view.ended(ok, now_s, request.organisation.name)
         if load is not None:
             view.reported(load, now_s)
 
--- a/acaciacove/entry/try_endpoint.py
+++ b/acaciacove/entry/try_endpoint.py
@@ -86,7 +86,7 @@
         detail = "the deadline passed while the endpoint was working"
         yield _failed(attempt, Reason.DEADLINE_EXCEEDED, detail)
     finally:
-        entry.router.ended(endpoint, load, ok)
+        entry.router.ended(endpoint, request, load, ok)
         link.finish(attempt)
 
 
--- a/acaciacove/sidecar/admission.py
+++ b/acaciacove/sidecar/admission.py
@@ -73,7 +73,8 @@
         """Give a place back, and learn how the endpoint bore the attempt."""
         now_s = _now_s()
         item = self._items.pop(_item_id(ticket.run))
-        self.queue.finish(item, now_s, completed)
+        used_tokens = ticket.tokens if ticket.tokens else None
+        self.queue.finish(item, now_s, completed, used_tokens)
         service_s = now_s - ticket.admitted_at_s
         if completed:
             self.service_s += SMOOTHING * (service_s - self.service_s)
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -40,6 +40,10 @@
 from acaciacove.sidecar.sidecar_state import SidecarState
 from acaciacove.wire.connection import Connection
 
+# Before the first answers nothing is known of the engine's speed. A low guess makes
+# early requests wait; a high one would refuse what could have been served in time.
+GUESS_TOKEN_S = 0.005
+
 
 @frozen
 class RunningSidecar:
@@ -105,7 +109,8 @@
     rng = Random(settings.seed) if settings.seed else Random()
     client = open_client()
     lifecycle = ProcessLifecycle()
-    admission = Admission(AdmissionQueue(AdmissionSettings(settings.max_queue)))
+    queue = AdmissionQueue(AdmissionSettings(settings.max_queue, token_s=GUESS_TOKEN_S))
+    admission = Admission(queue)
     served = frozenset(settings.versions)
 
     def on_change() -> None:
