Keep other people's text from being read as markup or escape sequences

A summary with a bracket ended release show with a markup error, and one with an escape sequence could hide lines on another operator's terminal. Quoted values in faults are cut and escaped.

--- a/acaciacove/cli/tables.py
+++ b/acaciacove/cli/tables.py
@@ -12,7 +12,11 @@
 def open_console(env: Environment) -> Console:
     """Write to standard output, as wide as the terminal or as a file's width."""
     width = None if env.stdout_isatty else FILE_WIDTH
-    return Console(file=env.stdout, width=width, highlight=False)
+    # Names and summaries are other people's text: read as markup, a summary with
+    # a bracket in it would end the command with an error.
+    return Console(
+        file=env.stdout, width=width, highlight=False, markup=False, emoji=False
+    )
 
 
 def new_table(*columns: str) -> Table:
--- a/acaciacove/release_format/node_readers.py
+++ b/acaciacove/release_format/node_readers.py
@@ -23,8 +23,11 @@
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
 INTEGER = re.compile(r"[-+]?(0|[1-9][0-9]{0,17})")
 NUMBER = re.compile(r"[-+]?[0-9]+(\.[0-9]*)?([eE][-+]?[0-9]+)?")
+KEY = re.compile(r"[A-Za-z0-9._-]{1,100}")
 DIGEST = re.compile(r"[0-9a-f]{64}")
 CALL = re.compile(r"(GET|PUT|POST|PATCH|DELETE) (/\S*)")
+CONTROL = re.compile(r"[\x00-\x08\x0b-\x1f\x7f-\x9f]")
+MAX_SHOWN = 80
 BOOLEANS = {"true": True, "false": False}
 
 
@@ -54,12 +57,23 @@
         return "a list"
     if node.tag in NOT_TEXT:
         return NOT_TEXT[node.tag]
-    return repr(node.value)
+    return shown(node.value)
+
+
+def shown(text: str) -> str:
+    """Quote text for a message, control characters escaped and cut to a line."""
+    quoted = repr(text)
+    return quoted if len(quoted) <= MAX_SHOWN else f"{quoted[:MAX_SHOWN]}..."
 
 
 def read_text(node: Node, path: str, faults: FaultList) -> Any:
     """Read text; numbers and dates count as the text that was written."""
     if isinstance(node, ScalarNode) and node.tag in SCALAR_TAGS:
+        if CONTROL.search(node.value):
+            # Text goes to the terminals of other operators, where an escape
+            # sequence could hide or forge what they are shown.
+            faults.add(node, path, "control characters are not taken")
+            return UNREADABLE
         return node.value
     hint = "; put it in quotes" if isinstance(node, ScalarNode) else ""
     faults.add(node, path, f"expected text, found {kind_of(node)}{hint}")
@@ -73,7 +87,7 @@
         text = read_text(node, path, faults)
         if text is UNREADABLE or pattern.fullmatch(text):
             return text
-        faults.add(node, path, f"expected {expected}, found {text!r}")
+        faults.add(node, path, f"expected {expected}, found {shown(text)}")
         return UNREADABLE
 
     return read_matching
@@ -110,7 +124,7 @@
     version = parse_version_id(text)
     if version and NAME.fullmatch(version.model) and NAME.fullmatch(version.version):
         return version
-    faults.add(node, path, f"expected model@version, found {text!r}")
+    faults.add(node, path, f"expected model@version, found {shown(text)}")
     return UNREADABLE
 
 
@@ -122,7 +136,7 @@
     match = CALL.fullmatch(text)
     if match:
         return CallRule(match.group(1), match.group(2))
-    faults.add(node, path, f"expected a call such as 'POST /path', found {text!r}")
+    faults.add(node, path, f"expected a call such as 'POST /path', found {shown(text)}")
     return UNREADABLE
 
 
@@ -252,6 +266,7 @@
 
 def join(path: str, name: str) -> str:
     """Write the path of a key below another."""
+    name = name if KEY.fullmatch(name) else shown(name)
     return f"{path}.{name}" if path else name
 
 
--- a/tests/test_cli_release.py
+++ b/tests/test_cli_release.py
@@ -216,6 +216,15 @@
     assert orjson.loads(out)["withdrawn"] == ["version guide-small@1"]
 
 
+def test_brackets_in_a_summary_are_shown_as_they_are():
+    log = released()
+    text = 'note: n\nsummary: "[/bold] :tent: Roll out"\n'
+    assert run(log, "release", "publish", "-", URL, stdin=text)[0] == 0
+    status, out, _ = run(log, "release", "show", URL)
+    assert status is ExitStatus.SUCCESS
+    assert "[/bold] :tent: Roll out" in out
+
+
 def test_what_is_in_force_is_printed_as_a_note_that_reads_back():
     log = released()
     _, out, _ = run(log, "release", "show", URL, "--yaml")
--- a/tests/test_release_format.py
+++ b/tests/test_release_format.py
@@ -233,6 +233,14 @@
     return fold(FleetState(), 0, note).state
 
 
+def test_escape_sequences_do_not_reach_the_terminals_of_others():
+    # A summary that moves the cursor could hide a withdrawal from whoever looks at
+    # the history.
+    faults = faults_of('note: n\nsummary: "a\\e[2Jb"\n"\\e[1A": 1\n')
+    assert [fault[:2] for fault in faults] == [(2, "summary"), (3, "")]
+    assert not any("\x1b" in "".join(map(str, fault)) for fault in faults)
+
+
 def test_names_that_are_not_in_force_are_refused_with_their_place():
     # A note allows a model that nobody serves, or changes a version that was
     # never released. Callers would meet it as refusals; its operator must first.
