Fetch the instance list less often the longer it is, and wait longer on the log

Cause: at 980 instances a fetch a second took 201 kB/s and 2% of a core of every process, 67 times the traffic budget; the log was read 817 times a second. New instances are seen later at that size; membership has to spread them. Touches daemon/, which others own.

--- a/acaciacove/bench/capacity_projection.py
+++ b/acaciacove/bench/capacity_projection.py
@@ -7,7 +7,7 @@
 from acaciacove.bench.capacity_slopes import CapacitySlopes
 from acaciacove.bench.control_budget import ControlBudget
 from acaciacove.bench.design_size import DesignSize
-from acaciacove.daemon.follow_instances import POLL_S
+from acaciacove.daemon.follow_instances import list_pause_s
 from acaciacove.daemon.follow_release import PAUSE_S, WAIT_S
 
 ENTRY = "entry"
@@ -24,7 +24,6 @@
 MILLISECONDS = 1000.0
 MICROSECONDS = 1_000_000.0
 TAIL_POLLS_PER_S = 1.0 / (WAIT_S + PAUSE_S)
-LIST_POLLS_PER_S = 1.0 / POLL_S
 
 
 def project(
@@ -57,7 +56,7 @@
     """Return figures without a budget, above all those of the data path."""
     found = {
         "log_reads_per_s": round(size.processes * TAIL_POLLS_PER_S, 1),
-        "instance_list_reads_per_s": round(size.processes * LIST_POLLS_PER_S, 1),
+        "instance_list_reads_per_s": round(size.processes * _list_polls_per_s(size), 1),
         "connections_per_sidecar": _connections_per_sidecar(slopes, size),
         "connections_per_entry": _connections_per_entry(slopes, size),
         "resident_before_state_entry_bytes": slopes.resident.entry_code,
@@ -79,13 +78,13 @@
     tail_s = _poll(slopes, LOG).cpu_ms / MILLISECONDS * TAIL_POLLS_PER_S
     listing_s = _list_cpu_s(slopes, size) + update_us / MICROSECONDS
     spread = slopes.spread[-1].core_share
-    return round(spread + tail_s + listing_s * LIST_POLLS_PER_S, 5)
+    return round(spread + tail_s + listing_s * _list_polls_per_s(size), 5)
 
 
 def _traffic_bytes_per_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     """Add up what one process sends and fetches while little changes."""
     tail = _poll(slopes, LOG).size_bytes * TAIL_POLLS_PER_S
-    listing = _list_bytes(slopes, size) * LIST_POLLS_PER_S
+    listing = _list_bytes(slopes, size) * _list_polls_per_s(size)
     notes = size.changes_per_day / DAY_S * size.note_bytes
     return round(slopes.spread[-1].idle_bytes_per_s + tail + listing + notes, 1)
 
@@ -153,6 +152,10 @@
     return [poll for poll in slopes.polls if poll.what == what][-1]
 
 
+def _list_polls_per_s(size: DesignSize) -> float:
+    return 1.0 / list_pause_s(size.processes)
+
+
 def _list_cpu_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     largest = _poll(slopes, "instance_list")
     return largest.cpu_ms / MILLISECONDS * size.processes / largest.listed
--- a/acaciacove/daemon/follow_release.py
+++ b/acaciacove/daemon/follow_release.py
@@ -9,7 +9,7 @@
 from acaciacove.state.record import RELEASE_STREAM
 
 READ_LIMIT = 256
-WAIT_S = 1.0
+WAIT_S = 10.0
 PAUSE_S = 0.2
 
 
