--- a/acaciacove/state/log_tail.py
+++ b/acaciacove/state/log_tail.py
@@ -14,7 +14,7 @@
 GapHandler = Callable[[int], None]
 
 READ_LIMIT = 1000
-READ_WAIT_S = 1.0
+READ_WAIT_S = 10.0
 READ_TIMEOUT_S = 3.0
 IDLE_DELAY_S = 0.1
 BACKOFF_LIMIT_S = 2.0
