--- a/acaciacove/state/log_tail.py
+++ b/acaciacove/state/log_tail.py
@@ -14,7 +14,7 @@
 GapHandler = Callable[[int], None]
 
 READ_LIMIT = 1000
-READ_WAIT_S = 1.0
+READ_WAIT_S = 10.0
 READ_TIMEOUT_S = 3.0
 IDLE_DELAY_S = 0.1
 BACKOFF_LIMIT_S = 2.0
@@ -66,7 +66,10 @@
         """Follow the stream until cancelled, through outages."""
         while True:
             try:
-                count = await self.read_once(READ_WAIT_S)
+                # Waiting for news before the end has been seen once would hold a
+                # fresh process back from serving for the length of the wait.
+                wait_s = READ_WAIT_S if self.caught_up.is_set() else 0.0
+                count = await self.read_once(wait_s)
             except PlatformUnavailableError:
                 await asyncio.sleep(self._backoff.next_delay_s())
                 continue
