--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -166,6 +166,11 @@
             "0 to 1. Only idempotent requests are sent twice.",
             "SHARE",
         ),
+        Flag(
+            "rating_share",
+            "Answers handed to the rating service, as a share of all, 0 to 1.",
+            "SHARE",
+        ),
         Flag(
             "session_secret",
             "Secret that signs session tokens, the same on all entries, 16 characters "
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -1,13 +1,14 @@
 """The way of one request: choose, attempt, and go on elsewhere when allowed."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 from contextlib import aclosing
 
 from acaciacove.daemon.decision_log import log_event
 from acaciacove.decisions.answer_signal import AnswerSignal
 from acaciacove.decisions.cascade import should_escalate
 from acaciacove.decisions.decision import Decision
+from acaciacove.decisions.rated_class import RatedClass, signal_bin
 from acaciacove.entry.answer_end import AnswerEnd
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.answer_head import AnswerHead
@@ -18,6 +19,7 @@
 from acaciacove.entry.retry_rule import as_refusal, final_refusal
 from acaciacove.entry.try_endpoint import try_endpoint
 from acaciacove.entry.whole_answer import WholeAnswer
+from acaciacove.fleet.api_kind import ApiKind
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
 from acaciacove.messages.refused import Refused
@@ -64,19 +66,19 @@
 ) -> AsyncGenerator[AnswerEvent | Refused, None]:
     """Yield one attempt's events, or those of the version it escalates to."""
     if request.stream:
-        had_head = progress.is_begun
-        events = try_endpoint(request, progress, entry, version, endpoint)
+        events = _streamed_events(request, progress, entry, version, endpoint)
         async with aclosing(events):
             async for event in events:
-                if not (had_head and isinstance(event, AnswerHead)):
-                    yield event
+                yield event
         return
     whole = await _whole_answer(request, progress, entry, version, endpoint)
     if isinstance(whole, Refused):
         yield whole
         return
-    if _escalates(request, progress, entry, whole):
-        better = await _escalated(request, progress, entry)
+    signal = _signal(whole.head, whole.end)
+    _learn(request, entry, whole.end, signal, whole.pieces, _explored(progress))
+    if _escalates(request, progress, entry, whole, signal):
+        better = await _escalated(request, progress, entry, whole, signal)
         whole = better or whole
     yield whole.head
     for piece in whole.pieces:
@@ -84,6 +86,63 @@
     yield whole.end
 
 
+async def _streamed_events(
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    version: Version,
+    endpoint: Instance,
+) -> AsyncGenerator[AnswerEvent | Refused, None]:
+    """Relay a stream, without a second head where one is resumed."""
+    is_resumed = progress.is_begun
+    head: AnswerHead | None = None
+    pieces: list[AnswerPiece] = []
+    events = try_endpoint(request, progress, entry, version, endpoint)
+    async with aclosing(events):
+        async for event in events:
+            match event:
+                case AnswerHead():
+                    head = event
+                    if is_resumed:
+                        continue
+                case AnswerPiece():
+                    pieces.append(event)
+                case AnswerEnd() if head is not None and not is_resumed:
+                    _learn(request, entry, event, _signal(head, event), pieces, False)
+            yield event
+
+
+def _signal(head: AnswerHead, end: AnswerEnd) -> float:
+    """Sum up how good an answer looks before anyone has rated it."""
+    return AnswerSignal(
+        status=head.status,
+        finish_reason=end.finish_reason,
+        completion_tokens=end.completion_tokens,
+    ).value()
+
+
+def _explored(progress: Progress) -> bool:
+    return progress.decision is not None and progress.decision.explored
+
+
+def _learn(
+    request: CallerRequest,
+    entry: EntryState,
+    end: AnswerEnd,
+    signal: float,
+    pieces: Sequence[AnswerPiece],
+    explored: bool,
+) -> None:
+    """Count a first answer by its signal, and have a sample of them rated."""
+    if request.api.kind is not ApiKind.MODEL:
+        return
+    bin_ = signal_bin(signal)
+    entry.router.estimates.record_answer(end.version, request.request_class, bin_)
+    rated_class = str(RatedClass(request.request_class, signal_bin=bin_))
+    answer = b"".join(piece.data for piece in pieces)
+    entry.rater.offer(request.request_id, end.version, rated_class, answer, explored)
+
+
 async def _whole_answer(
     request: CallerRequest,
     progress: Progress,
@@ -114,24 +173,27 @@
 
 
 def _escalates(
-    request: CallerRequest, progress: Progress, entry: EntryState, whole: WholeAnswer
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    whole: WholeAnswer,
+    signal: float,
 ) -> bool:
-    """Judge an answer by what is known of it, and say whether to ask a better one."""
+    """Say whether to ask a better version, if the time left allows it."""
     decision = progress.decision
     if decision is None or request.non_idempotent or progress.step > 0:
         return False
-    signal = AnswerSignal(
-        status=whole.head.status,
-        finish_reason=whole.end.finish_reason,
-        completion_tokens=whole.end.completion_tokens,
-    ).value()
     left_s = request.deadline_at_s - asyncio.get_running_loop().time()
     has_time = left_s > whole.end.service_s
     return should_escalate(decision, signal, entry.rng, has_time)
 
 
 async def _escalated(
-    request: CallerRequest, progress: Progress, entry: EntryState
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    first: WholeAnswer,
+    signal: float,
 ) -> WholeAnswer | None:
     """Ask the next version on the ladder; None leaves the answer at hand."""
     progress.step += 1
@@ -140,7 +202,14 @@
     if isinstance(chosen, Refusal):
         return None
     whole = await _whole_answer(request, progress, entry, *chosen)
-    return None if isinstance(whole, Refused) else whole
+    if isinstance(whole, Refused):
+        return None
+    rated_class = RatedClass(
+        request.request_class, str(first.end.version), signal_bin(signal)
+    )
+    answer = b"".join(piece.data for piece in whole.pieces)
+    entry.rater.offer(request.request_id, whole.end.version, str(rated_class), answer)
+    return whole
 
 
 def _choose(
--- a/acaciacove/entry/entry_state.py
+++ b/acaciacove/entry/entry_state.py
@@ -10,6 +10,8 @@
 from acaciacove.daemon.shared_state import SharedState
 from acaciacove.decisions.budget import Budget
 from acaciacove.entry.entry_metrics import EntryMetrics
+from acaciacove.entry.learner import Learner
+from acaciacove.entry.rate_answer import AnswerRater
 from acaciacove.entry.router import Router
 from acaciacove.entry.sidecar_link import SidecarLink
 from acaciacove.fleet.instance import Instance
@@ -30,6 +32,8 @@
     metrics: EntryMetrics
     rng: Random
     retries: Budget
+    learner: Learner
+    rater: AnswerRater
     open_link: Callable[[Instance], SidecarLink]
     links: dict[tuple[str, int], SidecarLink] = field(factory=dict)
     in_flight: int = 0
--- /dev/null
+++ b/acaciacove/entry/estimates_record.py
@@ -0,0 +1,62 @@
+"""What ratings have taught, as the entries that read them publish it."""
+
+import orjson
+from attrs import frozen
+
+from acaciacove.decisions.shared_cell import SharedCell
+from acaciacove.errors import MalformedMessageError
+
+ESTIMATES_STREAM = "estimates"
+
+
+@frozen
+class EstimatesRecord:
+    """Counters changed since the last record, and the last rating they include.
+
+    ``sequence`` is the rating service's. Whoever reads the same ratings counts the
+    same, so two publishers at once do no harm.
+    """
+
+    sequence: int
+    quality: tuple[SharedCell, ...] = ()
+    guard: tuple[SharedCell, ...] = ()
+
+
+def encode_estimates(record: EstimatesRecord) -> bytes:
+    """Write a record, with cells as arrays to keep it small."""
+    document = {
+        "sequence": record.sequence,
+        "quality": [_to_list(cell) for cell in record.quality],
+        "guard": [_to_list(cell) for cell in record.guard],
+    }
+    return orjson.dumps(document)
+
+
+def decode_estimates(payload: bytes) -> EstimatesRecord:
+    """Read a record; raises MalformedMessageError."""
+    try:
+        document = orjson.loads(payload)
+        return EstimatesRecord(
+            int(document["sequence"]),
+            tuple(_from_list(cell) for cell in document["quality"]),
+            tuple(_from_list(cell) for cell in document["guard"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedMessageError(f"not estimates: {error}") from error
+
+
+def _to_list(cell: SharedCell) -> list[object]:
+    return [cell.origin, cell.name, cell.count, cell.total, cell.squares]
+
+
+def _from_list(values: list[object]) -> SharedCell:
+    origin, name, count, total, squares = values
+    if not isinstance(name, list):
+        raise TypeError("a cell's name is a list")
+    return SharedCell(
+        str(origin),
+        tuple(str(part) for part in name),
+        float(str(count)),
+        float(str(total)),
+        float(str(squares)),
+    )
--- /dev/null
+++ b/acaciacove/entry/learner.py
@@ -0,0 +1,105 @@
+"""Fold of ratings and evidence, on the entries that have this duty."""
+
+from attrs import define, field
+
+from acaciacove.decisions.evidence_kind import EvidenceKind
+from acaciacove.decisions.guard_action import GuardAction
+from acaciacove.decisions.quality_estimates import QualityEstimates
+from acaciacove.decisions.rollout_guard import RolloutGuard
+from acaciacove.decisions.shared_cell import SharedCell
+from acaciacove.entry.estimates_record import EstimatesRecord, encode_estimates
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.platform.rating import Rating
+from acaciacove.state.exposure_record import ExposureRecord
+from acaciacove.state.quarantine_record import QuarantineRecord
+
+# The origin that all readers of ratings count under: they count the same.
+RATINGS_ORIGIN = "ratings"
+MAX_CELLS = 2048
+PUBLISHED_BYTES_PER_S = 500.0
+PUBLISH_INTERVAL_S = 2.0
+
+Judgement = QuarantineRecord | ExposureRecord
+
+
+@define(eq=False)
+class Learner:
+    """Counts ratings, publishes the counts, and judges versions under roll-out."""
+
+    name: str
+    quality: QualityEstimates = field(factory=lambda: QualityEstimates(RATINGS_ORIGIN))
+    guard: RolloutGuard = field(factory=lambda: RolloutGuard(RATINGS_ORIGIN))
+    sequence: int = 0
+    published_sequence: int = 0
+    next_publish_s: float = 0.0
+    judged: set[tuple[VersionId, int, float]] = field(factory=set)
+
+    def take_ratings(self, ratings: list[Rating]) -> None:
+        """Count ratings that come after those counted so far."""
+        for rating in ratings:
+            if rating.sequence <= self.sequence:
+                continue
+            self.quality.record_rating(
+                rating.version, rating.request_class, rating.score, rating.sequence
+            )
+            self.guard.observe(rating.version, EvidenceKind.RATING, rating.score)
+            self.sequence = rating.sequence
+
+    def take_evidence(self, cells: tuple[SharedCell, ...]) -> None:
+        """Count what sidecars saw of errors and latency."""
+        self.guard.merge(cells)
+
+    def restore(self, record: EstimatesRecord) -> None:
+        """Go on from what another reader has published."""
+        if record.sequence <= self.sequence:
+            return
+        self.quality.merge(record.quality)
+        self.guard.merge(record.guard)
+        self.sequence = record.sequence
+        self.published_sequence = record.sequence
+
+    def due_record(self, now_s: float) -> bytes | None:
+        """Return what to publish now, so that readers get a bounded byte rate."""
+        if self.sequence == self.published_sequence or now_s < self.next_publish_s:
+            return None
+        rated = tuple(
+            cell
+            for cell in self.guard.export_delta(MAX_CELLS)
+            if cell.origin == RATINGS_ORIGIN
+        )
+        record = EstimatesRecord(
+            self.sequence, self.quality.export_delta(MAX_CELLS), rated
+        )
+        payload = encode_estimates(record)
+        self.published_sequence = self.sequence
+        pause_s = len(payload) / PUBLISHED_BYTES_PER_S
+        self.next_publish_s = now_s + max(PUBLISH_INTERVAL_S, pause_s)
+        return payload
+
+    def judgements(self, fleet: FleetState) -> list[Judgement]:
+        """Judge every version under roll-out; each judgement is returned once."""
+        found: list[Judgement] = []
+        for version in fleet.versions.values():
+            if version.replaces is None or not fleet.is_usable(version.id):
+                continue
+            judgement = self._judge(version, fleet)
+            if judgement is not None:
+                found.append(judgement)
+        return found
+
+    def _judge(self, version: Version, fleet: FleetState) -> Judgement | None:
+        verdict = self.guard.verdict(version)
+        declared_at = fleet.declared_at.get(version.id, -1)
+        mark = (version.id, declared_at, verdict.share)
+        if verdict.action is GuardAction.KEEP or mark in self.judged:
+            return None
+        self.judged.add(mark)
+        if verdict.action is GuardAction.QUARANTINE:
+            return QuarantineRecord(
+                version.id, verdict.reason, self.name, based_on=fleet.revision
+            )
+        return ExposureRecord(
+            version.id, verdict.share, self.name, based_on=fleet.revision
+        )
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -10,7 +10,6 @@
 from acaciacove.decisions.endpoint_view import EndpointView
 from acaciacove.decisions.plan_cache import PlanCache
 from acaciacove.decisions.quality_estimates import QualityEstimates
-from acaciacove.decisions.rollout_guard import RolloutGuard
 from acaciacove.decisions.subset import choose_subset
 from acaciacove.decisions.version_choice import choose_version
 from acaciacove.decisions.version_decision import VersionDecision
@@ -38,7 +37,6 @@
     subset_size: int
     estimates: QualityEstimates
     plans: PlanCache
-    guard: RolloutGuard
     zone_moves: ZoneMoves = field(factory=ZoneMoves)
     views: dict[str, EndpointView] = field(factory=dict)
     subsets: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
@@ -77,7 +75,7 @@
             self.rng,
             pinned=request.explicit or request.pinned,
             session=request.session,
-            shares=self.guard.shares(fleet),
+            shares=exposures(fleet),
             serving=self.subsets.keys(),
         )
 
@@ -153,5 +151,14 @@
         return choose_subset(self.name, entries, serving, self.subset_size)
 
 
+def exposures(fleet: FleetState) -> dict[VersionId, float]:
+    """Return the share of every version under roll-out, as the log has it."""
+    return {
+        v.id: fleet.exposures.get(v.id, v.first_share)
+        for v in fleet.versions.values()
+        if v.replaces is not None and v.replaces in fleet.versions
+    }
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -26,21 +26,26 @@
 from acaciacove.decisions.budget import Budget
 from acaciacove.decisions.plan_cache import PlanCache
 from acaciacove.decisions.quality_estimates import QualityEstimates
-from acaciacove.decisions.rollout_guard import RolloutGuard
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.app import build_entry_app
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.dispatch import dispatch
 from acaciacove.entry.entry_metrics import EntryMetrics
 from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.estimates_record import ESTIMATES_STREAM
+from acaciacove.entry.learner import Learner
+from acaciacove.entry.learning import learn, take_estimates
 from acaciacove.entry.open_links import open_links
+from acaciacove.entry.rate_answer import AnswerRater
 from acaciacove.entry.router import Router
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.role import Role
 from acaciacove.platform.http_client import open_client
 from acaciacove.platform.http_instance_list import HttpInstanceList
 from acaciacove.platform.http_log import HttpLog
+from acaciacove.platform.http_rating_service import HttpRatingService
 from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.state.log_tail import LogTail
 from acaciacove.wire.connection import Connection
 
 
@@ -77,13 +82,20 @@
         await shared.ready()
         entry.lifecycle.become_ready()
 
+    estimates = LogTail(
+        shared.log,
+        ESTIMATES_STREAM,
+        lambda entries: take_estimates(entry, entries),
+        lambda _: None,
+        entry.rng,
+    )
     app = build_entry_app(
         entry, answer, probe_routes(entry.lifecycle, registry, status)
     )
     async with (
         message_server(sockets.messages, handle),
         shared.running(sockets.datagrams),
-        background(become_ready()),
+        background(become_ready(), learn(entry, entry.rater.service), estimates.run()),
         http_server(
             app, settings.host, settings.http_port, settings.max_header_bytes
         ) as http_port,
@@ -114,7 +126,6 @@
         subset_size=settings.subset_size,
         estimates=estimates,
         plans=PlanCache(estimates),
-        guard=RolloutGuard(settings.name),
     )
 
     def on_change() -> None:
@@ -137,10 +148,21 @@
         metrics=EntryMetrics(registry),
         rng=rng,
         retries=Budget(settings.retry_share),
+        learner=Learner(settings.name),
+        rater=AnswerRater(
+            _rating_service(settings, client), settings.rating_share, rng
+        ),
         open_link=open_links(shared),
     )
 
 
+def _rating_service(settings: EntrySettings, client: Any) -> HttpRatingService | None:
+    """Return the rating service, if there is one."""
+    if not settings.rating_url:
+        return None
+    return HttpRatingService(settings.rating_url, client)
+
+
 def _me(settings: EntrySettings, peer_port: int) -> Instance:
     return Instance(
         name=settings.name,
--- a/acaciacove/messages/message.py
+++ b/acaciacove/messages/message.py
@@ -7,6 +7,7 @@
 from acaciacove.messages.claim_query import ClaimQuery
 from acaciacove.messages.digest import Digest
 from acaciacove.messages.end import End
+from acaciacove.messages.evidence import Evidence
 from acaciacove.messages.head import Head
 from acaciacove.messages.hello import Hello
 from acaciacove.messages.load import Load
@@ -30,4 +31,5 @@
     | ClaimQuery
     | ClaimAnswer
     | Billed
+    | Evidence
 )
--- a/acaciacove/settings/entry_settings.py
+++ b/acaciacove/settings/entry_settings.py
@@ -42,6 +42,7 @@
     subset_size: int = field(default=24, metadata=check(at_least(1)))
     retry_share: float = field(default=0.1, metadata=check(is_share))
     hedge_share: float = field(default=0.02, metadata=check(is_share))
+    rating_share: float = field(default=0.1, metadata=check(is_share))
     session_secret: str = field(default="", repr=False, metadata=check(is_secret))
     seed: int = 0
 
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -139,6 +139,18 @@
   requestIds @0 :List(Text);
 }
 
+struct EvidenceCell {
+  origin @0 :Text;
+  name @1 :List(Text);
+  count @2 :Float64;
+  total @3 :Float64;
+  squares @4 :Float64;
+}
+
+struct Evidence {
+  cells @0 :List(EvidenceCell);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -155,5 +167,6 @@
     claimQuery @11 :ClaimQuery;
     claimAnswer @12 :ClaimAnswer;
     billed @13 :Billed;
+    evidence @14 :Evidence;
   }
 }
