Guard roll-outs by pooled sequential evidence, early and late

Change: betting tests on ratings, errors and latency per window of ratings, against the replaced version while it serves and the version's own early scores after that; shares come from the release stream. Scenario bad_version with fixed canary baseline.

--- a/acaciacove/bench/scenario.py
+++ b/acaciacove/bench/scenario.py
@@ -9,6 +9,7 @@
 from rich.table import Table
 
 from acaciacove.bench.policy_runs import OURS
+from acaciacove.bench.scenario_bad_version import run_bad_version
 from acaciacove.bench.scenario_balance import run_balance
 from acaciacove.bench.scenario_cascade import run_cascade
 from acaciacove.bench.scenario_fairness import run_fairness
@@ -22,6 +23,7 @@
     "cascade": run_cascade,
     "fairness": run_fairness,
     "zone_move": run_zone_move,
+    "bad_version": run_bad_version,
     "balance": run_balance,
 }
 
--- a/acaciacove/decisions/evidence_test.py
+++ b/acaciacove/decisions/evidence_test.py
@@ -2,7 +2,7 @@
 
 from math import exp, log
 
-BUCKETS = 20
+BUCKETS = 10
 _BET_SIZES = (0.1, 0.25, 0.5, 0.75, 0.95)
 _MIN_MEAN = 0.02
 
--- a/acaciacove/decisions/rollout_guard.py
+++ b/acaciacove/decisions/rollout_guard.py
@@ -21,6 +21,9 @@
 from acaciacove.fleet.version_id import VersionId
 
 FULL_SHARE = 1.0
+BASELINE = "baseline"
+ALL_BUCKETS = "all"
+_BUCKET_NAMES = tuple(str(bucket) for bucket in range(BUCKETS + 1))
 _KINDS = (EvidenceKind.RATING, EvidenceKind.SUCCESS, EvidenceKind.LATENCY)
 
 
@@ -29,47 +32,67 @@
     """Evidence on each version, pooled over entries, and what follows from it.
 
     The verdict is a function of counts alone, which only grow and merge in any
-    order: an entry that restarts, or a roll-out whose driver vanished, resumes
-    where the evidence stands, and no process has to finish anything.
+    order, and of the shares in force: an entry that restarts, or a roll-out whose
+    judge vanished, goes on where evidence and release stream stand. Counts are of
+    one declaration of a version; a release note that declares it anew starts over.
     """
 
     origin: str
     settings: GuardSettings = GuardSettings()
+    window: int = 0
     _counts: SharedCounts = field(init=False)
-    _shares: dict[VersionId, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Count under the own name."""
         self._counts = SharedCounts(self.origin)
 
-    def observe(self, version: VersionId, kind: EvidenceKind, score: float) -> None:
-        """Count one score of a version, under roll-out or in full service."""
-        name = (kind, str(version), str(score_bucket(score)))
-        self._counts.add(name, score)
+    def observe(
+        self,
+        fleet: FleetState,
+        version: VersionId,
+        kind: EvidenceKind,
+        score: float,
+        sequence: int = 0,
+    ) -> None:
+        """Count one score (0 to 1) of a version.
+
+        ``sequence`` is a rating's sequence number. It sets the window, so that
+        entries agree on windows without agreeing on a clock.
+        """
+        self._turn_to(sequence // self.settings.window_ratings)
+        bucket = str(score_bucket(score))
+        self._counts.add(_name(str(self.window), fleet, version, kind, bucket))
+        total = _name(BASELINE, fleet, version, kind, ALL_BUCKETS)
+        if self._counts.tally(total).count < self.settings.baseline_scores:
+            self._counts.add(total)
+            self._counts.add(_name(BASELINE, fleet, version, kind, bucket))
 
     def shares(self, fleet: FleetState) -> dict[VersionId, float]:
-        """Return the exposure of every version under roll-out."""
+        """Return the exposure in force of every version under roll-out."""
         return {
-            v.id: self._shares.get(v.id, v.first_share)
+            v.id: _share(fleet, v)
             for v in fleet.versions.values()
             if v.replaces is not None and v.replaces in fleet.versions
         }
 
-    def verdict(self, version: Version) -> GuardVerdict:
-        """Weigh all evidence on a version against the one it replaces."""
-        share = self._shares.get(version.id, version.first_share)
-        if version.replaces is None:
-            return GuardVerdict(GuardAction.KEEP, FULL_SHARE)
+    def verdict(self, fleet: FleetState, version: Version) -> GuardVerdict:
+        """Weigh all evidence on a version; the caller records what is not KEEP.
+
+        Until it has the full share, a version is compared with the one it replaces,
+        then with its own early scores, so that a slow decline is seen as well.
+        """
+        share = _share(fleet, version)
+        reference = version.id
+        if version.replaces is not None and share < FULL_SHARE:
+            reference = version.replaces
         for kind in _KINDS:
-            if self._is_worse(version.id, version.replaces, kind):
-                return GuardVerdict(
-                    GuardAction.QUARANTINE, 0.0, f"{kind} below {version.replaces}"
-                )
-        earned = self._earned_share(version, version.replaces)
+            if self._is_worse(fleet, version.id, reference, kind):
+                reason = f"{kind} below {reference}"
+                return GuardVerdict(GuardAction.QUARANTINE, 0.0, reason)
+        earned = self._earned_share(fleet, version, reference, share)
         if earned <= share:
             return GuardVerdict(GuardAction.KEEP, share)
-        self._shares[version.id] = earned
-        return GuardVerdict(GuardAction.WIDEN, earned, "as good as the replaced")
+        return GuardVerdict(GuardAction.WIDEN, earned, f"as good as {reference}")
 
     def export_delta(self, limit: int = DEFAULT_EXPORT) -> tuple[SharedCell, ...]:
         """Take up to ``limit`` counters to send to a peer."""
@@ -77,43 +100,110 @@
 
     def merge(self, cells: tuple[SharedCell, ...]) -> None:
         """Take in a peer's counters."""
-        self._counts.merge(cells)
+        windows = [int(c.name[0]) for c in cells if c.name[0] != BASELINE]
+        self._turn_to(max(windows, default=self.window))
+        oldest = self.window - self.settings.kept_windows
+        self._counts.merge(
+            tuple(c for c in cells if c.name[0] == BASELINE or int(c.name[0]) > oldest)
+        )
+
+    def _turn_to(self, window: int) -> None:
+        if window <= self.window:
+            return
+        self.window = window
+        oldest = window - self.settings.kept_windows + 1
+        past = {
+            name
+            for name in self._counts.names()
+            if name[0] != BASELINE and int(name[0]) < oldest
+        }
+        self._counts.forget(past)
 
     def _is_worse(
-        self, version: VersionId, replaced: VersionId, kind: EvidenceKind
+        self,
+        fleet: FleetState,
+        version: VersionId,
+        reference: VersionId,
+        kind: EvidenceKind,
     ) -> bool:
-        reference = self._reference_mean(replaced, kind)
-        if reference is None:
+        """Test the scores since the start of each kept window."""
+        mean = self._reference_mean(fleet, reference, kind, version != reference)
+        if mean is None:
             return False
-        floor = reference - self.settings.tolerance
-        evidence = evidence_below(self._histogram(version, kind), floor)
-        return evidence >= log(1.0 / self.settings.false_alarm)
-
-    def _earned_share(self, version: Version, replaced: VersionId) -> float:
+        needed = log(1.0 / self.settings.false_alarm)
+        since = [0.0] * (BUCKETS + 1)
+        for window in self._kept():
+            counts = self._histogram(str(window), fleet, version, kind)
+            since = [a + b for a, b in zip(since, counts, strict=True)]
+            if evidence_below(since, mean - self.settings.tolerance) >= needed:
+                return True
+        return False
+
+    def _earned_share(
+        self, fleet: FleetState, version: Version, reference: VersionId, share: float
+    ) -> float:
         """Return the share that the evidence of being no worse has earned."""
-        reference = self._reference_mean(replaced, EvidenceKind.RATING)
-        counts = self._histogram(version.id, EvidenceKind.RATING)
-        if reference is None:
-            return version.first_share
-        floor = reference - self.settings.unacceptable
-        odds = evidence_above(counts, floor) / log(self.settings.widen_odds)
-        by_count = sum(counts) / self.settings.min_stage_scores
-        reached = min(len(self.settings.stages), int(min(odds, by_count)))
-        return self.settings.stages[reached - 1] if reached else version.first_share
-
-    def _reference_mean(self, version: VersionId, kind: EvidenceKind) -> float | None:
-        counts = self._histogram(version, kind)
+        mean = self._reference_mean(fleet, reference, EvidenceKind.RATING, True)
+        if mean is None or share >= FULL_SHARE:
+            return share
+        counts = self._histogram(BASELINE, fleet, version.id, EvidenceKind.RATING)
+        floor = mean - self.settings.unacceptable
+        by_odds = evidence_above(counts, floor) / log(self.settings.widen_odds)
+        by_count = sum(counts) / self.settings.stage_ratings
+        reached = min(len(self.settings.stages), int(min(by_odds, by_count)))
+        return self.settings.stages[reached - 1] if reached > 0 else share
+
+    def _reference_mean(
+        self,
+        fleet: FleetState,
+        version: VersionId,
+        kind: EvidenceKind,
+        lately: bool,
+    ) -> float | None:
+        """Return the mean to compare with; None while too little is known.
+
+        A version that still serves is taken as it is ``lately``, under the same
+        requests as the new one; compared with itself, as it was at first.
+        """
+        counts = self._lately(fleet, version, kind) if lately else []
+        if sum(counts) < self.settings.min_reference_scores:
+            counts = self._histogram(BASELINE, fleet, version, kind)
         count = sum(counts)
         if count < self.settings.min_reference_scores:
             return None
         return sum(n * b / BUCKETS for b, n in enumerate(counts)) / count
 
-    def _histogram(self, version: VersionId, kind: EvidenceKind) -> list[float]:
-        return [
-            self._counts.tally(_name(kind, version, bucket)).count
-            for bucket in range(BUCKETS + 1)
-        ]
-
-
-def _name(kind: EvidenceKind, version: VersionId, bucket: int) -> CellName:
-    return (kind, str(version), str(bucket))
+    def _lately(
+        self, fleet: FleetState, version: VersionId, kind: EvidenceKind
+    ) -> list[float]:
+        """Sum the kept windows."""
+        since = [0.0] * (BUCKETS + 1)
+        for window in self._kept():
+            counts = self._histogram(str(window), fleet, version, kind)
+            since = [a + b for a, b in zip(since, counts, strict=True)]
+        return since
+
+    def _kept(self) -> range:
+        """Return the kept windows, newest first."""
+        oldest = max(-1, self.window - self.settings.kept_windows)
+        return range(self.window, oldest, -1)
+
+    def _histogram(
+        self, window: str, fleet: FleetState, version: VersionId, kind: EvidenceKind
+    ) -> list[float]:
+        prefix = _name(window, fleet, version, kind, ALL_BUCKETS)[:-1]
+        return [self._counts.tally((*prefix, b)).count for b in _BUCKET_NAMES]
+
+
+def _share(fleet: FleetState, version: Version) -> float:
+    """Return the share in force; without a living predecessor it is all."""
+    if version.replaces is None or version.replaces not in fleet.versions:
+        return FULL_SHARE
+    return fleet.exposures.get(version.id, version.first_share)
+
+
+def _name(
+    window: str, fleet: FleetState, version: VersionId, kind: EvidenceKind, bucket: str
+) -> CellName:
+    declared = str(fleet.declared_at.get(version, -1))
+    return (window, str(version), declared, kind, bucket)
