--- a/acaciacove/bench/faulty_log.py
+++ b/acaciacove/bench/faulty_log.py
@@ -1,6 +1,7 @@
 """An in-memory log that fails the way the platform's does."""
 
 import asyncio
+from contextlib import suppress
 from random import Random
 
 from attrs import define, field
@@ -8,8 +9,6 @@
 from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
 from acaciacove.platform.log_entry import LogEntry
 
-POLL_S = 0.02
-
 
 @define
 class FaultyLog:
@@ -29,6 +28,7 @@
     keep: int | None = None
     streams: dict[str, list[bytes]] = field(factory=dict)
     append_counts: dict[str, int] = field(factory=dict)
+    _news: asyncio.Event = field(factory=asyncio.Event)
     _late: set["asyncio.Task[None]"] = field(factory=set)
 
     async def append(self, stream: str, payload: bytes) -> int:
@@ -50,18 +50,19 @@
     ) -> list[LogEntry]:
         """Read retained records, waiting up to ``wait_s`` for the first."""
         await self._travel()
-        deadline_s = asyncio.get_running_loop().time() + wait_s
-        while True:
-            entries = self.peek(stream, from_offset, limit)
-            if entries or asyncio.get_running_loop().time() >= deadline_s:
-                await self._travel()
-                return entries
-            await asyncio.sleep(POLL_S)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self.peek(stream, from_offset, limit):
+                    await self._news.wait()
+        await self._travel()
+        return self.peek(stream, from_offset, limit)
 
     def put(self, stream: str, payload: bytes) -> int:
         """Write a record without any fault."""
         records = self.streams.setdefault(stream, [])
         records.append(payload)
+        self._news.set()
+        self._news = asyncio.Event()
         self.append_counts[stream] = self.append_counts.get(stream, 0) + 1
         return len(records) - 1
 
--- a/acaciacove/fleet/fleet_state.py
+++ b/acaciacove/fleet/fleet_state.py
@@ -11,6 +11,11 @@
 NO_REVISION = -1
 
 
+def session_base_key(organisation: str, api: str) -> str:
+    """Return the key of ``FleetState.session_bases``."""
+    return f"{api}/{organisation}"
+
+
 @frozen
 class FleetState:
     """The configuration in force at ``revision``.
@@ -19,8 +24,9 @@
     not; ``release_revision`` that of the release note in force, on which the next
     note must be based. ``release_note_id`` is that note's id and ``decision_ids``
     are those of recent decisions, so that a second copy of one changes nothing.
-    ``declared_at`` maps a version to the release that declared it last. Values are
-    never changed in place.
+    ``declared_at`` maps a version to the release that declared it last, and
+    ``session_bases`` an organisation's use of an API (``session_base_key``) to the
+    version of its sessions that carry no token. Values are never changed in place.
     """
 
     revision: int = NO_REVISION
@@ -35,6 +41,7 @@
     release_note_id: str = ""
     decision_ids: tuple[str, ...] = ()
     declared_at: dict[VersionId, int] = field(factory=dict)
+    session_bases: dict[str, VersionId] = field(factory=dict)
 
     def versions_of(self, api: str) -> tuple[Version, ...]:
         """List the versions that answer an API, withdrawn ones included."""
--- a/acaciacove/state/billing_record.py
+++ b/acaciacove/state/billing_record.py
@@ -11,7 +11,9 @@
 
     ``answered`` is false when the endpoint may have worked and the caller got no
     whole answer; such a record costs nothing, and keeps a sidecar's copy from
-    counting. ``writer`` is the process that appended it; ``at_s`` is Unix time.
+    counting. There is none for a call that may not be repeated: if it took effect,
+    its sidecar's copy bills it, or a retry that gets its answer. ``writer`` is the
+    process that appended it; ``at_s`` is Unix time.
     """
 
     request_id: str
--- a/acaciacove/state/log_writer.py
+++ b/acaciacove/state/log_writer.py
@@ -72,6 +72,11 @@
         """Tell whether everything that was submitted is settled."""
         return self._queued == 0
 
+    @property
+    def in_flight_tasks(self) -> list["asyncio.Task[None]"]:
+        """Return the tasks of the appends under way, such as to end them."""
+        return list(self._in_flight.values())
+
     def listen(self, listener: AppendListener) -> None:
         """Call ``listener`` with stream, offset and payload of what has landed.
 
--- a/acaciacove/state/reducer.py
+++ b/acaciacove/state/reducer.py
@@ -15,6 +15,7 @@
 from acaciacove.state.quarantine_record import QuarantineRecord
 from acaciacove.state.record import Record
 from acaciacove.state.release_note import ReleaseNote
+from acaciacove.state.session_bases import with_session_bases
 from acaciacove.state.snapshot import Snapshot
 from acaciacove.state.verdict import Verdict
 from acaciacove.state.zone_decision import ZoneDecision
@@ -62,7 +63,7 @@
     if note.based_on != state.release_revision:
         detail = f"based on {note.based_on}, in force is {state.release_revision}"
         return Folded(state, Verdict.STALE_BASE, detail)
-    versions = _declared(state, note)
+    versions = {**state.versions, **{v.id: v for v in note.versions}}
     unknown = _unknown_names(state, note, versions)
     if unknown:
         return Folded(state, Verdict.UNKNOWN_NAME, f"unknown: {', '.join(unknown)}")
@@ -80,7 +81,7 @@
         exposures=_without(state.exposures, declared),
         declared_at={**state.declared_at, **dict.fromkeys(declared, state.revision)},
     )
-    return Folded(accepted, Verdict.ACCEPTED)
+    return Folded(with_session_bases(accepted), Verdict.ACCEPTED)
 
 
 def _unknown_names(
@@ -126,7 +127,8 @@
         return Folded(state, Verdict.DUPLICATE)
     stopped = Quarantine(record.version, record.reason, state.revision)
     quarantines = {**state.quarantines, record.version: stopped}
-    return Folded(evolve(state, quarantines=quarantines), Verdict.ACCEPTED)
+    stopped_state = evolve(state, quarantines=quarantines)
+    return Folded(with_session_bases(stopped_state), Verdict.ACCEPTED)
 
 
 def _fold_exposure(state: FleetState, record: ExposureRecord) -> Folded:
@@ -154,21 +156,6 @@
     return Folded(moved, Verdict.DUPLICATE)
 
 
-def _declared(state: FleetState, note: ReleaseNote) -> dict[VersionId, Version]:
-    """Merge a note's versions into those in force, in order of declaration.
-
-    The order is the state's: sessions without a token keep the first version that
-    may be used. One that comes back goes to the end, or it would pull the sessions
-    over that had moved to another one when it was stopped.
-    """
-    versions = dict(state.versions)
-    for version in note.versions:
-        if version.id in versions and not state.is_usable(version.id):
-            del versions[version.id]
-        versions[version.id] = version
-    return versions
-
-
 def _withdrawn(version: Version) -> Version:
     return evolve(version, withdrawn=True)
 
--- /dev/null
+++ b/acaciacove/state/session_bases.py
@@ -0,0 +1,46 @@
+"""The version of sessions that carry no token, as part of the state in force."""
+
+from attrs import evolve
+
+from acaciacove.fleet.fleet_state import FleetState, session_base_key
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.version_id import VersionId
+
+
+def with_session_bases(state: FleetState) -> FleetState:
+    """Choose a base for every organisation and API, and keep those that hold.
+
+    A base changes only when it is stopped or forbidden. Were it drawn anew from
+    what may be used now, a new version, or one that comes back, would move sessions
+    in the middle of a chat.
+    """
+    bases: dict[str, VersionId] = {}
+    for organisation in state.organisations.values():
+        for api in state.apis:
+            key = session_base_key(organisation.name, api)
+            base = _base(state, organisation, api, state.session_bases.get(key))
+            if base is not None:
+                bases[key] = base
+    return evolve(state, session_bases=bases)
+
+
+def may_use(
+    state: FleetState, organisation: Organisation, api: str, version: VersionId
+) -> bool:
+    """Tell whether an organisation may use a version for an API."""
+    known = state.versions.get(version)
+    if known is None or known.api != api:
+        return False
+    return state.is_usable(version) and organisation.allows(version)
+
+
+def _base(
+    state: FleetState, organisation: Organisation, api: str, before: VersionId | None
+) -> VersionId | None:
+    """Keep a base, or take the first declared version that may be used."""
+    if before is not None and may_use(state, organisation, api, before):
+        return before
+    for version in state.versions:
+        if may_use(state, organisation, api, version):
+            return version
+    return None
--- a/acaciacove/state/session_pins.py
+++ b/acaciacove/state/session_pins.py
@@ -6,9 +6,10 @@
 from hashlib import sha256
 
 from acaciacove.fleet.api import Api
-from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.fleet_state import FleetState, session_base_key
 from acaciacove.fleet.organisation import Organisation
 from acaciacove.fleet.version_id import VersionId, parse_version_id
+from acaciacove.state.session_bases import may_use
 
 MAC_BYTES = 16
 SEPARATOR = "."
@@ -68,41 +69,18 @@
 
         A caller that can carry tokens sends ``NEW_SESSION`` as its first one. The
         version of a token is kept until it is withdrawn, quarantined or forbidden.
-        A session without a token keeps ``base_version``.
+        A session without a token keeps its organisation's base in the fleet state,
+        which every entry knows alike.
         """
         if not session:
             return None
         pinned = self.read(token, organisation.name, api.name, session)
-        if pinned is not None and _may_use(fleet, organisation, api, pinned):
+        if pinned is not None and may_use(fleet, organisation, api.name, pinned):
             return pinned
         if pinned is not None or token == NEW_SESSION:
             return None
-        return base_version(fleet, organisation, api)
-
-
-def base_version(
-    fleet: FleetState, organisation: Organisation, api: Api
-) -> VersionId | None:
-    """Return the version of an API's sessions that carry no token.
-
-    It is the one declared first of those that may be used. Each entry derives the
-    same one; a new version and a growing share of a roll-out never change it, and
-    a version that comes back after a withdrawal counts as the last. Drawing by the
-    session's hash would move sessions whenever a share grows past their draw.
-    """
-    for version in fleet.versions:
-        if _may_use(fleet, organisation, api, version):
-            return version
-    return None
-
-
-def _may_use(
-    fleet: FleetState, organisation: Organisation, api: Api, version: VersionId
-) -> bool:
-    known = fleet.versions.get(version)
-    if known is None or known.api != api.name:
-        return False
-    return fleet.is_usable(version) and organisation.allows(version)
+        key = session_base_key(organisation.name, api.name)
+        return fleet.session_bases.get(key)
 
 
 def _mac(secret: bytes, *parts: str) -> bytes:
--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -110,15 +110,12 @@
 
     def _on_digest(self, sender: str, digest: Digest, now_s: float) -> list[Outgoing]:
         self._note_peer(sender, digest.revision)
-        if digest.revision > self._holder.revision:
-            return self._pull(sender, digest.revision, now_s)
-        if digest.reply_wanted and digest.revision < self._holder.revision:
-            return [Outgoing(sender, self.digest(reply_wanted=False))]
-        if digest.reply_wanted and not self.ready:
-            return [Outgoing(sender, self.digest(reply_wanted=False))]
-        if digest.reply_wanted and digest.status == InstanceStatus.STARTING:
-            return [Outgoing(sender, self.digest(reply_wanted=False))]
-        return []
+        outgoing = self._pull(sender, digest.revision, now_s)
+        behind = digest.revision < self._holder.revision
+        if behind or digest.reply_wanted:
+            # Whoever probes needs a sign of life, whatever its revision is.
+            outgoing.append(Outgoing(sender, self.digest(reply_wanted=False)))
+        return outgoing
 
     def _on_records(
         self, sender: str, message: Records, now_s: float
@@ -143,7 +140,7 @@
             self._peer_revisions[sender] = max(known, revision)
 
     def _tell(self, peers: Sequence[Instance], count: int) -> list[Outgoing]:
-        digest = self.digest(reply_wanted=True)
+        digest = self.digest(reply_wanted=not self.ready)
         return [Outgoing(peer, digest) for peer in self._choose(peers, count)]
 
     def digest(self, reply_wanted: bool) -> Digest:
--- a/tests/test_state_pins_and_fences.py
+++ b/tests/test_state_pins_and_fences.py
@@ -20,7 +20,7 @@
 from acaciacove.state.load_permit import wait_for_permit
 from acaciacove.state.reducer import fold
 from acaciacove.state.release_note import ReleaseNote
-from acaciacove.state.session_pins import NEW_SESSION, SessionPins, base_version
+from acaciacove.state.session_pins import NEW_SESSION, SessionPins
 from tests.virtual import run_virtual
 
 GUIDE = Api("guide", ApiKind.MODEL)
@@ -30,13 +30,15 @@
 
 def fleet_of(*notes):
     state = FleetState()
-    for offset, (declared, withdrawn) in enumerate(notes):
+    for offset, (declared, withdrawn, *allowed) in enumerate(notes):
+        team = Organisation(TEAM.name, allowed={"g": allowed[0] if allowed else ("*",)})
         note = ReleaseNote(
             f"n{offset}",
             state.release_revision,
             apis=(GUIDE,),
             versions=tuple(Version(v, "guide", 1.0) for v in declared),
             withdrawn=withdrawn,
+            organisations=(team,),
         )
         state = fold(state, offset, note).state
     return state
@@ -72,19 +74,32 @@
     assert pins.read(token, TEAM.name, "guide", "chat") is None
 
 
-@given(st.lists(st.tuples(
-    st.sets(st.sampled_from([V1, V2, V3]), max_size=2),
-    st.sets(st.sampled_from([V1, V2, V3]), max_size=1)), max_size=8))  # fmt: skip
+steps = st.lists(
+    st.tuples(
+        st.sets(st.sampled_from([V1, V2, V3]), max_size=2),
+        st.sets(st.sampled_from([V1, V2, V3]), max_size=1),
+        st.sampled_from([("*",), ("1", "3"), ("2", "3"), ("2",)]),
+    ),
+    max_size=8,
+)
+
+
+@given(steps)
 @settings(derandomize=True, deadline=None, max_examples=150)
 def test_a_session_without_a_token_moves_only_when_its_version_is_stopped(steps):
     # A keeper's till can carry no token. It must not change versions because a new
-    # one is rolled out or an old one comes back.
+    # one is rolled out, an old one comes back, or its team may use more.
+    pins = SessionPins(("s",))
     notes, before = [([V1, V2, V3], ())], None
-    for declared, withdrawn in steps:
-        notes.append((sorted(declared), tuple(sorted(withdrawn))))
+    for declared, withdrawn, allowed in steps:
+        notes.append((sorted(declared), tuple(sorted(withdrawn)), allowed))
         fleet = fleet_of(*notes)
-        now = base_version(fleet, TEAM, GUIDE)
-        assert now == before or before is None or not fleet.is_usable(before)
+        team = fleet.organisations[TEAM.name]
+        now = pins.pinned_version(fleet, team, GUIDE, "till", "")
+        may_stay = before is not None and team.allows(before)
+        if may_stay and fleet.is_usable(before):
+            assert now == before
+        assert now is None or (fleet.is_usable(now) and team.allows(now))
         before = now
 
 
