Judge versions on a few entries for all, from ratings and from what sidecars see

Change: two entries by rendezvous read ratings, publish estimates through the log at a bounded byte rate, and append quarantines and earned shares; sidecars report errors and latency to them over UDP, 50 reporters at most; a sample of answers is handed in.

--- a/acaciacove/bench/capacity_decisions.py
+++ b/acaciacove/bench/capacity_decisions.py
@@ -14,7 +14,6 @@
 )
 from acaciacove.decisions.plan_cache import PlanCache
 from acaciacove.decisions.quality_estimates import QualityEstimates
-from acaciacove.decisions.rollout_guard import RolloutGuard
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.progress import Progress
 from acaciacove.entry.router import Router
@@ -90,7 +89,6 @@
         subset_size=SUBSET_SIZE,
         estimates=estimates,
         plans=PlanCache(estimates),
-        guard=RolloutGuard(NAME),
     )
 
 
--- a/acaciacove/daemon/peer_network.py
+++ b/acaciacove/daemon/peer_network.py
@@ -4,13 +4,14 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from socket import socket
 
 from acaciacove.errors import MalformedMessageError
 from acaciacove.fleet.instance import Instance
 from acaciacove.messages.digest import Digest
+from acaciacove.messages.evidence import Evidence
 from acaciacove.messages.hello import Hello
 from acaciacove.messages.message import Message
 from acaciacove.messages.pull import Pull
@@ -27,13 +28,14 @@
 LEAVING_PEERS = 8
 
 Address = tuple[str, int]
-Send = Callable[[Message], Awaitable[None]]
+EvidenceHandler = Callable[[Evidence], Evidence | None]
 
 
 class PeerNetwork:
     """Owns the UDP socket of a process and its conversations with peers.
 
     ``control_bytes`` counts what was sent for control, UDP payloads and pulls.
+    ``on_evidence`` takes evidence in and may return an answer to its sender.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
     ) -> None:
         """Take what the network serves; nothing is open before ``opened``."""
         self.control_bytes = 0
+        self.on_evidence: EvidenceHandler = _no_answer
         self._me = me
         self._holder = holder
         self._spread = spread
@@ -80,7 +83,7 @@
         now_s = _now_s()
         self._membership.check(now_s)
         for instance in self._membership.to_probe(now_s):
-            self._send_digest(instance.name, self._spread.digest(reply_wanted=True))
+            self.send_datagram(instance.name, self._spread.digest(reply_wanted=True))
         self._send(self._spread.tick(now_s, self._membership.peers()))
 
     def announce_leaving(self) -> None:
@@ -100,6 +103,8 @@
             message = decode(data)
         except MalformedMessageError:
             return
+        if isinstance(message, Evidence):
+            self._answer_evidence(message, address)
         if not isinstance(message, Digest):
             return
         self._addresses[message.instance] = address
@@ -108,21 +113,31 @@
         self._send(self._spread.on_message(message.instance, message, now_s))
         if message.reply_wanted:
             # A probe asks for a sign of life, whatever the revisions are.
-            self._send_digest(message.instance, self._spread.digest(False))
+            self.send_datagram(message.instance, self._spread.digest(False))
+
+    def _answer_evidence(self, evidence: Evidence, address: Address) -> None:
+        answer = self.on_evidence(evidence)
+        if answer is not None:
+            self._send_datagram(answer, address)
 
     def _send(self, outgoing: list[Outgoing]) -> None:
         for item in outgoing:
             match item.message:
                 case Digest():
-                    self._send_digest(item.instance, item.message)
+                    self.send_datagram(item.instance, item.message)
                 case Pull():
                     self._start_pull(item.instance, item.message)
 
-    def _send_digest(self, name: str, digest: Digest) -> None:
+    def send_datagram(self, name: str, message: Digest | Evidence) -> None:
+        """Send a message that may be lost to an instance, if it is known."""
         address = self._address_of(name)
-        if address is None or self._transport is None:
+        if address is not None:
+            self._send_datagram(message, address)
+
+    def _send_datagram(self, message: Digest | Evidence, address: Address) -> None:
+        if self._transport is None:
             return
-        data = encode(digest)
+        data = encode(message)
         self.control_bytes += len(data)
         self._transport.sendto(data, address)
 
@@ -174,5 +189,9 @@
         self._receive(data, addr)
 
 
+def _no_answer(_: Evidence) -> None:
+    """Ignore evidence, as a process does that judges nothing."""
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/acaciacove/decisions/rollout_guard.py
+++ b/acaciacove/decisions/rollout_guard.py
@@ -59,7 +59,7 @@
         ``sequence`` is a rating's sequence number. It sets the window, so that
         entries agree on windows without agreeing on a clock.
         """
-        self._turn_to(sequence // self.settings.window_ratings)
+        self.turn_to(sequence // self.settings.window_ratings)
         bucket = str(score_bucket(score))
         self._counts.add(_name(str(self.window), fleet, version, kind, bucket))
         total = _name(BASELINE, fleet, version, kind, ALL_BUCKETS)
@@ -101,13 +101,14 @@
     def merge(self, cells: tuple[SharedCell, ...]) -> None:
         """Take in a peer's counters."""
         windows = [int(c.name[0]) for c in cells if c.name[0] != BASELINE]
-        self._turn_to(max(windows, default=self.window))
+        self.turn_to(max(windows, default=self.window))
         oldest = self.window - self.settings.kept_windows
         self._counts.merge(
             tuple(c for c in cells if c.name[0] == BASELINE or int(c.name[0]) > oldest)
         )
 
-    def _turn_to(self, window: int) -> None:
+    def turn_to(self, window: int) -> None:
+        """Go on to a later window, and forget those that are no longer kept."""
         if window <= self.window:
             return
         self.window = window
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -122,7 +122,7 @@
 
 
 def _explored(progress: Progress) -> bool:
-    return progress.decision is not None and progress.decision.explored
+    return progress.decision is not None and progress.decision.always_escalates
 
 
 def _learn(
--- a/acaciacove/entry/estimates_record.py
+++ b/acaciacove/entry/estimates_record.py
@@ -1,5 +1,7 @@
 """What ratings have taught, as the entries that read them publish it."""
 
+from typing import Any
+
 import orjson
 from attrs import frozen
 
@@ -32,10 +34,9 @@
     return orjson.dumps(document)
 
 
-def decode_estimates(payload: bytes) -> EstimatesRecord:
-    """Read a record; raises MalformedMessageError."""
+def decode_estimates(document: dict[str, Any]) -> EstimatesRecord:
+    """Read a record from its JSON object; raises MalformedMessageError."""
     try:
-        document = orjson.loads(payload)
         return EstimatesRecord(
             int(document["sequence"]),
             tuple(_from_list(cell) for cell in document["quality"]),
--- a/acaciacove/entry/learner.py
+++ b/acaciacove/entry/learner.py
@@ -26,7 +26,7 @@
 
 @define(eq=False)
 class Learner:
-    """Counts ratings, publishes the counts, and judges versions under roll-out."""
+    """Counts ratings, publishes the counts, and judges the versions in use."""
 
     name: str
     quality: QualityEstimates = field(factory=lambda: QualityEstimates(RATINGS_ORIGIN))
@@ -36,7 +36,7 @@
     next_publish_s: float = 0.0
     judged: set[tuple[VersionId, int, float]] = field(factory=set)
 
-    def take_ratings(self, ratings: list[Rating]) -> None:
+    def take_ratings(self, ratings: list[Rating], fleet: FleetState) -> None:
         """Count ratings that come after those counted so far."""
         for rating in ratings:
             if rating.sequence <= self.sequence:
@@ -44,7 +44,13 @@
             self.quality.record_rating(
                 rating.version, rating.request_class, rating.score, rating.sequence
             )
-            self.guard.observe(rating.version, EvidenceKind.RATING, rating.score)
+            self.guard.observe(
+                fleet,
+                rating.version,
+                EvidenceKind.RATING,
+                rating.score,
+                rating.sequence,
+            )
             self.sequence = rating.sequence
 
     def take_evidence(self, cells: tuple[SharedCell, ...]) -> None:
@@ -79,10 +85,10 @@
         return payload
 
     def judgements(self, fleet: FleetState) -> list[Judgement]:
-        """Judge every version under roll-out; each judgement is returned once."""
+        """Judge every version in use; each judgement is returned once."""
         found: list[Judgement] = []
         for version in fleet.versions.values():
-            if version.replaces is None or not fleet.is_usable(version.id):
+            if not fleet.is_usable(version.id):
                 continue
             judgement = self._judge(version, fleet)
             if judgement is not None:
@@ -90,7 +96,7 @@
         return found
 
     def _judge(self, version: Version, fleet: FleetState) -> Judgement | None:
-        verdict = self.guard.verdict(version)
+        verdict = self.guard.verdict(fleet, version)
         declared_at = fleet.declared_at.get(version.id, -1)
         mark = (version.id, declared_at, verdict.share)
         if verdict.action is GuardAction.KEEP or mark in self.judged:
--- a/acaciacove/entry/learning.py
+++ b/acaciacove/entry/learning.py
@@ -4,7 +4,8 @@
 from contextlib import suppress
 
 from acaciacove.daemon.decision_log import log_event
-from acaciacove.entry.duty import duty_names
+from acaciacove.daemon.duty import duty_names
+from acaciacove.daemon.evidence_cells import from_message_cells
 from acaciacove.entry.entry_state import EntryState
 from acaciacove.entry.estimates_record import (
     ESTIMATES_STREAM,
@@ -13,6 +14,7 @@
 )
 from acaciacove.errors import LogQueueFullError, MalformedMessageError
 from acaciacove.errors import PlatformUnavailableError as Unavailable
+from acaciacove.messages.evidence import Evidence
 from acaciacove.platform.log_entry import LogEntry
 from acaciacove.platform.rating_service import RatingService
 from acaciacove.state.batch_codec import decode_batch
@@ -56,11 +58,17 @@
     return found
 
 
+def take_evidence(entry: EntryState, evidence: Evidence) -> Evidence:
+    """Count what a sidecar saw, and tell it the window to count in."""
+    entry.learner.take_evidence(from_message_cells(evidence.cells))
+    return Evidence(window=entry.learner.guard.window)
+
+
 async def _read(entry: EntryState, ratings: RatingService) -> None:
     """Fetch the ratings that came since the last look."""
     while True:
         fetched = await ratings.fetch(entry.learner.sequence, READ_LIMIT)
-        entry.learner.take_ratings(fetched)
+        entry.learner.take_ratings(fetched, entry.holder.state)
         if len(fetched) < READ_LIMIT:
             return
 
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -34,7 +34,7 @@
 from acaciacove.entry.entry_state import EntryState
 from acaciacove.entry.estimates_record import ESTIMATES_STREAM
 from acaciacove.entry.learner import Learner
-from acaciacove.entry.learning import learn, take_estimates
+from acaciacove.entry.learning import learn, take_estimates, take_evidence
 from acaciacove.entry.open_links import open_links
 from acaciacove.entry.rate_answer import AnswerRater
 from acaciacove.entry.router import Router
@@ -82,6 +82,7 @@
         await shared.ready()
         entry.lifecycle.become_ready()
 
+    shared.network.on_evidence = lambda evidence: take_evidence(entry, evidence)
     estimates = LogTail(
         shared.log,
         ESTIMATES_STREAM,
--- a/acaciacove/messages/evidence.py
+++ b/acaciacove/messages/evidence.py
@@ -1,4 +1,4 @@
-"""Evidence on versions, from a sidecar to the entries that judge roll-outs."""
+"""Evidence on versions, between sidecars and the entries that judge versions."""
 
 from attrs import frozen
 
@@ -7,6 +7,11 @@
 
 @frozen
 class Evidence:
-    """Counters that only grow, so that a lost or doubled message does no harm."""
+    """Counters that only grow, so that a lost or doubled message does no harm.
+
+    ``window`` is the sender's: windows are counted in ratings, which only the
+    judging entries read, so their answer, without cells, tells the sidecar.
+    """
 
     cells: tuple[EvidenceCell, ...] = ()
+    window: int = 0
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -51,6 +51,8 @@
         if outcome is None:
             outcome = await _answer(run, sidecar, ticket, send)
         completed = outcome is None
+        if outcome is None or not outcome.not_run:
+            sidecar.evidence.count(ticket, sidecar.holder.state, completed)
     finally:
         sidecar.admission.leave(ticket, completed)
     if outcome is not None:
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -25,6 +25,7 @@
 )
 from acaciacove.decisions.admission import AdmissionQueue
 from acaciacove.decisions.admission_settings import AdmissionSettings
+from acaciacove.decisions.rollout_guard import RolloutGuard
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.role import Role
 from acaciacove.messages.message import Message
@@ -36,6 +37,7 @@
 from acaciacove.settings.sidecar_settings import SidecarSettings
 from acaciacove.sidecar.admission import Admission
 from acaciacove.sidecar.entry_session import EntrySession, Send
+from acaciacove.sidecar.evidence_report import EvidenceReport
 from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
 from acaciacove.sidecar.sidecar_state import SidecarState
 from acaciacove.wire.connection import Connection
@@ -80,11 +82,12 @@
         await shared.ready()
         sidecar.lifecycle.become_ready()
 
+    shared.network.on_evidence = sidecar.evidence.take_answer
     probes = probe_routes(sidecar.lifecycle, registry, status)
     async with (
         message_server(sockets.messages, handle),
         shared.running(sockets.datagrams),
-        background(become_ready()),
+        background(become_ready(), sidecar.evidence.run(shared)),
         http_server(
             Starlette(routes=probes), settings.host, settings.http_port
         ) as http_port,
@@ -132,6 +135,7 @@
         engine=HttpEngine(settings.endpoint_url, client),
         service=HttpService(settings.endpoint_url, client, open_client(reuse=False)),
         metrics=SidecarMetrics(registry),
+        evidence=EvidenceReport(RolloutGuard(settings.name)),
         served=served,
     )
 
--- a/acaciacove/sidecar/sidecar_state.py
+++ b/acaciacove/sidecar/sidecar_state.py
@@ -9,6 +9,7 @@
 from acaciacove.platform.plain_service import PlainService
 from acaciacove.settings.sidecar_settings import SidecarSettings
 from acaciacove.sidecar.admission import Admission
+from acaciacove.sidecar.evidence_report import EvidenceReport
 from acaciacove.sidecar.gate import GateView
 from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
 from acaciacove.state.fleet_holder import FleetHolder
@@ -25,6 +26,7 @@
     engine: Engine
     service: PlainService
     metrics: SidecarMetrics
+    evidence: EvidenceReport
     served: frozenset[VersionId]
     in_flight: int = field(default=0)
 
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -150,6 +150,7 @@
 
 struct Evidence {
   cells @0 :List(EvidenceCell);
+  window @1 :UInt32;
 }
 
 struct Frame {
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from hashlib import sha256
+from random import Random
 from typing import Any
 
 from attrs import define, evolve, field
@@ -28,6 +29,8 @@
 from acaciacove.standins.instance_list_state import InstanceListState
 from acaciacove.standins.log_app import build_log_app
 from acaciacove.standins.log_state import LogState
+from acaciacove.standins.rating_app import build_rating_app
+from acaciacove.standins.rating_state import RatingState
 from acaciacove.standins.serve import serve
 from acaciacove.standins.service_app import build_service_app
 from acaciacove.standins.service_state import ServiceState
@@ -69,6 +72,7 @@
 
     log: LogState
     listing: InstanceListState
+    rating: RatingState
     engines: dict[str, EngineState] = field(factory=dict)
     services: dict[str, ServiceState] = field(factory=dict)
     sidecars: dict[str, RunningSidecar] = field(factory=dict)
@@ -79,6 +83,8 @@
     client: Any = None
     log_url: str = ""
     list_url: str = ""
+    rating_url: str = ""
+    extra: tuple[VersionId, ...] = ()
 
     def publish(self, record: Record) -> int:
         """Append a record to the release stream."""
@@ -113,16 +119,30 @@
 
 @asynccontextmanager
 async def embedded_fleet(
-    models: int = 2, services: int = 2, entries: int = 1
+    models: int = 2,
+    services: int = 2,
+    entries: int = 1,
+    rated: bool = False,
+    extra: tuple[VersionId, ...] = (),
 ) -> AsyncIterator[Embedded]:
-    """Run a fleet until its entries are ready."""
-    fleet = Embedded(LogState(), InstanceListState())
+    """Run a fleet until its entries are ready.
+
+    With ``rated`` a rating service stands by and gets every answer; ``extra``
+    versions are served by the model endpoints besides the usual ones.
+    """
+    rating = RatingState(Random(1))
+    fleet = Embedded(LogState(), InstanceListState(), rating, extra=extra)
     async with AsyncExitStack() as stack:
         log_port = await stack.enter_async_context(serve(build_log_app(fleet.log)))
         list_app = build_instance_list_app(fleet.listing)
         list_port = await stack.enter_async_context(serve(list_app))
         fleet.log_url = f"http://127.0.0.1:{log_port}"
         fleet.list_url = f"http://127.0.0.1:{list_port}"
+        if rated:
+            rating_port = await stack.enter_async_context(
+                serve(build_rating_app(fleet.rating))
+            )
+            fleet.rating_url = f"http://127.0.0.1:{rating_port}"
         fleet.client = open_client()
         fleet.publish(release_note())
         for number in range(models):
@@ -146,7 +166,8 @@
     engine = EngineState({str(SMALL), str(LARGE)})
     fleet.engines[name] = engine
     port = await stack.enter_async_context(serve(build_engine_app(engine)))
-    await add_sidecar(fleet, stack, name, zone, port, (SMALL, LARGE))
+    versions = (SMALL, LARGE, *fleet.extra)
+    await add_sidecar(fleet, stack, name, zone, port, versions)
 
 
 async def _add_service(
@@ -210,6 +231,8 @@
         peer_port=0,
         log_url=fleet.log_url,
         instance_list_url=fleet.list_url,
+        rating_url=fleet.rating_url,
+        rating_share=1.0,
         drain_notice_s=0.0,
         drain_limit_s=5.0,
         seed=7 + len(fleet.entries),
--- /dev/null
+++ b/tests/test_path_rollout.py
@@ -0,0 +1,74 @@
+"""A version under roll-out on real daemons: judged by ratings and by errors."""
+
+import orjson
+from attrs import evolve
+
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.state.release_note import ReleaseNote
+from tests.embedded import SMALL, embedded_fleet, run, until
+
+CHAT = "/v1/chat/completions"
+NEW = VersionId("guide-small", "2")
+
+
+def question(number):
+    message = {"role": "user", "content": f"Any creeks near bridge {number}?"}
+    return orjson.dumps({"model": "guide", "messages": [message], "max_tokens": 4})
+
+
+async def roll_out(fleet, first_share):
+    """Let the endpoints serve a new version and declare it."""
+    for engine in fleet.engines.values():
+        engine.versions.add(str(NEW))
+    version = Version(NEW, "guide", 1.0, 0.7, 8, 8, replaces=SMALL)
+    version = evolve(version, first_share=first_share)
+    offset = fleet.publish(ReleaseNote("note-2", 0, versions=(version,)))
+    entry = fleet.entries[0].shared
+    await until(lambda: entry.holder.revision >= offset)
+
+
+async def ask_until(fleet, done, limit=4000):
+    for number in range(limit):
+        if done():
+            return
+        response = await fleet.post(CHAT, question(number))
+        await response.content()
+
+
+def test_a_version_that_rates_badly_is_stopped_everywhere():
+    # Operators roll out a version whose answers are a third worse. Nobody reports an
+    # error; callers just get worse answers until its ratings stop it.
+    async def test():
+        async with embedded_fleet(services=0, rated=True, extra=(NEW,)) as fleet:
+            fleet.rating.qualities = {str(SMALL): 0.8, str(NEW): 0.5}
+            await roll_out(fleet, 0.3)
+            state = fleet.entries[0].shared.holder
+            await ask_until(fleet, lambda: NEW in state.state.quarantines)
+            assert "rating" in state.state.quarantines[NEW].reason
+            sidecars = [s.shared.holder for s in fleet.sidecars.values()]
+            await until(lambda: all(NEW in h.state.quarantines for h in sidecars))
+            before = [
+                e.counters.started_by_version[str(NEW)] for e in fleet.engines.values()
+            ]
+            for number in range(20):
+                await fleet.post(CHAT, question(number))
+            after = [
+                e.counters.started_by_version[str(NEW)] for e in fleet.engines.values()
+            ]
+            assert before == after
+
+    run(test)
+
+
+def test_a_version_that_rates_well_earns_its_full_share():
+    async def test():
+        async with embedded_fleet(services=0, rated=True, extra=(NEW,)) as fleet:
+            fleet.rating.qualities = {str(SMALL): 0.8, str(NEW): 0.8}
+            await roll_out(fleet, 0.3)
+            state = fleet.entries[0].shared.holder
+            await ask_until(fleet, lambda: state.state.exposures.get(NEW, 0) >= 1.0)
+            assert state.state.exposures[NEW] == 1.0
+            assert NEW not in state.state.quarantines
+
+    run(test)
