--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -424,11 +424,17 @@
     words=("bench",),
     summary="Measure the decisions, and what entry and sidecar add to a call.",
     help="""
-        Runs one bench. cascade and the other scenarios run the decisions on drawn
-        load, ours beside baselines on the same arrivals, and print one table.
+        Runs one bench.
+
+        cascade, fairness, zone_move and balance run the decisions on drawn load,
+        ours beside baselines on the same arrivals, and print one table.
+
         overhead starts a small fleet of processes on loopback and compares calls
         through entry and sidecar with calls of the engine itself.
 
+        capacity measures slopes on this machine, projects them to the size to
+        design for, and marks what is over its budget.
+
         With --json the last line is one JSON object. Flags that a bench does not
         know are left alone; empty ones take the bench's own default.
     """,
