--- a/acaciacove/state/log_tail.py
+++ b/acaciacove/state/log_tail.py
@@ -14,7 +14,7 @@
 GapHandler = Callable[[int], None]
 
 READ_LIMIT = 1000
-READ_WAIT_S = 1.0
+READ_WAIT_S = 10.0
 READ_TIMEOUT_S = 3.0
 IDLE_DELAY_S = 0.1
 FLEET_READS_PER_S = 100.0
@@ -59,6 +59,15 @@
         """Skip entries that came by another way, such as from a peer."""
         self.next_offset = max(self.next_offset, next_offset)
 
+    def accept(self, entry: LogEntry) -> None:
+        """Take in an entry that this process has appended itself.
+
+        It counts only if it follows what was read; else it will be read in its turn.
+        """
+        if entry.offset == self.next_offset:
+            self.next_offset = entry.offset + 1
+            self._handle_entries([entry])
+
     async def run(self) -> None:
         """Follow the stream until cancelled, through outages."""
         while True:
