--- a/acaciacove/daemon/shared_state.py
+++ b/acaciacove/daemon/shared_state.py
@@ -147,7 +147,15 @@
         return InstanceStatus.LIVE if ready else InstanceStatus.STARTING
 
     spread = Spread(me, holder, SpreadSettings(), rng, status, evidence)
-    tail = LogTail(log, RELEASE_STREAM, holder.offer, holder.note_gap, rng, health)
+    tail = LogTail(
+        log,
+        RELEASE_STREAM,
+        holder.offer,
+        holder.note_gap,
+        rng,
+        health,
+        processes=lambda: len(membership.usable()) + 1,
+    )
     holder.listen(lambda _: tail.advance_to(holder.next_offset))
     return SharedState(
         me=me,
--- a/acaciacove/state/log_tail.py
+++ b/acaciacove/state/log_tail.py
@@ -17,6 +17,7 @@
 READ_WAIT_S = 10.0
 READ_TIMEOUT_S = 3.0
 IDLE_DELAY_S = 0.1
+FLEET_READS_PER_S = 100.0
 BACKOFF_LIMIT_S = 2.0
 
 
@@ -37,13 +38,18 @@
         random: Random,
         health: LogHealth | None = None,
         next_offset: int = 0,
+        processes: Callable[[], int] = lambda: 1,
     ) -> None:
-        """Take what the tail works with; nothing is read before ``run``."""
+        """Take what the tail works with; nothing is read before ``run``.
+
+        ``processes`` tells how many follow the stream; see ``idle_delay_s``.
+        """
         self.stream = stream
         self.next_offset = next_offset
         self.caught_up = asyncio.Event()
         self.health = health or LogHealth()
         self._log = log
+        self._processes = processes
         self._handle_entries = handle_entries
         self._handle_gap = handle_gap
         self._backoff = Backoff(random, limit_s=BACKOFF_LIMIT_S)
@@ -76,7 +82,7 @@
             if count == 0:
                 # A log that answers an empty read at once, without waiting as
                 # it was asked to, would otherwise be polled in a busy loop.
-                await asyncio.sleep(IDLE_DELAY_S)
+                await asyncio.sleep(idle_delay_s(self._processes()))
 
     async def read_once(self, wait_s: float = 0.0) -> int:
         """Read and hand over the next entries; return how many there were.
@@ -130,3 +136,13 @@
             self.health.succeeded(max(0.0, loop.time() - started_s - wait_s))
             self._backoff.reset()
             return entries
+
+
+def idle_delay_s(processes: int) -> float:
+    """Return the pause after a read that brought nothing.
+
+    A thousand processes that all read the log each second would be most of its
+    work. All of them together keep to FLEET_READS_PER_S: whoever reads a record
+    first passes it on, so that each of the others need not.
+    """
+    return max(IDLE_DELAY_S, processes / FLEET_READS_PER_S - READ_WAIT_S)
