Claim calls that may not be repeated, bill each request once, keep sessions

Cause: claims, billing and pins stood beside the daemons. Twelve copies of one booking at once showed 502 outcome_unknown for some: a sidecar that had just started took an owner that it did not know yet for gone. Ruled out: a second run (one effect throughout). Change: sidecars run such calls through ClaimOwner; entries ask the key's usual owner; bills are held by both sides and confirmed on later messages; retries of a booking share one bill; sessions carry a signed token; a refusal names what the last attempt met, and a log outage ends a booking at once. Strangers count as gone after two minutes only.

--- a/acaciacove/entry/app.py
+++ b/acaciacove/entry/app.py
@@ -44,7 +44,7 @@
                 return problem_response(read, request_id)
             if read.stream:
                 return await _streamed(entry, read, answer(read))
-            whole = _whole(request_id, answer(read))
+            whole = _whole(entry, read, answer(read))
             if read.non_idempotent:
                 return await whole
             return await until_caller_leaves(request, whole)
@@ -59,7 +59,9 @@
 
 
 async def _whole(
-    request_id: str, events: AsyncGenerator[AnswerEvent, None]
+    entry: EntryState,
+    request: CallerRequest,
+    events: AsyncGenerator[AnswerEvent, None],
 ) -> Response:
     """Answer with one body, or with a problem if it cannot be whole."""
     pieces: list[bytes] = []
@@ -72,11 +74,11 @@
                 case AnswerPiece():
                     pieces.append(event.data)
                 case AnswerEnd() if head is not None:
-                    headers = _headers(request_id, head)
+                    headers = _headers(entry, request, head)
                     headers[header_names.COST] = f"{event.cost:.6f}"
                     return Response(b"".join(pieces), head.status, headers)
                 case Refusal():
-                    return problem_response(event, request_id)
+                    return problem_response(event, request.request_id)
     raise AssertionError("an answer ends with AnswerEnd or Refusal")
 
 
@@ -90,9 +92,9 @@
     if isinstance(first, Refusal):
         return problem_response(first, request.request_id)
     assert isinstance(first, AnswerHead)
-    headers = _headers(request.request_id, first)
+    headers = _headers(entry, request, first)
     if first.status != OK:
-        return await _whole(request.request_id, _put_back(first, events))
+        return await _whole(entry, request, _put_back(first, events))
     headers["cache-control"] = "no-store"
     body = _event_bytes(entry, request.request_id, events)
     return AnswerResponse(body, first.status, headers, media_type=EVENT_STREAM)
@@ -126,12 +128,18 @@
                         yield _error_event(event, request_id)
 
 
-def _headers(request_id: str, head: AnswerHead) -> dict[str, str]:
+def _headers(
+    entry: EntryState, request: CallerRequest, head: AnswerHead
+) -> dict[str, str]:
     """List an answer's headers with those that tell who answered."""
     headers = {header.name.lower(): header.value for header in head.headers}
-    headers[header_names.REQUEST_ID] = request_id
+    headers[header_names.REQUEST_ID] = request.request_id
     headers[header_names.VERSION] = str(head.version)
     headers[header_names.ENDPOINT] = head.endpoint
+    if request.session:
+        headers[header_names.SESSION_TOKEN] = entry.pins.issue(
+            request.organisation.name, request.api.name, request.session, head.version
+        )
     return headers
 
 
--- /dev/null
+++ b/acaciacove/entry/bill_request.py
@@ -0,0 +1,55 @@
+"""The entry's bill for a request."""
+
+import asyncio
+from time import time
+
+from acaciacove.entry.answer_end import AnswerEnd
+from acaciacove.entry.caller_request import CallerRequest
+from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.progress import Progress
+from acaciacove.messages.billed import Billed
+from acaciacove.state.billing_price import billing_id
+from acaciacove.state.billing_record import BillingRecord
+
+TELL_S = 2.0
+
+
+def bill_request(
+    request: CallerRequest, progress: Progress, entry: EntryState, end: AnswerEnd | None
+) -> None:
+    """Bill a request once, when it has ended; nothing is billed for "not run".
+
+    A request that may have run without a whole answer is recorded as costing
+    nothing, which keeps the copies of sidecars from counting.
+    """
+    if end is None and not progress.may_have_run:
+        return
+    record = BillingRecord(
+        request_id=billing_id(
+            request.request_id,
+            request.organisation.name,
+            request.api.name,
+            request.idempotency_key if request.non_idempotent else "",
+        ),
+        organisation=request.organisation.name,
+        api=request.api.name,
+        version=str(progress.version),
+        answered=end is not None,
+        cost=end.cost if end else 0.0,
+        prompt_tokens=end.prompt_tokens if end else 0,
+        completion_tokens=end.completion_tokens if end else 0,
+        at_s=time(),
+    )
+    entry.billing.bill(record, progress.asked, asyncio.get_running_loop().time())
+
+
+async def tell_billed(entry: EntryState) -> None:
+    """Tell sidecars which bills are in the log, where no request carries the word."""
+    while True:
+        await asyncio.sleep(TELL_S)
+        for link in entry.links.values():
+            if link.peer is None:
+                continue
+            request_ids = entry.billing.confirmations(link.peer.instance)
+            if request_ids:
+                link.tell(Billed(request_ids))
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -13,6 +13,7 @@
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.answer_head import AnswerHead
 from acaciacove.entry.answer_piece import AnswerPiece
+from acaciacove.entry.bill_request import bill_request
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.entry_state import EntryState
 from acaciacove.entry.progress import Progress
@@ -33,12 +34,34 @@
 async def dispatch(
     request: CallerRequest, entry: EntryState
 ) -> AsyncGenerator[AnswerEvent, None]:
-    """Yield the events of an answer; the last is an AnswerEnd or a Refusal."""
+    """Yield the events of an answer; the last is an AnswerEnd or a Refusal.
+
+    The request is billed however this ends, also when the caller leaves half-way.
+    """
     progress = Progress()
     entry.retries.earn()
+    end: AnswerEnd | None = None
+    events = _all_attempts(request, progress, entry)
+    try:
+        async with aclosing(events):
+            async for event in events:
+                if isinstance(event, AnswerEnd):
+                    end = event
+                yield event
+    finally:
+        if end is None and progress.asked and not progress.is_settled:
+            progress.may_have_run = True
+        bill_request(request, progress, entry, end)
+
+
+async def _all_attempts(
+    request: CallerRequest, progress: Progress, entry: EntryState
+) -> AsyncGenerator[AnswerEvent, None]:
+    """Make attempts until one succeeds or none may follow."""
     while True:
         chosen = _choose(request, progress, entry)
         if isinstance(chosen, Refusal):
+            progress.is_settled = True
             yield chosen
             return
         refused: Refused | None = None
@@ -53,6 +76,7 @@
             return
         refusal = _after_refused(refused, request, progress, entry, chosen[1])
         if refusal is not None:
+            progress.is_settled = True
             yield refusal
             return
 
@@ -240,7 +264,13 @@
 def _refused_choice(
     request: CallerRequest, progress: Progress, entry: EntryState, refusal: Refusal
 ) -> Refusal:
-    """Log a request that has nowhere to go; "not run" holds for all attempts."""
+    """Log a request that has nowhere to go; "not run" holds for all attempts.
+
+    Where attempts were made, what the last one met tells a caller more than that
+    no endpoint is left.
+    """
+    if progress.last_refused is not None:
+        refusal = as_refusal(progress.last_refused, progress)
     truthful = Refusal(
         refusal.reason,
         refusal.not_run and not progress.may_have_run,
@@ -296,6 +326,7 @@
         not_run=refused.not_run,
         detail=refused.detail,
     )
+    progress.last_refused = refused
     progress.may_have_run |= not refused.not_run
     progress.failed_endpoints.add(endpoint.name)
     final = final_refusal(refused, request, progress)
--- a/acaciacove/entry/entry_state.py
+++ b/acaciacove/entry/entry_state.py
@@ -16,7 +16,9 @@
 from acaciacove.entry.sidecar_link import SidecarLink
 from acaciacove.fleet.instance import Instance
 from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.state.billing_outbox import BillingOutbox
 from acaciacove.state.fleet_holder import FleetHolder
+from acaciacove.state.session_pins import SessionPins
 
 REQUEST_ID_BITS = 128
 
@@ -34,6 +36,8 @@
     retries: Budget
     learner: Learner
     rater: AnswerRater
+    billing: BillingOutbox
+    pins: SessionPins
     open_link: Callable[[Instance], SidecarLink]
     links: dict[tuple[str, int], SidecarLink] = field(factory=dict)
     in_flight: int = 0
--- a/acaciacove/entry/progress.py
+++ b/acaciacove/entry/progress.py
@@ -4,6 +4,7 @@
 
 from acaciacove.decisions.version_decision import VersionDecision
 from acaciacove.fleet.version_id import VersionId
+from acaciacove.messages.refused import Refused
 
 
 @define
@@ -11,19 +12,24 @@
     """Attempts made so far and what of the answer the caller already has.
 
     ``may_have_run`` turns true with the first attempt that an endpoint may have
-    seen, after which no refusal may say "not run". ``cost`` sums what finished
-    attempts cost, those that a cascade judged short included. ``step`` is the
-    place on the ladder of ``decision``.
+    seen, after which no refusal may say "not run"; ``is_settled`` once all that was
+    asked has answered. ``cost`` sums what finished attempts cost, those that a
+    cascade judged short included. ``step`` is the place on the ladder of
+    ``decision``; ``last_refused`` is why the last attempt failed; ``asked`` names the
+    endpoints that may hold a copy of the bill.
     """
 
     decision: VersionDecision | None = None
     step: int = 0
     attempts: int = 0
     may_have_run: bool = False
+    is_settled: bool = False
     delivered_tokens: int = 0
     delivered_bytes: int = 0
     cost: float = 0.0
+    last_refused: Refused | None = None
     failed_endpoints: set[str] = field(factory=set)
+    asked: list[str] = field(factory=list)
 
     @property
     def version(self) -> VersionId | None:
--- a/acaciacove/entry/read_request.py
+++ b/acaciacove/entry/read_request.py
@@ -26,6 +26,9 @@
 CHARS_PER_TOKEN = 4
 CHAT_PATH = "/v1/chat/completions"
 NOT_READY = Refusal(Reason.NOT_READY, True, "no release note is known yet", 1.0)
+NO_ROOM = Refusal(
+    Reason.OVERLOADED, True, "too many bills wait for the platform's log", 5.0
+)
 DRAINING = Refusal(Reason.DRAINING, True, "this instance is leaving", 0.0)
 
 
@@ -58,6 +61,8 @@
         return DRAINING
     if not entry.lifecycle.takes_work:
         return NOT_READY
+    if not entry.billing.has_room:
+        return NO_ROOM
     header_bytes = sum(len(name) + len(value) for name, value in request.headers.raw)
     if header_bytes > entry.settings.max_header_bytes:
         detail = f"headers are larger than {entry.settings.max_header_bytes} bytes"
@@ -113,6 +118,7 @@
         stream=chat.stream,
         batch=batch,
         session=request.headers.get(header_names.SESSION_ID, ""),
+        pinned=_pinned(request, entry, organisation, api),
         explicit=explicit,
         estimated_tokens=prompt_tokens + chat.max_tokens,
         prefix_hash=f"{crc32(chat.first_message.encode()):08x}",
@@ -120,6 +126,19 @@
     )
 
 
+def _pinned(
+    request: Request, entry: EntryState, organisation: Organisation, api: Api
+) -> VersionId | None:
+    """Return the version that the caller's session keeps."""
+    return entry.pins.pinned_version(
+        entry.holder.state,
+        organisation,
+        api,
+        request.headers.get(header_names.SESSION_ID, ""),
+        request.headers.get(header_names.SESSION_TOKEN, ""),
+    )
+
+
 def _api_of_model(
     entry: EntryState, model: str
 ) -> tuple[Api, VersionId | None] | Refusal:
--- a/acaciacove/entry/retry_rule.py
+++ b/acaciacove/entry/retry_rule.py
@@ -18,6 +18,8 @@
         Reason.OUTCOME_UNKNOWN,
         Reason.IN_PROGRESS,
         Reason.CANCELLED,
+        # The log is what failed, and it is the same one for every endpoint.
+        Reason.CLAIM_UNAVAILABLE,
     }
 )
 
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -23,13 +23,19 @@
 from acaciacove.messages.load import Load
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
+from acaciacove.state.claim_key import claim_key
+from acaciacove.state.rendezvous import partition_of, usual_owner
+
+RETRY_LATER_S = 1.0
+SESSION_PARTITIONS = 4096
 
 
 @define(eq=False)
 class Router:
     """State of the entry's decisions; the decisions themselves are functions.
 
-    ``subsets`` holds this entry's bounded set of endpoints for each version.
+    ``subsets`` holds this entry's bounded set of endpoints for each version,
+    ``serving`` all of them, for calls that have one usual owner.
     """
 
     name: str
@@ -40,6 +46,7 @@
     zone_moves: ZoneMoves = field(factory=ZoneMoves)
     views: dict[str, EndpointView] = field(factory=dict)
     subsets: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
+    serving: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
 
     def update(self, instances: list[Instance], fleet: FleetState) -> None:
         """Follow the fleet: endpoints keep their views, subsets are made anew."""
@@ -50,10 +57,14 @@
         self.views = {n: view for n, view in self.views.items() if n in names}
         for endpoint in endpoints:
             self._view_of(endpoint).instance = endpoint
-        self.subsets = {
-            version: self._subset(entries, endpoints, version)
+        self.serving = {
+            version: tuple(e for e in endpoints if version in e.versions)
             for version in {v for e in endpoints for v in e.versions}
         }
+        self.subsets = {
+            version: choose_subset(self.name, entries, serving, self.subset_size)
+            for version, serving in self.serving.items()
+        }
 
     def choose_version(
         self, fleet: FleetState, request: CallerRequest
@@ -66,6 +77,11 @@
             refusal = self._refuse_named(fleet, request, request.explicit)
             if refusal is not None:
                 return refusal
+        pinned = request.explicit or request.pinned
+        if pinned is not None and pinned not in self.subsets:
+            # Its endpoints are out or lost for the moment. Another version would
+            # move the session, which only a withdrawal may do.
+            return Refusal(Reason.NO_ENDPOINT, True, str(pinned), RETRY_LATER_S)
         return choose_version(
             fleet,
             request.organisation,
@@ -73,7 +89,7 @@
             request.request_class,
             self.plans,
             self.rng,
-            pinned=request.explicit or request.pinned,
+            pinned=pinned,
             session=request.session,
             shares=exposures(fleet),
             serving=self.subsets.keys(),
@@ -107,8 +123,10 @@
         """Choose one of this entry's endpoints of a version."""
         now_s = _now_s()
         subset = self.subsets.get(version, ())
+        if request.non_idempotent:
+            subset = self._claim_owner(fleet, request, version, progress)
         if not subset:
-            return Refusal(Reason.NO_ENDPOINT, True, str(version), 1.0)
+            return Refusal(Reason.NO_ENDPOINT, True, str(version), RETRY_LATER_S)
         zones = {instance.availability_zone for instance in subset}
         return choose_endpoint(
             subset,
@@ -117,11 +135,37 @@
             self.rng,
             fleet,
             excluded=progress.failed_endpoints,
+            session_endpoint=_session_endpoint(request, subset),
             prefix_hash=request.prefix_hash,
             organisation=request.organisation.name,
             zone_shares={zone: self.zone_moves.share(zone, now_s) for zone in zones},
         )
 
+    def _claim_owner(
+        self,
+        fleet: FleetState,
+        request: CallerRequest,
+        version: VersionId,
+        progress: Progress,
+    ) -> tuple[Instance, ...]:
+        """Return the usual owner of the request's key, of those that may be asked.
+
+        Every entry asks the same one, so that a retry tends to meet its first
+        attempt. Only the log decides who runs the call.
+        """
+        able = {
+            e.name: e
+            for e in self.serving.get(version, ())
+            if e.availability_zone not in fleet.availability_zones_out
+            and e.name not in fleet.instances_out
+            and e.name not in progress.failed_endpoints
+        }
+        key = claim_key(
+            request.organisation.name, request.api.name, request.idempotency_key
+        )
+        owner = usual_owner(partition_of(key), able)
+        return (able[owner],) if owner else ()
+
     def sent(self, endpoint: Instance, request: CallerRequest) -> None:
         """Count an attempt that was sent."""
         self._view_of(endpoint).sent(
@@ -144,11 +188,16 @@
             view = self.views[endpoint.name] = EndpointView(endpoint)
         return view
 
-    def _subset(
-        self, entries: list[str], endpoints: list[Instance], version: VersionId
-    ) -> tuple[Instance, ...]:
-        serving = [e for e in endpoints if version in e.versions]
-        return choose_subset(self.name, entries, serving, self.subset_size)
+
+def _session_endpoint(request: CallerRequest, subset: tuple[Instance, ...]) -> str:
+    """Return the endpoint whose cache is likely to hold a session, or nobody.
+
+    It is found by hash, so that it is the same after an entry was replaced.
+    """
+    if not request.session:
+        return ""
+    key = partition_of(request.session, SESSION_PARTITIONS)
+    return usual_owner(key, (endpoint.name for endpoint in subset)) or ""
 
 
 def exposures(fleet: FleetState) -> dict[VersionId, float]:
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -9,6 +9,7 @@
 from attrs import frozen
 
 from acaciacove.daemon.background import background
+from acaciacove.daemon.billing import flush, tick_billing
 from acaciacove.daemon.drain import drain
 from acaciacove.daemon.http_server import http_server
 from acaciacove.daemon.message_server import message_server
@@ -28,6 +29,7 @@
 from acaciacove.decisions.quality_estimates import QualityEstimates
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.app import build_entry_app
+from acaciacove.entry.bill_request import tell_billed
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.dispatch import dispatch
 from acaciacove.entry.entry_metrics import EntryMetrics
@@ -45,7 +47,10 @@
 from acaciacove.platform.http_log import HttpLog
 from acaciacove.platform.http_rating_service import HttpRatingService
 from acaciacove.settings.entry_settings import EntrySettings
+from acaciacove.state.billing_outbox import BillingOutbox
+from acaciacove.state.billing_settings import BillingSettings
 from acaciacove.state.log_tail import LogTail
+from acaciacove.state.session_pins import SessionPins
 from acaciacove.wire.connection import Connection
 
 
@@ -96,7 +101,13 @@
     async with (
         message_server(sockets.messages, handle),
         shared.running(sockets.datagrams),
-        background(become_ready(), learn(entry, entry.rater.service), estimates.run()),
+        background(
+            become_ready(),
+            learn(entry, entry.rater.service),
+            estimates.run(),
+            tick_billing(entry.billing),
+            tell_billed(entry),
+        ),
         http_server(
             app, settings.host, settings.http_port, settings.max_header_bytes
         ) as http_port,
@@ -111,6 +122,7 @@
                 shared.network.announce_leaving,
                 lambda: entry.in_flight,
             )
+            await flush(shared, entry.billing, settings.drain_limit_s)
             entry.close_links()
     entry.lifecycle.stop()
 
@@ -153,6 +165,8 @@
         rater=AnswerRater(
             _rating_service(settings, client), settings.rating_share, rng
         ),
+        billing=BillingOutbox(settings.name, shared.writer, BillingSettings()),
+        pins=SessionPins(tuple(settings.session_secret.split(","))),
         open_link=open_links(shared),
     )
 
--- a/acaciacove/entry/try_endpoint.py
+++ b/acaciacove/entry/try_endpoint.py
@@ -20,8 +20,8 @@
 from acaciacove.messages.refused import Refused
 from acaciacove.messages.run import Run
 from acaciacove.reason import Reason
+from acaciacove.state.billing_price import price
 
-TOKENS_PER_PRICE = 1000.0
 # The sidecar keeps the same deadline and knows more about what became of a call, so
 # its word is awaited a little longer than the deadline itself.
 DEADLINE_GRACE_S = 0.25
@@ -37,7 +37,7 @@
     """Yield an attempt's events; the last is an AnswerEnd or a Refused."""
     progress.attempts += 1
     remaining_s = request.deadline_at_s - asyncio.get_running_loop().time()
-    run = _run_message(request, progress, entry, version, remaining_s)
+    run = _run_message(request, progress, entry, version, endpoint, remaining_s)
     link = entry.link_to(endpoint)
     attempt = await link.start(run)
     if isinstance(attempt, Refused):
@@ -45,6 +45,7 @@
         yield attempt
         return
     entry.router.sent(endpoint, request)
+    progress.asked.append(endpoint.name)
     load: Load | None = None
     ok = False
     try:
@@ -109,7 +110,7 @@
 def _answer_end(
     progress: Progress, version: Version, endpoint: Instance, end: End
 ) -> AnswerEnd:
-    progress.cost += _cost(version, end)
+    progress.cost += price(version, end.prompt_tokens, end.completion_tokens)
     return AnswerEnd(
         version=version.id,
         endpoint=endpoint.name,
@@ -121,19 +122,12 @@
     )
 
 
-def _cost(version: Version, end: End) -> float:
-    """Price an answer: by tokens for models, by call for services."""
-    tokens = end.prompt_tokens + end.completion_tokens
-    if tokens == 0:
-        return version.cost_per_1k_tokens
-    return version.cost_per_1k_tokens * tokens / TOKENS_PER_PRICE
-
-
 def _run_message(
     request: CallerRequest,
     progress: Progress,
     entry: EntryState,
     version: Version,
+    endpoint: Instance,
     remaining_s: float,
 ) -> Run:
     """Write the message that asks a sidecar for this attempt."""
@@ -157,4 +151,5 @@
         headers=request.headers,
         body=request.body,
         received_tokens=progress.delivered_tokens,
+        billed=entry.billing.confirmations(endpoint.name),
     )
--- /dev/null
+++ b/acaciacove/sidecar/ask_peer.py
@@ -0,0 +1,32 @@
+"""One question to another process and its answer, on a connection of their own."""
+
+import asyncio
+
+from acaciacove.daemon.shared_state import SharedState
+from acaciacove.messages.claim_answer import ClaimAnswer
+from acaciacove.messages.claim_query import ClaimQuery
+from acaciacove.wire.connection import connect
+
+TIMEOUT_S = 1.0
+
+
+async def ask_claim_owner(
+    shared: SharedState, name: str, query: ClaimQuery
+) -> ClaimAnswer | None:
+    """Ask the owner of a claim what became of it; None if it cannot be reached."""
+    owner = shared.membership.find(name)
+    if owner is None:
+        return None
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            connection = await connect(owner.host, owner.port)
+            try:
+                await connection.send_all((shared.hello(), query))
+                while (message := await connection.receive()) is not None:
+                    if isinstance(message, ClaimAnswer):
+                        return message
+            finally:
+                connection.close()
+    except (OSError, TimeoutError):
+        return None
+    return None
--- /dev/null
+++ b/acaciacove/sidecar/claimed_call.py
@@ -0,0 +1,57 @@
+"""Calls of a plain service that may run at most once."""
+
+import asyncio
+from collections.abc import Iterable
+
+from acaciacove.daemon.shared_state import SharedState
+from acaciacove.fleet.role import Role
+from acaciacove.messages.run import Run
+from acaciacove.platform.service_answer import ServiceAnswer
+from acaciacove.platform.service_call import ServiceCall
+from acaciacove.refusal import Refusal
+from acaciacove.sidecar.sidecar_state import SidecarState
+from acaciacove.sidecar.ticket import Ticket
+from acaciacove.state.claim_key import claim_key, key_issued_s, request_fingerprint
+from acaciacove.state.rendezvous import CLAIM_PARTITIONS, usual_owner
+
+
+async def call_once(
+    run: Run, sidecar: SidecarState, ticket: Ticket, call: ServiceCall
+) -> ServiceAnswer | Refusal:
+    """Make a call unless its key has been claimed; then answer what became of it.
+
+    The call goes on when the entry that asked for it has gone, so that its outcome
+    is recorded and a retry elsewhere gets the answer.
+    """
+    loop = asyncio.get_running_loop()
+    return await sidecar.claims.run_once(
+        key=claim_key(run.organisation, run.api, run.idempotency_key),
+        fingerprint=request_fingerprint(run.method, run.path, run.body),
+        deadline_s=loop.time() + ticket.remaining_s(loop.time()),
+        call=lambda: sidecar.service.call(call),
+        organisation=run.organisation,
+        issued_s=key_issued_s(run.idempotency_key),
+    )
+
+
+def usual_claims(shared: SharedState) -> Iterable[int]:
+    """List the claim partitions of which this sidecar is the usual owner."""
+    if not _serves_claims(shared):
+        return
+    mine = set(shared.me.versions)
+    names = {
+        instance.name
+        for instance in shared.membership.usable()
+        if instance.role is Role.ENDPOINT and mine.intersection(instance.versions)
+    }
+    names.add(shared.me.name)
+    for partition in range(CLAIM_PARTITIONS):
+        if usual_owner(partition, names) == shared.me.name:
+            yield partition
+
+
+def _serves_claims(shared: SharedState) -> bool:
+    """Tell whether this endpoint serves an API with calls that may not be repeated."""
+    fleet = shared.holder.state
+    apis = {fleet.versions[v].api for v in shared.me.versions if v in fleet.versions}
+    return any(fleet.apis[api].non_idempotent for api in apis if api in fleet.apis)
--- a/acaciacove/sidecar/entry_session.py
+++ b/acaciacove/sidecar/entry_session.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from acaciacove.messages.billed import Billed
 from acaciacove.messages.cancel import Cancel
 from acaciacove.messages.hello import Hello
 from acaciacove.messages.message import Message
@@ -42,6 +43,7 @@
     async def run(self) -> None:
         """Serve the peer until it closes, then stop what it had asked for."""
         writer = asyncio.create_task(self.outbox.run())
+        self._sidecar.connected[self.peer] += 1
         try:
             while (message := await self._connection.receive()) is not None:
                 await self._handle(message)
@@ -50,6 +52,12 @@
             for task in tuple(self._attempts.values()):
                 task.cancel()
             self._connection.close()
+            self._sidecar.connected[self.peer] -= 1
+
+    def _name_peer(self, name: str) -> None:
+        self._sidecar.connected[self.peer] -= 1
+        self.peer = name
+        self._sidecar.connected[name] += 1
 
     async def _handle(self, message: Message) -> None:
         match message:
@@ -59,8 +67,10 @@
                 task = self._attempts.get((message.request_id, message.attempt))
                 if task is not None:
                     task.cancel()
+            case Billed():
+                self._sidecar.billing.confirm(message.request_ids)
             case Hello():
-                self.peer = message.instance
+                self._name_peer(message.instance)
                 await self.outbox.put(self._hello())
             case _:
                 await self._on_other(self.peer, message, self.outbox.put)
@@ -71,7 +81,9 @@
         if key in self._attempts:
             return
         self._sidecar.in_flight += 1
-        task = asyncio.create_task(run_attempt(run, self._sidecar, self.outbox.put))
+        task = asyncio.create_task(
+            run_attempt(run, self.peer, self._sidecar, self.outbox.put)
+        )
         self._attempts[key] = task
         task.add_done_callback(lambda done: self._finished(key, done))
 
--- /dev/null
+++ b/acaciacove/sidecar/hold_bill.py
@@ -0,0 +1,39 @@
+"""The sidecar's copy of a bill."""
+
+import asyncio
+from time import time
+
+from acaciacove.fleet.version_id import parse_version_id
+from acaciacove.messages.run import Run
+from acaciacove.sidecar.sidecar_state import SidecarState
+from acaciacove.sidecar.ticket import Ticket
+from acaciacove.state.billing_price import billing_id, price
+from acaciacove.state.billing_record import BillingRecord
+
+
+def hold_bill(
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, answered: bool
+) -> None:
+    """Keep what an attempt cost until the entry has it in the log.
+
+    If the entry is lost first, its bill would be lost with it; then the copy counts.
+    """
+    version = parse_version_id(run.version)
+    known = sidecar.holder.state.versions.get(version) if version else None
+    if known is None:
+        return
+    cost = price(known, ticket.prompt_tokens, ticket.tokens) if answered else 0.0
+    record = BillingRecord(
+        request_id=billing_id(
+            run.request_id, run.organisation, run.api, run.idempotency_key
+        ),
+        organisation=run.organisation,
+        api=run.api,
+        version=run.version,
+        answered=answered,
+        cost=cost,
+        prompt_tokens=ticket.prompt_tokens,
+        completion_tokens=ticket.tokens,
+        at_s=time(),
+    )
+    sidecar.billing.hold(record, entry, asyncio.get_running_loop().time())
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -20,7 +20,9 @@
 from acaciacove.platform.service_call import ServiceCall
 from acaciacove.refusal import Refusal
 from acaciacove.sidecar.catch_up import catch_up
+from acaciacove.sidecar.claimed_call import call_once
 from acaciacove.sidecar.gate import refuse_run
+from acaciacove.sidecar.hold_bill import hold_bill
 from acaciacove.sidecar.sidecar_state import SidecarState
 from acaciacove.sidecar.ticket import Ticket
 
@@ -31,8 +33,9 @@
 MAX_CHUNK_BYTES = 2**20
 
 
-async def run_attempt(run: Run, sidecar: SidecarState, send: Send) -> None:
-    """Answer an attempt with Head, Chunks and End, or with a Refused."""
+async def run_attempt(run: Run, entry: str, sidecar: SidecarState, send: Send) -> None:
+    """Answer an attempt of an entry with Head, Chunks and End, or with a Refused."""
+    sidecar.billing.confirm(run.billed)
     await catch_up(run, sidecar.holder, send)
     refusal = refuse_run(run, sidecar.gate_view())
     if refusal is not None:
@@ -52,6 +55,7 @@
             outcome = await _answer(run, sidecar, ticket, send)
         completed = outcome is None
         if outcome is None or not outcome.not_run:
+            hold_bill(run, entry, sidecar, ticket, completed)
             sidecar.evidence.count(ticket, sidecar.holder.state, completed)
     finally:
         sidecar.admission.leave(ticket, completed)
@@ -100,6 +104,7 @@
                     chunks += 1
                 case EngineFinish():
                     ticket.tokens = max(ticket.tokens, event.completion_tokens)
+                    ticket.prompt_tokens = event.prompt_tokens
                     await send(_end(run, sidecar, ticket, chunks, event))
                     return None
                 case Refusal():
@@ -134,7 +139,10 @@
         echo_wanted=api.echoes_request_id,
         timeout_s=ticket.remaining_s(asyncio.get_running_loop().time()),
     )
-    answer = await sidecar.service.call(call)
+    if call.may_repeat:
+        answer = await sidecar.service.call(call)
+    else:
+        answer = await call_once(run, sidecar, ticket, call)
     if isinstance(answer, Refusal):
         return answer
     await send_answer(run, sidecar, ticket, answer, send)
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -1,8 +1,10 @@
 """One sidecar: its parts, its tasks, and how it leaves."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from random import Random
+from time import time
 from typing import Any
 
 from aioprometheus import Registry
@@ -10,6 +12,7 @@
 from starlette.applications import Starlette
 
 from acaciacove.daemon.background import background
+from acaciacove.daemon.billing import flush, tick_billing
 from acaciacove.daemon.drain import drain
 from acaciacove.daemon.http_server import http_server
 from acaciacove.daemon.message_server import message_server
@@ -28,6 +31,8 @@
 from acaciacove.decisions.rollout_guard import RolloutGuard
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.role import Role
+from acaciacove.messages.claim_answer import ClaimAnswer
+from acaciacove.messages.claim_query import ClaimQuery
 from acaciacove.messages.message import Message
 from acaciacove.platform.http_client import open_client
 from acaciacove.platform.http_engine import HttpEngine
@@ -36,15 +41,22 @@
 from acaciacove.platform.http_service import HttpService
 from acaciacove.settings.sidecar_settings import SidecarSettings
 from acaciacove.sidecar.admission import Admission
+from acaciacove.sidecar.ask_peer import ask_claim_owner
+from acaciacove.sidecar.claimed_call import usual_claims
 from acaciacove.sidecar.entry_session import EntrySession, Send
 from acaciacove.sidecar.evidence_report import EvidenceReport
 from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
 from acaciacove.sidecar.sidecar_state import SidecarState
+from acaciacove.state.billing_outbox import BillingOutbox
+from acaciacove.state.billing_settings import BillingSettings
+from acaciacove.state.claim_owner import ClaimOwner
+from acaciacove.state.claim_settings import ClaimSettings
 from acaciacove.wire.connection import Connection
 
 # Before the first answers nothing is known of the engine's speed. A low guess makes
 # early requests wait; a high one would refuse what could have been served in time.
 GUESS_TOKEN_S = 0.005
+LIST_KNOWN_S = 120.0
 
 
 @frozen
@@ -72,6 +84,9 @@
         return _status(sidecar)
 
     async def on_other(sender: str, message: Message, send: Send) -> None:
+        if isinstance(message, ClaimQuery):
+            await send(sidecar.claims.on_query(message))
+            return
         for reply in shared.network.answer(sender, message):
             await send(reply)
 
@@ -87,7 +102,12 @@
     async with (
         message_server(sockets.messages, handle),
         shared.running(sockets.datagrams),
-        background(become_ready(), sidecar.evidence.run(shared)),
+        background(
+            become_ready(),
+            sidecar.evidence.run(shared),
+            sidecar.claims.run(lambda: usual_claims(shared)),
+            tick_billing(sidecar.billing, sidecar.entry_is_gone),
+        ),
         http_server(
             Starlette(routes=probes), settings.host, settings.http_port
         ) as http_port,
@@ -102,6 +122,8 @@
                 shared.network.announce_leaving,
                 lambda: sidecar.in_flight,
             )
+            await flush(shared, sidecar.billing, settings.drain_limit_s)
+            await sidecar.claims.finish(_now_s() + settings.drain_limit_s)
     sidecar.lifecycle.stop()
 
 
@@ -136,10 +158,54 @@
         service=HttpService(settings.endpoint_url, client, open_client(reuse=False)),
         metrics=SidecarMetrics(registry),
         evidence=EvidenceReport(RolloutGuard(settings.name)),
+        claims=_claim_owner(settings, shared, rng),
+        billing=BillingOutbox(settings.name, shared.writer, BillingSettings()),
         served=served,
     )
 
 
+def _claim_owner(
+    settings: SidecarSettings, shared: SharedState, rng: Random
+) -> ClaimOwner:
+    async def ask_owner(name: str, query: ClaimQuery) -> ClaimAnswer | None:
+        return await ask_claim_owner(shared, name, query)
+
+    return ClaimOwner(
+        name=settings.name,
+        incarnation=shared.me.incarnation,
+        log=shared.log,
+        writer=shared.writer,
+        settings=ClaimSettings(
+            window_s=settings.claim_window_s, claim_wait_s=settings.claim_wait_s
+        ),
+        random=rng,
+        wall_s=time,
+        ask_owner=ask_owner,
+        is_gone=_is_gone(shared),
+    )
+
+
+def _is_gone(shared: SharedState) -> Callable[[str, int], bool]:
+    """Return what tells whether the process that made a claim has ended.
+
+    The platform's list lags by up to a minute, so a process that has just started
+    does not know everybody yet. Taking strangers for gone would tell a caller that
+    an outcome is unknown while the call is still running.
+    """
+    started_s = _now_s()
+
+    def is_gone(name: str, incarnation: int) -> bool:
+        if shared.membership.find(name) is None:
+            return _now_s() - started_s > LIST_KNOWN_S
+        return shared.membership.is_gone(name, incarnation)
+
+    return is_gone
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _me(settings: SidecarSettings, peer_port: int) -> Instance:
     return Instance(
         name=settings.name,
--- a/acaciacove/sidecar/sidecar_state.py
+++ b/acaciacove/sidecar/sidecar_state.py
@@ -1,9 +1,12 @@
 """Everything that the tasks of one sidecar share."""
 
+from collections import Counter
+
 from attrs import define, field
 
 from acaciacove.daemon.process_lifecycle import ProcessLifecycle
 from acaciacove.daemon.shared_state import SharedState
+from acaciacove.fleet.instance_status import InstanceStatus
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.platform.engine import Engine
 from acaciacove.platform.plain_service import PlainService
@@ -12,6 +15,8 @@
 from acaciacove.sidecar.evidence_report import EvidenceReport
 from acaciacove.sidecar.gate import GateView
 from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
+from acaciacove.state.billing_outbox import BillingOutbox
+from acaciacove.state.claim_owner import ClaimOwner
 from acaciacove.state.fleet_holder import FleetHolder
 
 
@@ -27,14 +32,23 @@
     service: PlainService
     metrics: SidecarMetrics
     evidence: EvidenceReport
+    claims: ClaimOwner
+    billing: BillingOutbox
     served: frozenset[VersionId]
     in_flight: int = field(default=0)
+    connected: Counter[str] = field(factory=Counter)
 
     @property
     def holder(self) -> FleetHolder:
         """Return the state in force."""
         return self.shared.holder
 
+    def entry_is_gone(self, name: str) -> bool:
+        """Tell whether nobody but this sidecar is left to bill for an entry."""
+        if self.connected[name] > 0:
+            return False
+        return self.shared.membership.status_of(name) is InstanceStatus.GONE
+
     def gate_view(self) -> GateView:
         """Return what the gate looks at, as of now."""
         return GateView(
--- a/acaciacove/sidecar/ticket.py
+++ b/acaciacove/sidecar/ticket.py
@@ -13,6 +13,7 @@
     arrived_at_s: float
     admitted_at_s: float
     tokens: int = 0
+    prompt_tokens: int = 0
     first_piece_s: float = 0.0
 
     def remaining_s(self, now_s: float) -> float:
--- a/acaciacove/standins/local_fleet.py
+++ b/acaciacove/standins/local_fleet.py
@@ -64,6 +64,7 @@
             context_ = running_entry(_entry_settings(platform, number))
             running.append(await stack.enter_async_context(context_))
         fleet = LocalFleet(platform, sidecars, tuple(running))
+        platform.list_instances(_instances(platform, sidecars) + _entries(fleet))
         await _until(lambda: _is_ready(fleet))
         yield fleet
 
@@ -133,3 +134,18 @@
         )
         for spec in platform.deployment.endpoints
     )
+
+
+def _entries(fleet: LocalFleet) -> tuple[Instance, ...]:
+    return tuple(
+        Instance(
+            name=entry.state.settings.name,
+            role=Role.ENTRY,
+            region=entry.state.settings.region,
+            availability_zone=entry.state.settings.availability_zone,
+            host=LOOPBACK,
+            port=entry.peer_port,
+            http_port=entry.http_port,
+        )
+        for entry in fleet.entries
+    )
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -42,6 +42,7 @@
 LARGE = VersionId("guide-large", "1")
 BOOKINGS = VersionId("bookings", "1")
 TOKEN = "guides-token"
+SECRET = "a-secret-for-tests-only-0123456789abcdef"
 ZONES = ("ozark", "piedmont", "cumberland", "gulfcoast")
 WAIT_LIMIT_S = 20.0
 
@@ -233,6 +234,7 @@
         instance_list_url=fleet.list_url,
         rating_url=fleet.rating_url,
         rating_share=1.0,
+        session_secret=SECRET,
         drain_notice_s=0.0,
         drain_limit_s=5.0,
         seed=7 + len(fleet.entries),
@@ -241,6 +243,15 @@
     entry = await own.enter_async_context(running_entry(settings))
     fleet.entries.append(entry)
     fleet.entry_stacks.append(own)
+    fleet.instances[name] = Instance(
+        name,
+        Role.ENTRY,
+        "south",
+        "ozark",
+        "127.0.0.1",
+        entry.peer_port,
+    )
+    fleet.list_instances()
     await until(lambda: entry.state.lifecycle.accepts_callers)
     return entry
 
--- /dev/null
+++ b/tests/test_path_claims.py
@@ -0,0 +1,151 @@
+"""Calls that may not be repeated, and bills, on real daemons."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from acaciacove.platform.log_entry import LogEntry
+from acaciacove.state.billing_ledger import BillingLedger
+from acaciacove.state.billing_record import BILLING_STREAM
+from tests.embedded import LARGE, embedded_fleet, run, until
+
+SHUTTLES = "/services/rides/shuttles"
+BOOKING = b'{"reference": "bridge-7"}'
+QUESTION = orjson.dumps(
+    {"model": "guide", "messages": [{"role": "user", "content": "Any creeks?"}]}
+)
+CHAT = "/v1/chat/completions"
+
+
+def effects(fleet):
+    return sum(service.effects for service in fleet.services.values())
+
+
+def ledger(fleet):
+    """Read the billing stream as its readers do."""
+    stream = fleet.log.stream(BILLING_STREAM)
+    read = BillingLedger()
+    read.offer([LogEntry(o, p) for o, p in stream.read(stream.first_offset, 10_000)])
+    return read
+
+
+async def book(fleet, key, entry=0, body=BOOKING):
+    response = await fleet.post(SHUTTLES, body, entry, Idempotency_Key=key)
+    return response.status_code, orjson.loads(await response.content())
+
+
+def test_a_booking_and_its_retry_through_another_entry_run_once():
+    # The answer to a booking is lost on its way, and the caller asks again through
+    # another entry. A second run would send a second driver.
+    async def test():
+        async with embedded_fleet(models=0, entries=2) as fleet:
+            first = await book(fleet, "k1")
+            second = await book(fleet, "k1", entry=1)
+            assert first[0] == 200
+            assert second == first
+            assert effects(fleet) == 1
+
+    run(test)
+
+
+def test_the_same_booking_sent_many_times_at_once_runs_once():
+    async def test():
+        async with embedded_fleet(models=0, services=3, entries=2) as fleet:
+            answers = await asyncio.gather(
+                *(book(fleet, "k1", n % 2) for n in range(12))
+            )
+            assert effects(fleet) == 1
+            assert {status for status, _ in answers} == {200}
+            assert len({orjson.dumps(answer) for _, answer in answers}) == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("fault", ["drop_after_effect", "drop_before_effect"])
+def test_a_booking_whose_answer_is_lost_is_never_repeated(fault):
+    # The service drops the connection, before or after the booking took effect;
+    # nobody can tell which. The caller is told so, now and at each retry.
+    async def test():
+        async with embedded_fleet(models=0, services=1) as fleet:
+            setattr(fleet.services["bookings-0"].faults, fault, 1)
+            for _ in range(3):
+                status, problem = await book(fleet, "k1")
+                assert (status, problem["reason"]) == (502, "outcome_unknown")
+                assert problem["not_run"] is False
+            assert effects(fleet) == (1 if fault == "drop_after_effect" else 0)
+
+    run(test)
+
+
+def test_in_a_log_outage_bookings_are_truly_not_run_and_chats_go_on():
+    # Without the log nobody can know that a key was not used elsewhere.
+    async def test():
+        async with embedded_fleet(models=1) as fleet:
+            fleet.log.faults.outage = True
+            status, problem = await book(fleet, "k1")
+            assert (status, problem["reason"]) == (503, "claim_unavailable")
+            assert problem["not_run"] is True
+            assert "retry_after_s" in problem
+            response = await fleet.post(CHAT, QUESTION)
+            assert response.status_code == 200
+            fleet.log.faults.outage = False
+            assert effects(fleet) == 0
+
+            async def booked():
+                return (await book(fleet, "k1"))[0] == 200
+
+            while not await booked():
+                await asyncio.sleep(0.1)
+            assert effects(fleet) == 1
+
+    run(test)
+
+
+def test_a_key_that_is_used_for_another_booking_is_refused():
+    async def test():
+        async with embedded_fleet(models=0) as fleet:
+            await book(fleet, "k1")
+            status, problem = await book(fleet, "k1", body=b'{"reference": "other"}')
+            assert (status, problem["reason"]) == (422, "key_reused")
+            assert effects(fleet) == 1
+
+    run(test)
+
+
+def test_every_answered_request_is_billed_once():
+    # Retries of a booking, failed attempts and refusals must not show on the bill;
+    # answered requests must, each once.
+    async def test():
+        async with embedded_fleet(entries=2) as fleet:
+            fleet.engines["guide-0"].faults.fail = 2
+            for number in range(6):
+                response = await fleet.post(CHAT, QUESTION, entry=number % 2)
+                assert response.status_code == 200
+            for _ in range(3):
+                await book(fleet, "k1")
+            await fleet.post(CHAT, b"{")
+            await until(lambda: ledger(fleet).requests["ozark-guides"] == 7)
+            sidecars = [s.state.billing for s in fleet.sidecars.values()]
+            await until(lambda: all(b.held == 0 for b in sidecars))
+            assert ledger(fleet).requests["ozark-guides"] == 7
+
+    run(test)
+
+
+def test_a_session_keeps_its_version_through_the_loss_of_its_entry():
+    # A chat began on the dear version. Its entry is replaced; the next one knows
+    # nothing of the chat but what the caller brings along.
+    async def test():
+        async with embedded_fleet(entries=2, services=0) as fleet:
+            named = orjson.dumps({**orjson.loads(QUESTION), "model": str(LARGE)})
+            first = await fleet.post(CHAT, named, X_Session_Id="chat-1")
+            token = first.headers["x-session-token"]
+            await fleet.entry_stacks[0].aclose()
+            for _ in range(3):
+                response = await fleet.post(
+                    CHAT, QUESTION, 1, X_Session_Id="chat-1", X_Session_Token=token
+                )
+                assert response.headers["x-version"] == str(LARGE)
+
+    run(test)
