--- a/acaciacove/bench/capacity_projection.py
+++ b/acaciacove/bench/capacity_projection.py
@@ -17,6 +17,7 @@
 BILLING = "billing"
 CORE = "share of a core for control"
 MEMORY = "control state"
+CLAIMS = "claims remembered by an owner"
 TRAFFIC = "control traffic"
 APPENDS = "log appends"
 IN_FORCE = "a change in force everywhere, log down"
@@ -42,9 +43,11 @@
             BudgetLine(role, MEMORY, memory[role], budget.memory_bytes, "bytes"),
             BudgetLine(role, TRAFFIC, traffic, budget.bytes_per_s, "bytes/s"),
         ]
+    claims = round(_claims_of_owner(slopes, size) * slopes.claims.held_bytes)
     appends = _appends_per_s(slopes, size)
     in_force_s = slopes.spread[-1].all_in_force_s
     lines += [
+        BudgetLine(SIDECAR, CLAIMS, claims, budget.memory_bytes, "bytes"),
         BudgetLine(FLEET, APPENDS, appends, budget.appends_per_s, "appends/s"),
         BudgetLine(FLEET, IN_FORCE, in_force_s, budget.in_force_s, "s"),
     ]
@@ -56,6 +59,13 @@
     found = {
         "log_reads_per_s": round(size.processes * _tail_polls_per_s(size), 1),
         "instance_list_reads_per_s": round(size.processes * _list_polls_per_s(size), 1),
+        "claims_per_owner": round(_claims_of_owner(slopes, size)),
+        "takeover_log_bytes": round(
+            _claims_of_partition(slopes, size) * slopes.claims.log_bytes
+        ),
+        "takeover_fold_s": round(
+            _claims_of_partition(slopes, size) * slopes.claims.fold_us / MICROSECONDS, 1
+        ),
         "connections_per_sidecar": _connections_per_sidecar(slopes, size),
         "connections_per_entry": _connections_per_entry(slopes, size),
         "resident_before_state_entry_bytes": slopes.resident.entry_code,
@@ -122,6 +132,21 @@
     return round(opened / size.endpoints)
 
 
+def _claims_of_owner(slopes: CapacitySlopes, size: DesignSize) -> float:
+    """Return the keys that one owner holds once the window has filled."""
+    return _claims_remembered(slopes, size) / size.claim_owners
+
+
+def _claims_of_partition(slopes: CapacitySlopes, size: DesignSize) -> float:
+    """Return the keys that a new owner reads before it runs anything."""
+    return _claims_remembered(slopes, size) / slopes.claims.partitions
+
+
+def _claims_remembered(slopes: CapacitySlopes, size: DesignSize) -> float:
+    claims_per_s = size.requests_per_s * size.non_idempotent_share
+    return claims_per_s * slopes.claims.remembered_s
+
+
 def _appends_per_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     """Bills of all entries, claims of their owners, and operators' changes."""
     bills = _at_design(slopes, BILLING).appends_per_s * size.entries
--- a/acaciacove/bench/capacity_slopes.py
+++ b/acaciacove/bench/capacity_slopes.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from acaciacove.bench.capacity_appends import AppendCost
+from acaciacove.bench.capacity_claims import ClaimCost
 from acaciacove.bench.capacity_codec import CodecCost
 from acaciacove.bench.capacity_decisions import DecisionCost
 from acaciacove.bench.capacity_memory import MemorySlopes, ResidentSizes
@@ -21,6 +22,7 @@
     decisions: list[DecisionCost]
     codec: list[CodecCost]
     polls: list[PollCost]
+    claims: ClaimCost
     appends: list[AppendCost]
     spread: list[SpreadLoad]
     relay: RelayCost | None
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,6 +4,7 @@
 
 from acaciacove.bench.budget_line import BudgetLine
 from acaciacove.bench.capacity_appends import AppendCost, measure_appends
+from acaciacove.bench.capacity_claims import ClaimCost, measure_claims
 from acaciacove.bench.capacity_codec import CodecCost, measure_codec
 from acaciacove.bench.capacity_connections import measure_connection_bytes
 from acaciacove.bench.capacity_decisions import DecisionCost, measure_decisions
@@ -43,6 +44,7 @@
         AppendCost("billing", 1.0, 0.2, 5.0, 1.0, 0),
         AppendCost("claims", 1.0, 0.1, 5.0, 1.0, 0),
     ],
+    claims=ClaimCost(500.0, 400.0, 20.0, 3600.0, 64),
     spread=[SpreadLoad(30, 500.0, 900.0, 3000, 0.0004, 1.1)],
     relay=RelayCost(1000.0, 40.0, 900.0, 50.0, 1, 2, 3, 4, 0),
 )
@@ -144,3 +146,10 @@
     assert idle_delay_s(10) == 0.1
     reads_per_s = 980 / (READ_WAIT_S + idle_delay_s(980))
     assert reads_per_s <= FLEET_READS_PER_S
+
+
+def test_a_remembered_claim_is_weighed_by_the_table_that_holds_it():
+    cost = measure_claims()
+    assert cost.held_bytes > 16
+    assert cost.log_bytes > 100
+    assert cost.remembered_s > 0
