Give each process its share of the log's appends as the fleet grows

Cause: append_budget was not used by the daemons: with fixed rates of 2 bills/s an entry, 380 entries could append 760 times a second. Change: daemon/append_share.py counts entries and owners among the usable instances; the shared state hands the result to its log writer on each change. Touches daemon/shared_state.py, which others own. Conclusion: the fleet's appends stay bounded whatever its size.

--- a/acaciacove/daemon/shared_state.py
+++ b/acaciacove/daemon/shared_state.py
@@ -10,6 +10,7 @@
 
 from attrs import define
 
+from acaciacove.daemon.append_share import append_share
 from acaciacove.daemon.background import background
 from acaciacove.daemon.follow_instances import follow_instances
 from acaciacove.daemon.peer_network import PeerNetwork
@@ -133,9 +134,15 @@
 ) -> SharedState:
     """Put the parts together; nothing runs before ``running``."""
     holder = FleetHolder()
-    holder.listen(lambda _: on_change())
     health = LogHealth()
-    membership = Membership(MembershipSettings(), on_change)
+    writer = LogWriter(log, me.name, me.incarnation, LogWriterSettings(), rng, health)
+
+    def changed() -> None:
+        writer.configure(append_share(membership.usable(), holder.state))
+        on_change()
+
+    holder.listen(lambda _: changed())
+    membership = Membership(MembershipSettings(), changed)
 
     def evidence() -> tuple[str, ...]:
         return membership.evidence(asyncio.get_running_loop().time())
@@ -164,9 +171,7 @@
         spread=spread,
         network=PeerNetwork(me, spread, membership, holder),
         log=log,
-        writer=LogWriter(
-            log, me.name, me.incarnation, LogWriterSettings(), rng, health
-        ),
+        writer=writer,
         tail=tail,
         listing=listing,
         snapshots=SnapshotSchedule(holder, me.name, rng),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,7 @@
 from acaciacove.bench.capacity_codec import CodecCost, measure_codec
 from acaciacove.bench.capacity_connections import measure_connection_bytes
 from acaciacove.bench.capacity_decisions import DecisionCost, measure_decisions
+from acaciacove.bench.capacity_fleet import made_endpoint, made_entry, made_state
 from acaciacove.bench.capacity_memory import (
     MemorySlopes,
     ResidentSizes,
@@ -28,9 +29,15 @@
 from acaciacove.bench.capacity_spread import SpreadLoad
 from acaciacove.bench.control_budget import ControlBudget
 from acaciacove.bench.design_size import DesignSize
+from acaciacove.daemon.append_share import append_share
 from acaciacove.daemon.follow_instances import list_pause_s
-from acaciacove.state.append_budget import FLEET_CLAIMS_PER_S
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.role import Role
+from acaciacove.standins.swimhole import SWIMHOLE
+from acaciacove.state.append_budget import FLEET_BILLING_PER_S, FLEET_CLAIMS_PER_S
 from acaciacove.state.log_tail import FLEET_READS_PER_S, READ_WAIT_S, idle_delay_s
+from acaciacove.state.reducer import fold
 
 SIZE = DesignSize(entries=10, endpoints=20, organisations=2, versions=1)
 SLOPES = CapacitySlopes(
@@ -153,3 +160,26 @@
     assert cost.held_bytes > 16
     assert cost.log_bytes > 100
     assert cost.remembered_s > 0
+
+
+def test_a_larger_fleet_leaves_each_process_fewer_appends():
+    # Each process knows its own appends alone. With rates that do not depend on the
+    # fleet's size, six hundred of them would use up the log for all.
+    fleet = made_state(organisations=1, versions=1)
+    instances = [made_entry(n) for n in range(380)]
+    instances += [made_endpoint(n, 1) for n in range(600)]
+    large = append_share(instances, fleet)
+    small = append_share(instances[378:382], fleet)
+    assert 380 * large.billing_per_s <= FLEET_BILLING_PER_S + 1e-6
+    assert 600 * large.claims_per_s <= FLEET_CLAIMS_PER_S + 1e-6
+    assert small.billing_per_s > 100 * large.billing_per_s
+
+
+def test_only_endpoints_of_plain_services_share_the_claims():
+    fleet = fold(FleetState(), 0, SWIMHOLE.note).state
+    instances = [
+        Instance(e.name, Role.ENDPOINT, "south", e.availability_zone, "", 1,
+                 versions=e.versions)
+        for e in SWIMHOLE.endpoints
+    ]  # fmt: skip
+    assert append_share(instances, fleet).claims_per_s == FLEET_CLAIMS_PER_S / 4
