--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,9 +4,11 @@
 
 from acaciacove.bench.budget_line import BudgetLine
 from acaciacove.bench.capacity_appends import AppendCost, measure_appends
+from acaciacove.bench.capacity_claims import ClaimCost, measure_claims
 from acaciacove.bench.capacity_codec import CodecCost, measure_codec
 from acaciacove.bench.capacity_connections import measure_connection_bytes
 from acaciacove.bench.capacity_decisions import DecisionCost, measure_decisions
+from acaciacove.bench.capacity_fleet import made_endpoint, made_entry, made_state
 from acaciacove.bench.capacity_memory import (
     MemorySlopes,
     ResidentSizes,
@@ -27,9 +29,15 @@
 from acaciacove.bench.capacity_spread import SpreadLoad
 from acaciacove.bench.control_budget import ControlBudget
 from acaciacove.bench.design_size import DesignSize
+from acaciacove.daemon.append_share import append_share
 from acaciacove.daemon.follow_instances import list_pause_s
-from acaciacove.state.append_budget import FLEET_CLAIMS_PER_S
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.role import Role
+from acaciacove.standins.swimhole import SWIMHOLE
+from acaciacove.state.append_budget import FLEET_BILLING_PER_S, FLEET_CLAIMS_PER_S
 from acaciacove.state.log_tail import FLEET_READS_PER_S, READ_WAIT_S, idle_delay_s
+from acaciacove.state.reducer import fold
 
 SIZE = DesignSize(entries=10, endpoints=20, organisations=2, versions=1)
 SLOPES = CapacitySlopes(
@@ -43,6 +51,7 @@
         AppendCost("billing", 1.0, 0.2, 5.0, 1.0, 0),
         AppendCost("claims", 1.0, 0.1, 5.0, 1.0, 0),
     ],
+    claims=ClaimCost(500.0, 400.0, 20.0, 3600.0, 64),
     spread=[SpreadLoad(30, 500.0, 900.0, 3000, 0.0004, 1.1)],
     relay=RelayCost(1000.0, 40.0, 900.0, 50.0, 1, 2, 3, 4, 0),
 )
@@ -144,3 +153,33 @@
     assert idle_delay_s(10) == 0.1
     reads_per_s = 980 / (READ_WAIT_S + idle_delay_s(980))
     assert reads_per_s <= FLEET_READS_PER_S
+
+
+def test_a_remembered_claim_is_weighed_by_the_table_that_holds_it():
+    cost = measure_claims()
+    assert cost.held_bytes > 16
+    assert cost.log_bytes > 100
+    assert cost.remembered_s > 0
+
+
+def test_a_larger_fleet_leaves_each_process_fewer_appends():
+    # Each process knows its own appends alone. With rates that do not depend on the
+    # fleet's size, six hundred of them would use up the log for all.
+    fleet = made_state(organisations=1, versions=1)
+    instances = [made_entry(n) for n in range(380)]
+    instances += [made_endpoint(n, 1) for n in range(600)]
+    large = append_share(instances, fleet)
+    small = append_share(instances[378:382], fleet)
+    assert 380 * large.billing_per_s <= FLEET_BILLING_PER_S + 1e-6
+    assert 600 * large.claims_per_s <= FLEET_CLAIMS_PER_S + 1e-6
+    assert small.billing_per_s > 100 * large.billing_per_s
+
+
+def test_only_endpoints_of_plain_services_share_the_claims():
+    fleet = fold(FleetState(), 0, SWIMHOLE.note).state
+    instances = [
+        Instance(e.name, Role.ENDPOINT, "south", e.availability_zone, "", 1,
+                 versions=e.versions)
+        for e in SWIMHOLE.endpoints
+    ]  # fmt: skip
+    assert append_share(instances, fleet).claims_per_s == FLEET_CLAIMS_PER_S / 4
