--- a/acaciacove/bench/capacity_projection.py
+++ b/acaciacove/bench/capacity_projection.py
@@ -8,8 +8,7 @@
 from acaciacove.bench.control_budget import ControlBudget
 from acaciacove.bench.design_size import DesignSize
 from acaciacove.daemon.follow_instances import list_pause_s
-from acaciacove.state.log_tail import IDLE_DELAY_S as PAUSE_S
-from acaciacove.state.log_tail import READ_WAIT_S as WAIT_S
+from acaciacove.state.log_tail import READ_WAIT_S, idle_delay_s
 
 ENTRY = "entry"
 SIDECAR = "sidecar"
@@ -18,13 +17,13 @@
 BILLING = "billing"
 CORE = "share of a core for control"
 MEMORY = "control state"
+CLAIMS = "claims remembered by an owner"
 TRAFFIC = "control traffic"
 APPENDS = "log appends"
 IN_FORCE = "a change in force everywhere, log down"
 DAY_S = 86_400.0
 MILLISECONDS = 1000.0
 MICROSECONDS = 1_000_000.0
-TAIL_POLLS_PER_S = 1.0 / (WAIT_S + PAUSE_S)
 
 
 def project(
@@ -44,9 +43,11 @@
             BudgetLine(role, MEMORY, memory[role], budget.memory_bytes, "bytes"),
             BudgetLine(role, TRAFFIC, traffic, budget.bytes_per_s, "bytes/s"),
         ]
+    claims = round(_claims_of_owner(slopes, size) * slopes.claims.held_bytes)
     appends = _appends_per_s(slopes, size)
     in_force_s = slopes.spread[-1].all_in_force_s
     lines += [
+        BudgetLine(SIDECAR, CLAIMS, claims, budget.memory_bytes, "bytes"),
         BudgetLine(FLEET, APPENDS, appends, budget.appends_per_s, "appends/s"),
         BudgetLine(FLEET, IN_FORCE, in_force_s, budget.in_force_s, "s"),
     ]
@@ -56,8 +57,15 @@
 def facts(slopes: CapacitySlopes, size: DesignSize) -> dict[str, float]:
     """Return figures without a budget, above all those of the data path."""
     found = {
-        "log_reads_per_s": round(size.processes * TAIL_POLLS_PER_S, 1),
+        "log_reads_per_s": round(size.processes * _tail_polls_per_s(size), 1),
         "instance_list_reads_per_s": round(size.processes * _list_polls_per_s(size), 1),
+        "claims_per_owner": round(_claims_of_owner(slopes, size)),
+        "takeover_log_bytes": round(
+            _claims_of_partition(slopes, size) * slopes.claims.log_bytes
+        ),
+        "takeover_fold_s": round(
+            _claims_of_partition(slopes, size) * slopes.claims.fold_us / MICROSECONDS, 1
+        ),
         "connections_per_sidecar": _connections_per_sidecar(slopes, size),
         "connections_per_entry": _connections_per_entry(slopes, size),
         "resident_before_state_entry_bytes": slopes.resident.entry_code,
@@ -76,7 +84,7 @@
 
 def _core_share(slopes: CapacitySlopes, size: DesignSize, update_us: float) -> float:
     """Add up spread, log tail and instance list; updates follow each list."""
-    tail_s = _poll(slopes, LOG).cpu_ms / MILLISECONDS * TAIL_POLLS_PER_S
+    tail_s = _poll(slopes, LOG).cpu_ms / MILLISECONDS * _tail_polls_per_s(size)
     listing_s = _list_cpu_s(slopes, size) + update_us / MICROSECONDS
     spread = slopes.spread[-1].core_share
     return round(spread + tail_s + listing_s * _list_polls_per_s(size), 5)
@@ -84,7 +92,7 @@
 
 def _traffic_bytes_per_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     """Add up what one process sends and fetches while little changes."""
-    tail = _poll(slopes, LOG).size_bytes * TAIL_POLLS_PER_S
+    tail = _poll(slopes, LOG).size_bytes * _tail_polls_per_s(size)
     listing = _list_bytes(slopes, size) * _list_polls_per_s(size)
     notes = size.changes_per_day / DAY_S * size.note_bytes
     return round(slopes.spread[-1].idle_bytes_per_s + tail + listing + notes, 1)
@@ -124,6 +132,21 @@
     return round(opened / size.endpoints)
 
 
+def _claims_of_owner(slopes: CapacitySlopes, size: DesignSize) -> float:
+    """Return the keys that one owner holds once the window has filled."""
+    return _claims_remembered(slopes, size) / size.claim_owners
+
+
+def _claims_of_partition(slopes: CapacitySlopes, size: DesignSize) -> float:
+    """Return the keys that a new owner reads before it runs anything."""
+    return _claims_remembered(slopes, size) / slopes.claims.partitions
+
+
+def _claims_remembered(slopes: CapacitySlopes, size: DesignSize) -> float:
+    claims_per_s = size.requests_per_s * size.non_idempotent_share
+    return claims_per_s * slopes.claims.remembered_s
+
+
 def _appends_per_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     """Bills of all entries, claims of their owners, and operators' changes."""
     bills = _at_design(slopes, BILLING).appends_per_s * size.entries
@@ -153,6 +176,10 @@
     return [poll for poll in slopes.polls if poll.what == what][-1]
 
 
+def _tail_polls_per_s(size: DesignSize) -> float:
+    return 1.0 / (READ_WAIT_S + idle_delay_s(size.processes))
+
+
 def _list_polls_per_s(size: DesignSize) -> float:
     return 1.0 / list_pause_s(size.processes)
 
