--- a/acaciacove/bench/promise_operators.py
+++ b/acaciacove/bench/promise_operators.py
@@ -38,7 +38,7 @@
 
     async def bring_zones_in(self) -> None:
         """Bring back every zone that is out."""
-        for zone in self._world.truth.state.availability_zones_out:
+        for zone in sorted(self._world.truth.state.availability_zones_out):
             await self._append(ZoneDecision(self._id(), zone, False))
 
     async def _append(self, record: Record) -> None:
