Split the owner of claims into owner, resolver and log

Change: ClaimLog reads and appends, ClaimResolver answers retries, ClaimOwner runs; refusals have one place. No behaviour changed. Conclusion: same interface, smaller parts.

--- /dev/null
+++ b/acaciacove/state/claim_resolver.py
@@ -0,0 +1,149 @@
+"""Answers retries of calls that were claimed before, here or elsewhere."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from acaciacove.messages.claim_answer import ClaimAnswer
+from acaciacove.messages.claim_query import ClaimQuery
+from acaciacove.platform.service_answer import ServiceAnswer
+from acaciacove.refusal import Refusal
+from acaciacove.state.claim import Claim
+from acaciacove.state.claim_log import ClaimLog
+from acaciacove.state.claim_refusals import (
+    answer_dropped,
+    claim_unavailable,
+    in_progress,
+    key_expired,
+    key_reused,
+    outcome_unknown,
+)
+from acaciacove.state.claim_settings import ClaimSettings
+from acaciacove.state.claim_status import ClaimStatus
+from acaciacove.state.held_claim import HeldClaim
+from acaciacove.state.outcome import Outcome
+
+Result = ServiceAnswer | Refusal
+AskOwner = Callable[[str, ClaimQuery], Awaitable[ClaimAnswer | None]]
+IsGone = Callable[[str, int], bool]
+
+SHORTEST_POLL_S = 0.001
+
+
+class ClaimResolver:
+    """Finds the answer of a claim: in the log, or with its owner.
+
+    ``runs`` tells whether this process has a call for a key under way or answered.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        claims: ClaimLog,
+        settings: ClaimSettings,
+        wall_s: Callable[[], float],
+        ask_owner: AskOwner,
+        is_gone: IsGone,
+        runs: Callable[[str], bool],
+    ) -> None:
+        """Take what the resolver works with."""
+        self._name = name
+        self._incarnation = incarnation
+        self._claims = claims
+        self._settings = settings
+        self._wall_s = wall_s
+        self._ask_owner = ask_owner
+        self._is_gone = is_gone
+        self._runs = runs
+        self._queries = 0
+
+    async def resolve(
+        self, held: HeldClaim, fingerprint: str, deadline_s: float
+    ) -> Result | None:
+        """Return the answer to a retry; None when the key has come free."""
+        claim = held.claim
+        if claim.fingerprint != fingerprint:
+            return key_reused()
+        if self._wall_s() - claim.at_s > self._settings.window_s:
+            return key_expired("the key is past its window")
+        loop = asyncio.get_running_loop()
+        while True:
+            current = self._claims.holder(claim.key)
+            if current is None or current.claim.claim_id != claim.claim_id:
+                return None
+            result = await self._answer_of(current)
+            if result is not None:
+                return result
+            left_s = deadline_s - loop.time()
+            if left_s <= 0.0:
+                return self._unresolved(current)
+            await asyncio.sleep(
+                max(SHORTEST_POLL_S, min(self._settings.poll_s, left_s))
+            )
+            await self._claims.read_on(claim.key)
+
+    def _unresolved(self, held: HeldClaim) -> Refusal:
+        """Refuse a retry when the time is up and nobody could say more."""
+        if self._gave_up(held):
+            return claim_unavailable(
+                "the release of an earlier claim is not in the log yet"
+            )
+        return in_progress()
+
+    def _is_own(self, claim: Claim) -> bool:
+        return (claim.owner, claim.incarnation) == (self._name, self._incarnation)
+
+    def _gave_up(self, held: HeldClaim) -> bool:
+        """Tell whether this process holds a key that it never ran nor will run."""
+        forgotten = not self._runs(held.claim.key)
+        return self._is_own(held.claim) and held.outcome is None and forgotten
+
+    async def _answer_of(self, held: HeldClaim) -> Result | None:
+        """Return the answer of a claim that is in the log; None to ask again."""
+        claim, outcome = held.claim, held.outcome
+        if outcome is not None and not outcome.known:
+            return outcome_unknown("the endpoint gave no answer")
+        if outcome is not None and outcome.answer_kept:
+            return await self._claims.kept_answer(held)
+        if self._is_own(claim):
+            return None if outcome is None else answer_dropped()
+        answer = None
+        if claim.owner != self._name:
+            answer = await self._query(claim)
+        if answer is not None and answer.incarnation == claim.incarnation:
+            return self._from_owner(answer, outcome)
+        gone = answer is not None or self._is_gone(claim.owner, claim.incarnation)
+        if gone and not await self._changed(held):
+            return outcome_unknown("the owner of the call is gone")
+        return None
+
+    def _from_owner(
+        self, answer: ClaimAnswer, outcome: Outcome | None
+    ) -> Result | None:
+        match answer.status:
+            case ClaimStatus.DONE:
+                return ServiceAnswer(answer.http_status, answer.headers, answer.body)
+            case ClaimStatus.OUTCOME_UNKNOWN:
+                return outcome_unknown("the endpoint gave no answer")
+            case ClaimStatus.NOT_HELD if outcome is not None:
+                return answer_dropped()
+        return None
+
+    async def _changed(self, held: HeldClaim) -> bool:
+        """Read on, since an owner that has gone may have left its outcome."""
+        before = held.outcome
+        if not await self._claims.read_on(held.claim.key):
+            return False
+        current = self._claims.holder(held.claim.key)
+        return current is not held or current.outcome is not before
+
+    async def _query(self, claim: Claim) -> ClaimAnswer | None:
+        self._queries += 1
+        query_id = f"{self._name}/{self._incarnation}/{self._queries}"
+        try:
+            async with asyncio.timeout(self._settings.claim_wait_s):
+                return await self._ask_owner(
+                    claim.owner, ClaimQuery(query_id, claim.key)
+                )
+        except TimeoutError:
+            return None
--- a/tests/test_state_claims.py
+++ b/tests/test_state_claims.py
@@ -248,7 +248,7 @@
         old = await world.book("s1", "dated", issued_s=issued_s)
         assert old.reason is Reason.KEY_EXPIRED
         await asyncio.sleep(3700)
-        owner._partition("k").table.forget(world.wall_s())
+        owner._claims.forget(world.wall_s())
         assert (await world.book("s2", "k")).reason is Reason.KEY_EXPIRED
         assert world.calls == {"k": 1}
 
