--- a/acaciacove/standins/log_app.py
+++ b/acaciacove/standins/log_app.py
@@ -63,7 +63,7 @@
         stream.expire(state.faults.keep_records)
         if from_offset < stream.first_offset:
             return json_response({"earliest_offset": stream.first_offset}, 410)
-        await _wait_for_record(stream, from_offset, wait_s)
+        await _wait_for_record(request, stream, from_offset, wait_s)
         if state.faults.outage:
             return _unavailable(state)
         return json_response({"records": _documents(stream, from_offset, limit)})
@@ -71,14 +71,29 @@
     return read
 
 
-async def _wait_for_record(stream: LogStream, offset: int, wait_s: float) -> None:
-    """Wait until the stream holds the offset, but not longer than asked."""
+async def _wait_for_record(
+    request: Request, stream: LogStream, offset: int, wait_s: float
+) -> None:
+    """Wait until the stream holds the offset, the time is up, or the reader left."""
+    leaving = asyncio.create_task(_left(request))
     try:
         async with asyncio.timeout(wait_s):
-            while stream.next_offset <= offset:
-                await stream.grown.wait()
+            while stream.next_offset <= offset and not leaving.done():
+                grown = asyncio.create_task(stream.grown.wait())
+                await asyncio.wait(
+                    {grown, leaving}, return_when=asyncio.FIRST_COMPLETED
+                )
+                grown.cancel()
     except TimeoutError:
         return
+    finally:
+        leaving.cancel()
+
+
+async def _left(request: Request) -> None:
+    """Return once the reader has closed its connection."""
+    while (await request.receive())["type"] != "http.disconnect":
+        pass
 
 
 def _documents(
