--- a/acaciacove/bench/fake_engine.py
+++ b/acaciacove/bench/fake_engine.py
@@ -32,6 +32,7 @@
     _marks: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _sequence: int = 0
     _running: int = 0
+    _jobs: dict[str, tuple[FakeRequest, Done]] = field(factory=dict)
     _generation: int = 0
     _cache: dict[str, None] = field(factory=dict)
 
@@ -55,6 +56,26 @@
         self._cache.clear()
         self._reschedule()
 
+    def turn_cold_silently(self) -> None:
+        """Lose the warmth under load, with nothing that tells of it."""
+        restarts = self.restarts
+        self.turn_cold()
+        self.restarts = restarts
+
+    def restart_empty(self) -> None:
+        """Restart after everything that ran has been moved away."""
+        for request, done in list(self._jobs.values()):
+            request.ended_at_s = self.events.now_s
+            done(request, False)
+        self._jobs.clear()
+        self._marks.clear()
+        self._running = 0
+        self.turn_cold()
+
+    def token_interval_s(self) -> float:
+        """Return the time between two tokens of each running request."""
+        return 1.0 / self._speed()
+
     def start(self, request: FakeRequest, done: Done) -> None:
         """Run a request; ``done`` is called with whether it went well."""
         self._advance()
@@ -67,7 +88,8 @@
             prefill *= self.settings.cached_prefill_share
         self._mark(self._advanced + prefill + 1.0, lambda: self._first(request))
         end = self._advanced + prefill + max(1.0, request.tokens)
-        self._mark(end, lambda: self._end(request, done))
+        self._jobs[request.name] = (request, done)
+        self._mark(end, lambda: self._end(request))
         self._reschedule()
 
     def _hit(self, prefix: str) -> bool:
@@ -87,8 +109,9 @@
     def _first(self, request: FakeRequest) -> None:
         request.first_token_at_s = self.events.now_s
 
-    def _end(self, request: FakeRequest, done: Done) -> None:
+    def _end(self, request: FakeRequest) -> None:
         self._running -= 1
+        _, done = self._jobs.pop(request.name)
         request.ended_at_s = self.events.now_s
         done(request, True)
 
--- a/acaciacove/bench/scenario.py
+++ b/acaciacove/bench/scenario.py
@@ -12,7 +12,9 @@
 from acaciacove.bench.scenario_bad_version import run_bad_version
 from acaciacove.bench.scenario_balance import run_balance
 from acaciacove.bench.scenario_cascade import run_cascade
+from acaciacove.bench.scenario_cold_start import run_cold_start
 from acaciacove.bench.scenario_fairness import run_fairness
+from acaciacove.bench.scenario_overload import run_overload
 from acaciacove.bench.scenario_report import ScenarioReport
 from acaciacove.bench.scenario_settings import ScenarioSettings
 from acaciacove.bench.scenario_zone_move import run_zone_move
@@ -25,6 +27,8 @@
     "zone_move": run_zone_move,
     "bad_version": run_bad_version,
     "balance": run_balance,
+    "cold_start": run_cold_start,
+    "overload": run_overload,
 }
 
 
--- a/acaciacove/decisions/admission.py
+++ b/acaciacove/decisions/admission.py
@@ -33,6 +33,7 @@
     _kind_counts: dict[bool, int] = field(factory=lambda: {False: 0, True: 0})
     _refused: list[RefusedItem] = field(factory=list)
     _token_s: float = field(init=False)
+    _samples: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Start from the settings' guess of the speed."""
@@ -41,42 +42,38 @@
     def offer(self, item: WaitingItem, now_s: float) -> Refusal | None:
         """Queue an item, or return the refusal at once."""
         lane = self._lane(item, now_s)
-        wait_s = self._expected_wait_s(lane, now_s)
-        service_s = item.cost_tokens * self._token_s
-        if now_s + wait_s + service_s > item.deadline_at_s:
+        wait_s = self._expected_wait_s(lane, item.batch, now_s)
+        margin = self.settings.wait_margin
+        if now_s + margin * wait_s + self._service_s(item) > item.deadline_at_s:
             return self._overloaded(Reason.DEADLINE_EXCEEDED, wait_s)
         if self.queued >= self.settings.max_queue and not self._push_out(lane, now_s):
             return self._overloaded(Reason.OVERLOADED, wait_s)
         start = self._start_tag(lane, now_s)
         lane.finish_tag = start + item.cost_tokens / item.weight
         self._enter_kind(item.batch)
-        lane.waiting(item.batch).append((start, item))
+        lane.enter(start, item)
         return None
 
     def next(self, now_s: float) -> WaitingItem | None:
         """Take the next item to run, if the limit has room.
 
-        Items whose deadline has passed meanwhile are given up, see
+        Items that can no longer be answered by their deadline are given up, see
         ``take_refused``.
         """
-        while len(self.running) < self.limit:
-            found = self._pick(now_s)
-            if found is None:
-                return None
-            lane, batch = found
-            start, item = lane.waiting(batch).popleft()
-            self._kind_counts[batch] -= 1
-            if now_s + item.cost_tokens * self._token_s / 2 > item.deadline_at_s:
-                lane.finish_tag -= item.cost_tokens / item.weight
-                self._give_up(item, Reason.DEADLINE_EXCEEDED, now_s)
-                continue
-            self._virtual = max(self._virtual, start)
-            share = self._kind_share(batch)
-            self._kind_tags[batch] += item.cost_tokens / share
-            lane.running += 1
-            self.running[item.request_id] = (item, now_s)
-            return item
-        return None
+        self._give_up_late(now_s)
+        if len(self.running) >= self.limit:
+            return None
+        found = self._pick(now_s)
+        if found is None:
+            return None
+        lane, batch = found
+        start, item = lane.take(batch)
+        self._kind_counts[batch] -= 1
+        self._virtual = max(self._virtual, start)
+        self._kind_tags[batch] += item.cost_tokens / self._kind_share(batch)
+        lane.running += 1
+        self.running[item.request_id] = (item, now_s)
+        return item
 
     def finish(
         self,
@@ -96,18 +93,15 @@
         used = item.cost_tokens if used_tokens is None else used_tokens
         lane.finish_tag += (used - item.cost_tokens) / item.weight
         if ok and used > 0:
-            token_s = (now_s - started_at_s) / used
-            self._token_s += self.settings.smoothing * (token_s - self._token_s)
+            self._learn((now_s - started_at_s) / used)
 
     def cancel(self, request_id: str) -> bool:
         """Drop a waiting item; False when it is not waiting."""
         for lane in self._lanes.values():
-            for queue in (lane.interactive, lane.batch):
-                for entry in queue:
-                    if entry[1].request_id == request_id:
-                        queue.remove(entry)
-                        self._kind_counts[entry[1].batch] -= 1
-                        return True
+            item = lane.remove(request_id)
+            if item is not None:
+                self._kind_counts[item.batch] -= 1
+                return True
         return False
 
     def take_refused(self) -> tuple[RefusedItem, ...]:
@@ -121,6 +115,20 @@
         """Count the waiting items."""
         return self._kind_counts[False] + self._kind_counts[True]
 
+    def _learn(self, token_s: float) -> None:
+        """Smooth the time per token; the first samples are averaged."""
+        self._samples += 1
+        weight = max(self.settings.smoothing, 1.0 / self._samples)
+        self._token_s += weight * (token_s - self._token_s)
+
+    def _service_s(self, item: WaitingItem) -> float:
+        """Estimate how long an item runs; 0 while nothing is known.
+
+        A guess would refuse work that an idle endpoint could well have done.
+        """
+        known = self._samples >= self.settings.min_samples
+        return item.cost_tokens * self._token_s if known else 0.0
+
     def _lane(self, item: WaitingItem, now_s: float) -> Lane:
         """Return the organisation's lane, forgetting idle ones beyond a bound."""
         lane = self._lanes.get(item.organisation)
@@ -145,7 +153,9 @@
         fits = self._fits_reserve(now_s) if scarce else _always
         picked: dict[bool, Lane] = {}
         for batch in (False, True):
-            if not self._kind_counts[batch] or (batch and scarce):
+            if not self._kind_counts[batch]:
+                continue
+            if batch and scarce and not self._kind_counts[False]:
                 continue
             lanes = [n for n in self._lanes.values() if n.waiting(batch) and fits(n)]
             if lanes:
@@ -208,17 +218,31 @@
         share = self.settings.batch_share
         return share if batch else 1.0 - share
 
-    def _expected_wait_s(self, lane: Lane, now_s: float) -> float:
-        """Estimate the wait: every lane's tokens that are served before a new item."""
-        if self.queued == 0 and len(self.running) < self.limit:
+    def _expected_wait_s(self, lane: Lane, batch: bool, now_s: float) -> float:
+        """Estimate the wait: tokens of its kind that are served before a new item."""
+        is_idle = self.queued == 0 and len(self.running) < self.limit
+        if is_idle or self._samples < self.settings.min_samples:
             return 0.0
         start = max(0.0, self._start_tag(lane, now_s) - self._virtual)
-        ahead = lane.queued_tokens + sum(
-            min(other.queued_tokens, start * other.weight)
+        ahead = lane.queued_tokens[batch] + sum(
+            min(other.queued_tokens[batch], start * other.weight)
             for other in self._lanes.values()
             if other is not lane and other.queued
         )
-        return ahead * self._token_s / max(1, self.limit)
+        share = self._kind_share(batch) if self._kind_counts[not batch] else 1.0
+        return ahead * self._token_s / (max(1, self.limit) * share)
+
+    def _give_up_late(self, now_s: float) -> None:
+        """Refuse the oldest items that cannot be answered in time any more."""
+        for lane in self._lanes.values():
+            for batch in (False, True):
+                while lane.waiting(batch):
+                    item = lane.waiting(batch)[0][1]
+                    end_s = now_s + self._service_s(item)
+                    if end_s <= item.deadline_at_s:
+                        break
+                    lane.take(batch)
+                    self._drop(lane, item, Reason.DEADLINE_EXCEEDED, now_s)
 
     def _overloaded(self, reason: Reason, wait_s: float) -> Refusal:
         retry_after_s = max(self.settings.min_retry_after_s, wait_s)
@@ -229,16 +253,17 @@
         longest = max(self._lanes.values(), key=lambda n: n.queued / n.weight)
         if longest.queued / longest.weight <= (arriving.queued + 1) / arriving.weight:
             return False
-        queue = longest.batch or longest.interactive
-        _, item = queue.pop()
-        self._kind_counts[item.batch] -= 1
-        longest.finish_tag -= item.cost_tokens / item.weight
-        self._give_up(item, Reason.OVERLOADED, now_s)
+        _, item = longest.take(bool(longest.batch), newest=True)
+        self._drop(longest, item, Reason.OVERLOADED, now_s)
         return True
 
-    def _give_up(self, item: WaitingItem, reason: Reason, now_s: float) -> None:
-        lane = self._lanes[item.organisation]
-        wait_s = self._expected_wait_s(lane, now_s)
+    def _drop(
+        self, lane: Lane, item: WaitingItem, reason: Reason, now_s: float
+    ) -> None:
+        """Give back what an item was charged, and keep its refusal."""
+        self._kind_counts[item.batch] -= 1
+        lane.finish_tag -= item.cost_tokens / item.weight
+        wait_s = self._expected_wait_s(lane, item.batch, now_s)
         self._refused.append(RefusedItem(item, self._overloaded(reason, wait_s)))
 
 
--- a/acaciacove/decisions/admission_settings.py
+++ b/acaciacove/decisions/admission_settings.py
@@ -12,7 +12,8 @@
     interactive work of organisations that run less than their share; an
     organisation that used less than its share may burst by what its share brings in
     ``credit_s``. It counts for the shares until ``active_s`` after its last request.
-    ``token_s`` is the first guess of the time per token, then it is learned.
+    ``token_s`` is the first guess of the time per token; deadlines are judged only
+    by what ``min_samples`` requests have taught, with ``wait_margin`` on the wait.
     """
 
     max_queue: int = 256
@@ -22,4 +23,6 @@
     active_s: float = 30.0
     token_s: float = 0.02
     smoothing: float = 0.05
+    min_samples: int = 8
+    wait_margin: float = 1.5
     min_retry_after_s: float = 0.1
--- a/acaciacove/decisions/concurrency_limit.py
+++ b/acaciacove/decisions/concurrency_limit.py
@@ -15,7 +15,7 @@
 
     An endpoint may bear less than declared (a noisy neighbour, a throttled
     accelerator). More work only makes it slower then; one notices by the time per
-    token. ``ceiling`` is the ramp's limit and always holds.
+    token. ``ceiling`` is what a warm endpoint bears; the ramp bounds it further.
     """
 
     limit: float
--- /dev/null
+++ b/acaciacove/decisions/ramp_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the cold-start ramp."""
+
+from attrs import frozen
+
+
+@frozen
+class RampSettings:
+    """How carefully a limit grows.
+
+    The ramp lasts ``stretch`` times the declared warm-up and follows a power of
+    time. Each good request earns ``earned_per_request`` of the limit. A time per
+    token ``latency_step`` times the usual, or a gap of ``gap_steps`` times it, means
+    that the endpoint is cold.
+    """
+
+    stretch: float = 1.25
+    power: float = 2.0
+    earned_per_request: float = 1.0
+    latency_step: float = 2.5
+    gap_steps: float = 4.0
--- a/acaciacove/decisions/rollout_guard.py
+++ b/acaciacove/decisions/rollout_guard.py
@@ -23,7 +23,7 @@
 FULL_SHARE = 1.0
 BASELINE = "baseline"
 ALL_BUCKETS = "all"
-_BUCKET_NAMES = tuple(str(bucket) for bucket in range(BUCKETS + 1))
+_NO_SCORES = [0.0] * (BUCKETS + 1)
 _KINDS = (EvidenceKind.RATING, EvidenceKind.SUCCESS, EvidenceKind.LATENCY)
 
 
@@ -41,6 +41,7 @@
     settings: GuardSettings = GuardSettings()
     window: int = 0
     _counts: SharedCounts = field(init=False)
+    _rows: dict[CellName, list[float]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Count under the own name."""
@@ -61,11 +62,11 @@
         """
         self._turn_to(sequence // self.settings.window_ratings)
         bucket = str(score_bucket(score))
-        self._counts.add(_name(str(self.window), fleet, version, kind, bucket))
+        self._count(_name(str(self.window), fleet, version, kind, bucket))
         total = _name(BASELINE, fleet, version, kind, ALL_BUCKETS)
         if self._counts.tally(total).count < self.settings.baseline_scores:
             self._counts.add(total)
-            self._counts.add(_name(BASELINE, fleet, version, kind, bucket))
+            self._count(_name(BASELINE, fleet, version, kind, bucket))
 
     def shares(self, fleet: FleetState) -> dict[VersionId, float]:
         """Return the exposure in force of every version under roll-out."""
@@ -103,9 +104,20 @@
         windows = [int(c.name[0]) for c in cells if c.name[0] != BASELINE]
         self._turn_to(max(windows, default=self.window))
         oldest = self.window - self.settings.kept_windows
-        self._counts.merge(
-            tuple(c for c in cells if c.name[0] == BASELINE or int(c.name[0]) > oldest)
-        )
+        wanted = [c for c in cells if c.name[0] == BASELINE or int(c.name[0]) > oldest]
+        for name, grown in self._counts.merge(tuple(wanted)):
+            self._add_to_row(name, grown)
+
+    def _count(self, name: CellName) -> None:
+        self._counts.add(name)
+        self._add_to_row(name, 1.0)
+
+    def _add_to_row(self, name: CellName, count: float) -> None:
+        """Keep a histogram per window, version and kind beside the counters."""
+        if name[-1] == ALL_BUCKETS:
+            return
+        row = self._rows.setdefault(name[:-1], [0.0] * (BUCKETS + 1))
+        row[int(name[-1])] += count
 
     def _turn_to(self, window: int) -> None:
         if window <= self.window:
@@ -118,6 +130,8 @@
             if name[0] != BASELINE and int(name[0]) < oldest
         }
         self._counts.forget(past)
+        for name in past:
+            self._rows.pop(name[:-1], None)
 
     def _is_worse(
         self,
@@ -134,6 +148,8 @@
         since = [0.0] * (BUCKETS + 1)
         for window in self._kept():
             counts = self._histogram(str(window), fleet, version, kind)
+            if not any(counts):
+                continue
             since = [a + b for a, b in zip(since, counts, strict=True)]
             if evidence_below(since, mean - self.settings.tolerance) >= needed:
                 return True
@@ -192,7 +208,7 @@
         self, window: str, fleet: FleetState, version: VersionId, kind: EvidenceKind
     ) -> list[float]:
         prefix = _name(window, fleet, version, kind, ALL_BUCKETS)[:-1]
-        return [self._counts.tally((*prefix, b)).count for b in _BUCKET_NAMES]
+        return self._rows.get(prefix, _NO_SCORES)
 
 
 def _share(fleet: FleetState, version: Version) -> float:
--- a/acaciacove/decisions/shared_counts.py
+++ b/acaciacove/decisions/shared_counts.py
@@ -53,12 +53,19 @@
             keys.append(self._rounds.pop())
         return tuple(self._cells[key] for key in keys if key in self._cells)
 
-    def merge(self, cells: tuple[SharedCell, ...]) -> None:
-        """Take in a peer's cells; own cells come back only after a restart."""
+    def merge(self, cells: tuple[SharedCell, ...]) -> list[tuple[CellName, float]]:
+        """Take in a peer's cells; returns by how much each name's count grew.
+
+        Own cells come back only after a restart.
+        """
+        grown: list[tuple[CellName, float]] = []
         for cell in cells:
             known = self._cells.get((cell.origin, cell.name))
-            if known is None or cell.count > known.count:
+            before = known.count if known else 0.0
+            if cell.count > before:
                 self._store(cell)
+                grown.append((cell.name, cell.count - before))
+        return grown
 
     def forget(self, names: set[CellName]) -> None:
         """Drop cells of withdrawn versions or past epochs."""
