--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -20,12 +20,11 @@
 from acaciacove.cli.flag import Flag
 from acaciacove.settings.bench_settings import BenchSettings
 from acaciacove.settings.decision_settings import DecisionSettings
-from acaciacove.settings.demo_settings import DemoSettings
 from acaciacove.settings.diff_settings import DiffSettings
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.settings.file_settings import FileSettings
-from acaciacove.settings.help_settings_settings import HelpSettingsSettings
 from acaciacove.settings.load_settings import LoadSettings
+from acaciacove.settings.no_settings import NoSettings
 from acaciacove.settings.publish_settings import PublishSettings
 from acaciacove.settings.show_settings import ShowSettings
 from acaciacove.settings.sidecar_settings import SidecarSettings
@@ -403,7 +402,7 @@
         this one process on loopback, sends a few requests, and prints what was routed
         where and why.
     """,
-    settings=DemoSettings,
+    settings=NoSettings,
     run=demo.run,
 )
 
@@ -514,7 +513,7 @@
         its meaning as Markdown tables. docs/operations.md holds the output, and a
         test compares the two.
     """,
-    settings=HelpSettingsSettings,
+    settings=NoSettings,
     run=help_settings.run,
 )
 
--- a/acaciacove/cli/demo.py
+++ b/acaciacove/cli/demo.py
@@ -4,10 +4,10 @@
 
 from acaciacove.context import Environment
 from acaciacove.exit_status import ExitStatus
-from acaciacove.settings.demo_settings import DemoSettings
+from acaciacove.settings.no_settings import NoSettings
 
 
-def run(settings: DemoSettings, env: Environment) -> ExitStatus:
+def run(settings: NoSettings, env: Environment) -> ExitStatus:
     """Run the demo, which sends its own requests and says where they went."""
     from acaciacove.demo import run_demo
 
--- a/acaciacove/cli/help_settings.py
+++ b/acaciacove/cli/help_settings.py
@@ -5,12 +5,12 @@
 from acaciacove.cli.read_settings import flag_default
 from acaciacove.context import Environment
 from acaciacove.exit_status import ExitStatus
-from acaciacove.settings.help_settings_settings import HelpSettingsSettings
+from acaciacove.settings.no_settings import NoSettings
 
 HEADER = "| Flag | Environment variable | Default | Meaning |\n|---|---|---|---|"
 
 
-def run(settings: HelpSettingsSettings, env: Environment) -> ExitStatus:
+def run(settings: NoSettings, env: Environment) -> ExitStatus:
     """Print one table for each command that has flags."""
     from acaciacove.cli.definition import COMMANDS
 
