--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -23,6 +23,7 @@
 from acaciacove.settings.diff_settings import DiffSettings
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.settings.file_settings import FileSettings
+from acaciacove.settings.help_settings import HelpSettings
 from acaciacove.settings.load_settings import LoadSettings
 from acaciacove.settings.no_settings import NoSettings
 from acaciacove.settings.publish_settings import PublishSettings
@@ -510,11 +511,19 @@
     summary="Print the tables of all settings for the operators' page.",
     help="""
         Prints every flag of every command, its environment variable, its default and
-        its meaning as Markdown tables. docs/operations.md holds the output, and a
-        test compares the two.
+        its meaning as Markdown tables. docs/operations.md holds them, and a test
+        compares the two; after a change, --page=docs/operations.md puts it right.
     """,
-    settings=NoSettings,
+    settings=HelpSettings,
     run=help_settings.run,
+    flags=(
+        Flag(
+            "page",
+            "Write the tables into this page, between its two settings comments, "
+            "instead of printing them.",
+            "FILE",
+        ),
+    ),
 )
 
 COMMANDS = (
--- a/acaciacove/cli/help_settings.py
+++ b/acaciacove/cli/help_settings.py
@@ -1,23 +1,44 @@
 """``acaciacove help-settings``: all settings as tables for the operators' page."""
 
+from pathlib import Path
+
 from acaciacove.cli.command import Command
 from acaciacove.cli.flag import Flag
 from acaciacove.cli.read_settings import flag_default
 from acaciacove.context import Environment
+from acaciacove.errors import InvalidSettingsError
 from acaciacove.exit_status import ExitStatus
-from acaciacove.settings.no_settings import NoSettings
+from acaciacove.settings.help_settings import HelpSettings
 
+BEGIN = "<!-- settings: begin -->"
+END = "<!-- settings: end -->"
 HEADER = "| Flag | Environment variable | Default | Meaning |\n|---|---|---|---|"
 
 
-def run(settings: NoSettings, env: Environment) -> ExitStatus:
-    """Print one table for each command that has flags."""
+def run(settings: HelpSettings, env: Environment) -> ExitStatus:
+    """Print one table for each command that has flags, or write them to a page."""
     from acaciacove.cli.definition import COMMANDS
 
-    env.print(settings_tables(COMMANDS))
+    tables = settings_tables(COMMANDS)
+    if settings.page:
+        _write(Path(settings.page), tables)
+    else:
+        env.print(tables)
     return ExitStatus.SUCCESS
 
 
+def _write(page: Path, tables: str) -> None:
+    """Put the tables in place of those on a page; raises InvalidSettingsError."""
+    try:
+        before, begin, rest = page.read_text().partition(BEGIN)
+        _, end, after = rest.partition(END)
+    except OSError as error:
+        raise InvalidSettingsError([f"--page {error.strerror}: {page}"]) from error
+    if not (begin and end):
+        raise InvalidSettingsError([f"--page has no place for settings: {page}"])
+    page.write_text(f"{before}{BEGIN}\n\n{tables}\n\n{END}{after}")
+
+
 def settings_tables(commands: tuple[Command, ...]) -> str:
     """Write Markdown tables from the definitions."""
     return "\n\n".join(_table(command) for command in commands if command.flags)
--- a/acaciacove/cli/release_show.py
+++ b/acaciacove/cli/release_show.py
@@ -12,6 +12,7 @@
 from acaciacove.context import Environment
 from acaciacove.exit_status import ExitStatus
 from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.version import Version
 from acaciacove.release_format.write_note import document_in_force, write_document
 from acaciacove.settings.show_settings import ShowSettings
 
@@ -39,6 +40,7 @@
         ),
         "withdrawn": sorted(str(v.id) for v in state.versions.values() if v.withdrawn),
         "quarantined": sorted(str(version) for version in state.quarantines),
+        "exposures": _exposures(state),
         "organisations": sorted(state.organisations),
         "availability_zones_out": sorted(state.availability_zones_out),
         "instances_out": sorted(state.instances_out),
@@ -46,6 +48,12 @@
     }
 
 
+def _exposures(state: FleetState) -> dict[str, float]:
+    """Map versions under roll-out to the share that they have reached."""
+    shares = {str(v.id): exposure(state, v) for v in state.versions.values()}
+    return {version: share for version, share in shares.items() if share is not None}
+
+
 def _entry_as_json(entry: HistoryEntry) -> dict[str, Any]:
     return {
         "offset": entry.offset,
@@ -77,11 +85,7 @@
     """Show every version, withdrawn ones included."""
     table = new_table("version", "API", "cost/1k tokens", "quality", "state")
     for version in state.versions.values():
-        standing = "in force"
-        if version.withdrawn:
-            standing = "withdrawn"
-        elif version.id in state.quarantines:
-            standing = f"quarantined: {state.quarantines[version.id].reason}"
+        standing = _standing(state, version)
         cost = f"{version.cost_per_1k_tokens:g}"
         table.add_row(
             str(version.id), version.api, cost, f"{version.quality:g}", standing
@@ -89,6 +93,24 @@
     return table
 
 
+def _standing(state: FleetState, version: Version) -> str:
+    """Say how a version stands, and how far its roll-out has come."""
+    if version.withdrawn:
+        return "withdrawn"
+    if version.id in state.quarantines:
+        return f"quarantined: {state.quarantines[version.id].reason}"
+    share = exposure(state, version)
+    return "in force" if share is None else f"rolled out to {share:.1%}"
+
+
+def exposure(state: FleetState, version: Version) -> float | None:
+    """Return the share that a roll-out has reached; None when there is none."""
+    replaced = version.replaces
+    if version.withdrawn or replaced is None or not state.is_usable(replaced):
+        return None
+    return state.exposures.get(version.id, version.first_share)
+
+
 def organisations_table(state: FleetState) -> Table:
     """Show every organisation and what it may reach."""
     table = new_table("organisation", "weight", "may reach")
--- /dev/null
+++ b/acaciacove/settings/help_settings.py
@@ -0,0 +1,12 @@
+"""Settings of ``help-settings``."""
+
+from attrs import frozen
+
+from acaciacove.settings.checked_settings import CheckedSettings
+
+
+@frozen
+class HelpSettings(CheckedSettings):
+    """The page whose tables are brought up to date; empty prints them."""
+
+    page: str = ""
--- a/tests/test_cli_release.py
+++ b/tests/test_cli_release.py
@@ -19,6 +19,7 @@
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.release_format.read_note import read_note
 from acaciacove.settings.publish_settings import PublishSettings
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.quarantine_record import QuarantineRecord
 from acaciacove.state.release_note import ReleaseNote
 from acaciacove.state.snapshot import Snapshot
@@ -72,6 +73,16 @@
     assert "guide-large@1" in out
 
 
+def test_the_share_that_a_rollout_has_reached_is_shown():
+    log = released()
+    published(log, ROLLOUT)
+    version = VersionId("guide-small", "2")
+    shown = orjson.loads(run(log, "release", "show", URL, "--json")[1])
+    assert shown["exposures"] == {str(version): 0.02}
+    log.put(ExposureRecord(version, 0.25))
+    assert "rolled out to 25.0%" in run(log, "release", "show", URL)[1]
+
+
 def test_a_note_whose_reply_was_lost_is_found_and_not_appended_again():
     # The log takes a note and its reply is lost. A command that appends again
     # tells its operator that somebody else was first: he lost against himself.
