Hold bills in a third of the memory, and weigh an hour without the log

Cause: a bill that waits for the log took 2,948 bytes, of which 4 kB buffers of the encoder were most. Change: billing_codec keeps a copy of the used bytes; bench/capacity_billing.py weighs held bills and the projection shows an hour of them. Touches state/billing_codec.py, which others own.

--- a/acaciacove/bench/capacity.py
+++ b/acaciacove/bench/capacity.py
@@ -8,6 +8,7 @@
 import orjson
 
 from acaciacove.bench.capacity_appends import measure_appends
+from acaciacove.bench.capacity_billing import measure_bills
 from acaciacove.bench.capacity_claims import measure_claims
 from acaciacove.bench.capacity_codec import measure_codec
 from acaciacove.bench.capacity_connections import measure_connection_bytes
@@ -33,6 +34,7 @@
         codec=measure_codec(),
         polls=asyncio.run(measure_polling()),
         claims=measure_claims(),
+        bills=asyncio.run(measure_bills()),
         appends=measure_appends(size),
         spread=measure_spread_load(settings.seed),
         relay=asyncio.run(measure_relay()) if settings.relay else None,
--- a/acaciacove/bench/capacity_projection.py
+++ b/acaciacove/bench/capacity_projection.py
@@ -18,10 +18,12 @@
 CORE = "share of a core for control"
 MEMORY = "control state"
 CLAIMS = "claims remembered by an owner"
+BILLS = "bills held through an hour without the log"
 TRAFFIC = "control traffic"
 APPENDS = "log appends"
 IN_FORCE = "a change in force everywhere, log down"
 DAY_S = 86_400.0
+HOUR_S = 3_600.0
 MILLISECONDS = 1000.0
 MICROSECONDS = 1_000_000.0
 
@@ -44,9 +46,11 @@
             BudgetLine(role, TRAFFIC, traffic, budget.bytes_per_s, "bytes/s"),
         ]
     claims = round(_claims_of_owner(slopes, size) * slopes.claims.held_bytes)
+    bills = round(_bills_in_an_hour(size) * slopes.bills.held_bytes)
     appends = _appends_per_s(slopes, size)
     in_force_s = slopes.spread[-1].all_in_force_s
     lines += [
+        BudgetLine(ENTRY, BILLS, bills, budget.memory_bytes, "bytes"),
         BudgetLine(SIDECAR, CLAIMS, claims, budget.memory_bytes, "bytes"),
         BudgetLine(FLEET, APPENDS, appends, budget.appends_per_s, "appends/s"),
         BudgetLine(FLEET, IN_FORCE, in_force_s, budget.in_force_s, "s"),
@@ -59,6 +63,7 @@
     found = {
         "log_reads_per_s": round(size.processes * _tail_polls_per_s(size), 1),
         "instance_list_reads_per_s": round(size.processes * _list_polls_per_s(size), 1),
+        "bills_held_after_an_hour": round(_bills_in_an_hour(size)),
         "claims_per_owner": round(_claims_of_owner(slopes, size)),
         "takeover_log_bytes": round(
             _claims_of_partition(slopes, size) * slopes.claims.log_bytes
@@ -147,6 +152,11 @@
     return claims_per_s * slopes.claims.remembered_s
 
 
+def _bills_in_an_hour(size: DesignSize) -> float:
+    """Return what one entry has billed while the log was out of reach."""
+    return size.requests_per_s / size.entries * HOUR_S
+
+
 def _appends_per_s(slopes: CapacitySlopes, size: DesignSize) -> float:
     """Bills of all entries, claims of their owners, and operators' changes."""
     bills = _at_design(slopes, BILLING).appends_per_s * size.entries
--- a/acaciacove/bench/capacity_slopes.py
+++ b/acaciacove/bench/capacity_slopes.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from acaciacove.bench.capacity_appends import AppendCost
+from acaciacove.bench.capacity_billing import BillCost
 from acaciacove.bench.capacity_claims import ClaimCost
 from acaciacove.bench.capacity_codec import CodecCost
 from acaciacove.bench.capacity_decisions import DecisionCost
@@ -23,6 +24,7 @@
     codec: list[CodecCost]
     polls: list[PollCost]
     claims: ClaimCost
+    bills: BillCost
     appends: list[AppendCost]
     spread: list[SpreadLoad]
     relay: RelayCost | None
--- a/acaciacove/state/billing_codec.py
+++ b/acaciacove/state/billing_codec.py
@@ -13,8 +13,12 @@
 
 
 def encode_billing_record(record: BillingRecord) -> bytes:
-    """Write a record as an item of a group commit."""
-    return orjson.dumps(_converter.unstructure(record))
+    """Write a record as an item of a group commit.
+
+    The encoder hands out its whole buffer of 4 kB. Records wait in memory through
+    an outage of the log, so a copy of the bytes that are used is kept instead.
+    """
+    return bytes(memoryview(orjson.dumps(_converter.unstructure(record))))
 
 
 def decode_billing_record(item: dict[str, Any]) -> BillingRecord:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,6 +4,7 @@
 
 from acaciacove.bench.budget_line import BudgetLine
 from acaciacove.bench.capacity_appends import AppendCost, measure_appends
+from acaciacove.bench.capacity_billing import BillCost, measure_bills
 from acaciacove.bench.capacity_claims import ClaimCost, measure_claims
 from acaciacove.bench.capacity_codec import CodecCost, measure_codec
 from acaciacove.bench.capacity_connections import measure_connection_bytes
@@ -52,6 +53,7 @@
         AppendCost("claims", 1.0, 0.1, 5.0, 1.0, 0),
     ],
     claims=ClaimCost(500.0, 400.0, 20.0, 3600.0, 64),
+    bills=BillCost(900.0, 250),
     spread=[SpreadLoad(30, 500.0, 900.0, 3000, 0.0004, 1.1)],
     relay=RelayCost(1000.0, 40.0, 900.0, 50.0, 1, 2, 3, 4, 0),
 )
@@ -183,3 +185,8 @@
         for e in SWIMHOLE.endpoints
     ]  # fmt: skip
     assert append_share(instances, fleet).claims_per_s == FLEET_CLAIMS_PER_S / 4
+
+
+def test_a_held_bill_is_weighed_with_its_place_in_the_queue():
+    cost = asyncio.run(measure_bills())
+    assert cost.held_bytes > cost.log_bytes > 100
