--- a/acaciacove/bench/capacity_claims.py
+++ b/acaciacove/bench/capacity_claims.py
@@ -14,10 +14,11 @@
 from acaciacove.state.claim_table import ClaimTable
 from acaciacove.state.outcome import Outcome
 
-CLAIMS = 4000
+CLAIMS = 40_000
 CLAIMS_A_BATCH = 4
 MICROSECONDS = 1_000_000
 UNIX_S = 1_800_000_000.0
+ANSWER = b'{"reference":"0123456789abcdef","shuttle":"07:40 at the old bridge"}'
 
 
 @frozen
@@ -70,7 +71,7 @@
     items: list[bytes] = []
     for place in range(CLAIMS_A_BATCH):
         claim = _claim(number * CLAIMS_A_BATCH + place)
-        outcome = Outcome(claim.key, claim.claim_id, True, status=200)
+        outcome = Outcome(claim.key, claim.claim_id, True, True, 200, body=ANSWER)
         items += [encode_claim_record(claim), encode_claim_record(outcome)]
     return LogEntry(number, encode_batch("bookings-0001", 1, number, items))
 
@@ -78,7 +79,7 @@
 def _claim(number: int) -> Claim:
     return Claim(
         key=claim_key("ozark-float-outfitters", "bookings", f"key-{number}"),
-        claim_id=f"bookings-0001/1800000000000/{number}",
+        claim_id=f"bookings-0001/1800000000000/{number:016x}",
         owner="bookings-0001",
         incarnation=1_800_000_000_000,
         fingerprint=request_fingerprint("POST", "/shuttles", b"%d" % number),
--- a/acaciacove/state/claim_table.py
+++ b/acaciacove/state/claim_table.py
@@ -10,6 +10,7 @@
 from acaciacove.state.held_claim import HeldClaim
 from acaciacove.state.outcome import Outcome
 from acaciacove.state.release import Release
+from acaciacove.state.settled_claims import SettledClaims
 
 
 class ClaimTable:
@@ -27,16 +28,17 @@
         self._gap = False
         self._remembered_s = remembered_s
         self._held: dict[str, HeldClaim] = {}
+        self._settled = SettledClaims()
         self._released: dict[str, float] = {}
         self._newest_s = 0.0
 
     def __len__(self) -> int:
         """Return how many keys are held."""
-        return len(self._held)
+        return len(self._held) + len(self._settled)
 
     def holder(self, key: str) -> HeldClaim | None:
         """Return the claim that holds a key."""
-        return self._held.get(key)
+        return self._held.get(key) or self._settled.find(key)
 
     def offer(self, entries: list[LogEntry]) -> None:
         """Fold entries, as a LogTail hands them over; junk changes nothing."""
@@ -61,8 +63,9 @@
         old = [k for k, held in self._held.items() if held.claim.at_s < oldest_s]
         for key in old:
             del self._held[key]
+        settled = self._settled.forget(oldest_s)
         self._released = {c: s for c, s in self._released.items() if s >= oldest_s}
-        return len(old)
+        return len(old) + settled
 
     def _fold(self, offset: int, record: ClaimRecord) -> None:
         match record:
@@ -80,6 +83,8 @@
         if held.outcome is None:
             held.outcome = evolve(outcome, headers=(), body=b"")
             held.outcome_offset = offset
+            if self._settled.add(held):
+                del self._held[outcome.key]
 
     def _fold_claim(self, claim: Claim) -> None:
         """Give a free key to its claim.
@@ -92,12 +97,12 @@
         if self._gap:
             self._gap = False
             self.covered_since_s = claim.at_s
-        if claim.claim_id in self._released or claim.key in self._held:
+        if claim.claim_id in self._released or self.holder(claim.key) is not None:
             return
         self._held[claim.key] = HeldClaim(claim)
 
     def _fold_release(self, release: Release) -> None:
-        held = self._held.get(release.key)
+        held = self.holder(release.key)
         if held is not None and held.claim.claim_id == release.claim_id:
             if held.outcome is not None:
                 return
