--- a/acaciacove/state/claim_log.py
+++ b/acaciacove/state/claim_log.py
@@ -125,7 +125,10 @@
             stream = claims_stream(self._number(record.key))
             item = encode_claim_record(record)
             try:
-                self._writer.submit(stream, item, Priority.CLAIM)
+                # A record that follows a call is in nobody's way. Sent at once it
+                # would hold up the next claim for a trip to the log.
+                linger_s = self._settings.record_linger_s
+                self._writer.submit(stream, item, Priority.CLAIM, linger_s)
             except LogQueueFullError:
                 return
             self._unsent.popleft()
--- a/acaciacove/state/claim_settings.py
+++ b/acaciacove/state/claim_settings.py
@@ -9,7 +9,8 @@
 
     A key may be used for ``window_s`` after its first claim and is remembered for
     ``remembered_s``; keep the log's retention above both. ``clock_error_s`` bounds
-    how far Unix clocks differ. A claim waits for the log for up to ``claim_wait_s``.
+    how far Unix clocks differ. A claim waits for the log for up to ``claim_wait_s``;
+    outcomes and releases wait ``record_linger_s`` for a claim to ride with.
     Answers of up to ``kept_body_bytes`` are kept in the log, and the last
     ``kept_answers`` of any size in memory. With
     ``dated_keys_only`` a key must be a UUID version 7, whose age is known without
@@ -20,6 +21,7 @@
     clock_error_s: float = 300.0
     claim_wait_s: float = 2.0
     start_limit_s: float = 120.0
+    record_linger_s: float = 0.05
     poll_s: float = 0.1
     refresh_s: float = 5.0
     kept_body_bytes: int = 4096
--- a/acaciacove/state/log_writer.py
+++ b/acaciacove/state/log_writer.py
@@ -57,6 +57,7 @@
         self._queued = 0
         self._streams: dict[str, deque[PendingItem]] = {}
         self._ends: dict[str, int] = {}
+        self._due: dict[str, float] = {}
         self._in_flight: dict[str, asyncio.Task[None]] = {}
         self._buckets: dict[Priority, TokenBucket] = {}
         self._wake = asyncio.Event()
@@ -104,14 +105,15 @@
         return self._queued < QUEUE_SHARES[priority] * self._settings.max_items
 
     def submit(
-        self, stream: str, item: bytes, priority: Priority
+        self, stream: str, item: bytes, priority: Priority, linger_s: float = 0.0
     ) -> "asyncio.Future[AppendResult]":
         """Queue an item that has to land, however long it takes.
 
-        Raises LogQueueFullError when the class's share of the queue is used up;
-        the caller then keeps the item and applies backpressure.
+        It waits up to ``linger_s`` for more urgent company in its stream. Raises
+        LogQueueFullError when the class's share of the queue is used up; the caller
+        then keeps the item and applies backpressure.
         """
-        return self._enqueue(stream, item, priority).done
+        return self._enqueue(stream, item, priority, linger_s).done
 
     async def append(
         self, stream: str, item: bytes, priority: Priority, deadline_s: float
@@ -150,13 +152,17 @@
             await asyncio.sleep(min(0.02, max(0.001, deadline_s - loop.time())))
         return self.idle
 
-    def _enqueue(self, stream: str, item: bytes, priority: Priority) -> PendingItem:
+    def _enqueue(
+        self, stream: str, item: bytes, priority: Priority, linger_s: float = 0.0
+    ) -> PendingItem:
         if not self.has_room(priority):
             raise LogQueueFullError(self._queued)
         loop = asyncio.get_running_loop()
         done: asyncio.Future[AppendResult] = loop.create_future()
         pending = PendingItem(stream, item, priority, loop.time(), done)
         self._streams.setdefault(stream, deque()).append(pending)
+        due_s = loop.time() + linger_s
+        self._due[stream] = min(due_s, self._due.get(stream, due_s))
         self._queued += 1
         self._wake.set()
         return pending
@@ -182,7 +188,7 @@
         for stream in self._by_urgency():
             if len(self._in_flight) >= self._settings.max_in_flight:
                 return None
-            wait_s = self._wait_s(self._streams[stream], now_s)
+            wait_s = self._wait_s(stream, now_s)
             if wait_s > SHORTEST_WAIT_S:
                 soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
                 continue
@@ -198,15 +204,16 @@
         first = self._streams[stream][0]
         return first.priority, first.queued_s, stream
 
-    def _wait_s(self, queue: deque[PendingItem], now_s: float) -> float:
+    def _wait_s(self, stream: str, now_s: float) -> float:
         """Return how long a stream's batch still has to wait."""
+        queue = self._streams[stream]
         first = queue[0]
         bucket = self._buckets[first.priority]
         token_s = bucket.wait_s(now_s)
         if len(queue) >= self._settings.max_batch_items:
             return token_s
         linger_s = self._linger_s(first.priority, bucket)
-        return max(token_s, first.queued_s + linger_s - now_s)
+        return max(token_s, self._due[stream] + linger_s - now_s)
 
     def _linger_s(self, priority: Priority, bucket: TokenBucket) -> float:
         """Wait longer for company the scarcer the appends have become."""
@@ -243,6 +250,9 @@
             batch.append(queue.popleft())
         for item in batch:
             item.sent = True
+        self._due.pop(stream)
+        if queue:
+            self._due[stream] = queue[0].queued_s
         return batch
 
     def _payload(self, stream: str, batch: list[PendingItem]) -> bytes:
