Bound what one process sends while a release spreads

The bench also counted processes as starting that had read the log. Change: two answered pulls a second, four at once; whoever gets none asks another.

--- a/acaciacove/bench/spread_cost.py
+++ b/acaciacove/bench/spread_cost.py
@@ -103,6 +103,8 @@
     fleet = _Fleet(holders, Random(seed))
     for holder in fleet.holders:
         holder.offer([LogEntry(0, encode_record(_note("first", -1)))])
+    for machine in fleet.machines.values():
+        machine.log_caught_up()
     for _ in fleet.run_until(SETTLE_S):
         pass
     idle = sum(fleet.sent.values()) / SETTLE_S / holders
--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -17,6 +17,7 @@
 from acaciacove.state.fleet_holder import FleetHolder
 from acaciacove.state.outgoing import Outgoing
 from acaciacove.state.spread_settings import SpreadSettings
+from acaciacove.state.token_bucket import TokenBucket
 
 NOT_YET_S = -1e9
 CHOICE_TRIES = 4
@@ -50,6 +51,7 @@
         self._pulled_s = NOT_YET_S
         self._peer_revisions: dict[str, int] = {}
         self._log_read = False
+        self._answers = TokenBucket(settings.answers_per_s, settings.answer_burst)
 
     @property
     def ready(self) -> bool:
@@ -99,7 +101,7 @@
             case Digest():
                 return self._on_digest(sender, message, now_s)
             case Pull():
-                return [Outgoing(sender, self._holder.records_for(message))]
+                return self._on_pull(sender, message, now_s)
             case Records():
                 return self._on_records(sender, message, now_s)
         return []
@@ -117,6 +119,16 @@
             outgoing.append(Outgoing(sender, self.digest(reply_wanted=False)))
         return outgoing
 
+    def _on_pull(self, sender: str, pull: Pull, now_s: float) -> list[Outgoing]:
+        """Answer with records, but not everybody at once.
+
+        The first to read a release would otherwise send it to whoever meets it,
+        several times its share of the cost. Who gets no answer asks another peer.
+        """
+        if not self._answers.take(now_s):
+            return []
+        return [Outgoing(sender, self._holder.records_for(pull))]
+
     def _on_records(
         self, sender: str, message: Records, now_s: float
     ) -> list[Outgoing]:
--- a/acaciacove/state/spread_settings.py
+++ b/acaciacove/state/spread_settings.py
@@ -11,6 +11,7 @@
     of a new revision tells ``eager_peers`` at once. ``far_share`` of the peers
     are chosen from other availability zones and regions on purpose. A pull that
     is not answered within ``pull_timeout_s`` is sent again to somebody else.
+    A process answers ``answers_per_s`` pulls a second, ``answer_burst`` at once.
     """
 
     interval_s: float = 0.4
@@ -18,3 +19,5 @@
     far_share: float = 0.3
     pull_timeout_s: float = 0.4
     start_peers: int = 2
+    answers_per_s: float = 2.0
+    answer_burst: float = 4.0
