--- a/acaciacove/standins/local_fleet.py
+++ b/acaciacove/standins/local_fleet.py
@@ -1,8 +1,13 @@
 """A deployment's sidecars and entries in one process, over running stand-ins."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
+from typing import Any
 
 from attrs import frozen
 
@@ -18,6 +23,8 @@
 from acaciacove.state.record import RELEASE_STREAM, Record
 from acaciacove.state.record_codec import encode_record
 
+Starter = Callable[[AbstractAsyncContextManager[Any]], Awaitable[Any]]
+
 START_LIMIT_S = 20.0
 POLL_S = 0.01
 SESSION_SECRET = "a-secret-for-the-demo-only-0123456789"
@@ -50,25 +57,41 @@
 ) -> AsyncIterator[LocalFleet]:
     """Publish the first release note and run the fleet until every part is ready."""
     deployment = platform.deployment
-    async with AsyncExitStack() as stack:
-        sidecars: dict[str, RunningSidecar] = {}
-        running: list[RunningEntry] = []
+    sidecars: dict[str, RunningSidecar] = {}
+    running: list[RunningEntry] = []
+    async with stopped_together() as start:
         fleet = LocalFleet(platform, sidecars, tuple(running))
         fleet.publish(deployment.note)
         for spec in deployment.endpoints:
             settings = _sidecar_settings(platform, spec)
-            context = running_sidecar(settings)
-            sidecars[spec.name] = await stack.enter_async_context(context)
+            sidecars[spec.name] = await start(running_sidecar(settings))
         platform.list_instances(_instances(platform, sidecars))
         for number in range(entries):
-            context_ = running_entry(_entry_settings(platform, number))
-            running.append(await stack.enter_async_context(context_))
+            running.append(
+                await start(running_entry(_entry_settings(platform, number)))
+            )
         fleet = LocalFleet(platform, sidecars, tuple(running))
         platform.list_instances(_instances(platform, sidecars) + _entries(fleet))
         await _until(lambda: _is_ready(fleet))
         yield fleet
 
 
+@asynccontextmanager
+async def stopped_together() -> AsyncIterator[Starter]:
+    """Yield what starts daemons; they are all told to stop at the same moment."""
+    stacks: list[AsyncExitStack] = []
+
+    async def start(context: AbstractAsyncContextManager[Any]) -> Any:
+        stack = AsyncExitStack()
+        stacks.append(stack)
+        return await stack.enter_async_context(context)
+
+    try:
+        yield start
+    finally:
+        await asyncio.gather(*(stack.aclose() for stack in stacks))
+
+
 def _is_ready(fleet: LocalFleet) -> bool:
     states = [sidecar.state.lifecycle for sidecar in fleet.sidecars.values()]
     states += [entry.state.lifecycle for entry in fleet.entries]
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -31,7 +31,7 @@
 from acaciacove.standins.log_state import LogState
 from acaciacove.standins.rating_app import build_rating_app
 from acaciacove.standins.rating_state import RatingState
-from acaciacove.standins.serve import serve
+from acaciacove.standins.serve import serve_all
 from acaciacove.standins.service_app import build_service_app
 from acaciacove.standins.service_state import ServiceState
 from acaciacove.state.record import RELEASE_STREAM, Record
@@ -85,7 +85,6 @@
     log_url: str = ""
     list_url: str = ""
     rating_url: str = ""
-    extra: tuple[VersionId, ...] = ()
 
     def publish(self, record: Record) -> int:
         """Append a record to the release stream."""
@@ -132,24 +131,32 @@
     versions are served by the model endpoints besides the usual ones.
     """
     rating = RatingState(Random(1))
-    fleet = Embedded(LogState(), InstanceListState(), rating, extra=extra)
-    async with AsyncExitStack() as stack:
-        log_port = await stack.enter_async_context(serve(build_log_app(fleet.log)))
-        list_app = build_instance_list_app(fleet.listing)
-        list_port = await stack.enter_async_context(serve(list_app))
-        fleet.log_url = f"http://127.0.0.1:{log_port}"
-        fleet.list_url = f"http://127.0.0.1:{list_port}"
-        if rated:
-            rating_port = await stack.enter_async_context(
-                serve(build_rating_app(fleet.rating))
-            )
-            fleet.rating_url = f"http://127.0.0.1:{rating_port}"
+    fleet = Embedded(LogState(), InstanceListState(), rating)
+    for number in range(models):
+        served = {str(version) for version in (SMALL, LARGE, *extra)}
+        fleet.engines[f"guide-{number}"] = EngineState(served)
+    for number in range(services):
+        fleet.services[f"bookings-{number}"] = ServiceState()
+    apps = [
+        build_log_app(fleet.log),
+        build_instance_list_app(fleet.listing),
+        build_rating_app(fleet.rating),
+        *map(build_engine_app, fleet.engines.values()),
+        *map(build_service_app, fleet.services.values()),
+    ]
+    async with serve_all(apps) as ports, AsyncExitStack() as stack:
+        urls = [f"http://127.0.0.1:{port}" for port in ports]
+        fleet.log_url, fleet.list_url, rating_url = urls[:3]
+        fleet.rating_url = rating_url if rated else ""
         fleet.client = open_client()
         fleet.publish(release_note())
-        for number in range(models):
-            await _add_model(fleet, stack, f"guide-{number}", ZONES[number % 4])
-        for number in range(services):
-            await _add_service(fleet, stack, f"bookings-{number}", ZONES[number % 4])
+        names = [*fleet.engines, *fleet.services]
+        for place, (name, port) in enumerate(zip(names, ports[3:], strict=True)):
+            versions = (BOOKINGS,)
+            if name in fleet.engines:
+                versions = (SMALL, LARGE, *extra)
+            number = place if name in fleet.engines else place - models
+            await add_sidecar(fleet, stack, name, ZONES[number % 4], port, versions)
         fleet.list_instances()
         for number in range(entries):
             await add_entry(fleet, stack, f"entry-{number}")
@@ -161,25 +168,6 @@
             await fleet.client.aclose()
 
 
-async def _add_model(
-    fleet: Embedded, stack: AsyncExitStack, name: str, zone: str
-) -> None:
-    engine = EngineState({str(SMALL), str(LARGE)})
-    fleet.engines[name] = engine
-    port = await stack.enter_async_context(serve(build_engine_app(engine)))
-    versions = (SMALL, LARGE, *fleet.extra)
-    await add_sidecar(fleet, stack, name, zone, port, versions)
-
-
-async def _add_service(
-    fleet: Embedded, stack: AsyncExitStack, name: str, zone: str
-) -> None:
-    service = ServiceState()
-    fleet.services[name] = service
-    port = await stack.enter_async_context(serve(build_service_app(service)))
-    await add_sidecar(fleet, stack, name, zone, port, (BOOKINGS,))
-
-
 async def add_sidecar(
     fleet: Embedded,
     stack: AsyncExitStack,
