--- a/acaciacove/bench/promise_process.py
+++ b/acaciacove/bench/promise_process.py
@@ -25,7 +25,6 @@
 from acaciacove.state.record import RELEASE_STREAM
 from acaciacove.state.spread import Spread
 from acaciacove.state.spread_settings import SpreadSettings
-from acaciacove.state.wake_guard import WakeGuard
 
 STEP_S = 0.1
 LIST_S = 1.0
@@ -51,7 +50,6 @@
         self.status = InstanceStatus.STARTING
         self.in_flight = 0
         self.holder = FleetHolder()
-        self.guard = WakeGuard()
         self.membership = Membership(MembershipSettings())
         self.spread = Spread(
             me,
@@ -61,8 +59,14 @@
             lambda: self.status,
             lambda: self.membership.evidence(self.now_s()),
         )
+        self.guard = self.spread.guard
         self.tail = LogTail(
-            self, RELEASE_STREAM, self.holder.offer, self.holder.note_gap, self.random
+            self,
+            RELEASE_STREAM,
+            self.holder.offer,
+            self.holder.note_gap,
+            self.random,
+            guard=self.guard,
         )
         self.writer = LogWriter(
             self,
@@ -179,23 +183,18 @@
         now_s = self.now_s()
         if isinstance(message, Digest):
             self.membership.on_digest(message, now_s)
-            if message.revision <= self.holder.revision:
-                self.guard.confirmed(now_s)
         if self.world.broken != "spread":
             self.send_all(self.spread.on_message(sender, message, now_s))
         self._check_state()
 
     async def _follow_log(self) -> None:
         while True:
-            started_s = self.now_s()
             try:
                 await self.tail.read_once(0.5)
             except self.world.unavailable:
                 await self.step(asyncio.sleep(0.3))
                 continue
             self.spread.log_caught_up()
-            if started_s >= self.awake_since_s:
-                self.guard.confirmed(self.now_s())
             self._check_state()
             await self.step(asyncio.sleep(0.05))
 
--- a/acaciacove/state/log_tail.py
+++ b/acaciacove/state/log_tail.py
@@ -9,6 +9,7 @@
 from acaciacove.platform.platform_log import PlatformLog
 from acaciacove.state.backoff import Backoff
 from acaciacove.state.log_health import LogHealth
+from acaciacove.state.wake_guard import WakeGuard
 
 EntriesHandler = Callable[[list[LogEntry]], None]
 GapHandler = Callable[[int], None]
@@ -39,10 +40,12 @@
         health: LogHealth | None = None,
         next_offset: int = 0,
         processes: Callable[[], int] = lambda: 1,
+        guard: WakeGuard | None = None,
     ) -> None:
         """Take what the tail works with; nothing is read before ``run``.
 
         ``processes`` tells how many follow the stream; see ``idle_delay_s``.
+        ``guard`` is told when the end of the stream was seen.
         """
         self.stream = stream
         self.next_offset = next_offset
@@ -50,6 +53,7 @@
         self.health = health or LogHealth()
         self._log = log
         self._processes = processes
+        self._guard = guard
         self._handle_entries = handle_entries
         self._handle_gap = handle_gap
         self._backoff = Backoff(random, limit_s=BACKOFF_LIMIT_S)
@@ -90,6 +94,7 @@
         Raises PlatformUnavailableError.
         """
         async with self._lock:
+            started_s = asyncio.get_running_loop().time()
             entries = await self._read(wait_s)
             fresh = [e for e in entries if e.offset >= self.next_offset]
             if fresh:
@@ -97,6 +102,7 @@
                 self._handle_entries(fresh)
             if not entries:
                 self.caught_up.set()
+                self._confirm(started_s)
             return len(fresh)
 
     async def catch_up(self, next_offset: int) -> None:
@@ -113,6 +119,12 @@
         while await self.read_once() > 0:
             pass
 
+    def _confirm(self, started_s: float) -> None:
+        """Tell the guard of a read that was started after the process woke."""
+        now_s = asyncio.get_running_loop().time()
+        if self._guard is not None and self._guard.may_trust(started_s, now_s):
+            self._guard.confirmed(now_s)
+
     async def _read(self, wait_s: float) -> list[LogEntry]:
         """Read once, past a gap if need be."""
         loop = asyncio.get_running_loop()
--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -18,6 +18,7 @@
 from acaciacove.state.outgoing import Outgoing
 from acaciacove.state.spread_settings import SpreadSettings
 from acaciacove.state.token_bucket import TokenBucket
+from acaciacove.state.wake_guard import WakeGuard
 
 NOT_YET_S = -1e9
 CHOICE_TRIES = 4
@@ -27,7 +28,8 @@
     """One process's share of the spread.
 
     ``status`` returns the process's own lifecycle status and ``evidence`` what it
-    has seen of others lately, in the form of ``Digest.peers``.
+    has seen of others lately, in the form of ``Digest.peers``. ``guard`` tells
+    whether the process may decide, or was paused and has not heard anything since.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self._pulled_s = NOT_YET_S
         self._peer_revisions: dict[str, int] = {}
         self._log_read = False
+        self.guard = WakeGuard()
         self._answers = TokenBucket(settings.answers_per_s, settings.answer_burst)
 
     @property
@@ -79,6 +82,7 @@
         ``peers`` are the instances of the fleet that are not known to be gone;
         the own one is skipped.
         """
+        self.guard.tick(now_s)
         outgoing: list[Outgoing] = []
         if self._holder.revision > self._told_revision:
             outgoing += self._tell(peers, self._settings.eager_peers)
@@ -112,6 +116,8 @@
 
     def _on_digest(self, sender: str, digest: Digest, now_s: float) -> list[Outgoing]:
         self._note_peer(sender, digest.revision)
+        if digest.revision <= self._holder.revision:
+            self.guard.confirmed(now_s)
         outgoing = self._pull(sender, digest.revision, now_s)
         behind = digest.revision < self._holder.revision
         if behind or digest.reply_wanted:
--- a/acaciacove/state/wake_guard.py
+++ b/acaciacove/state/wake_guard.py
@@ -34,6 +34,11 @@
         if self._woke_s is not None and now_s - self._woke_s >= self.settle_s:
             self._woke_s = None
 
+    def may_trust(self, started_s: float, now_s: float) -> bool:
+        """Tell whether an answer to what was asked at ``started_s`` is new enough."""
+        self._notice(now_s)
+        return self._woke_s is None or started_s >= self._woke_s
+
     def may_decide(self, now_s: float) -> bool:
         """Tell whether what this process holds can be relied on now."""
         self._notice(now_s)
