Charge organisations only for work that runs, and choose endpoints past a flood

Cause: tags charged when an item is queued were given back when it was refused, which let a flood gather credit; a flood's uneven queues drew the others to one endpoint.

--- a/acaciacove/decisions/admission.py
+++ b/acaciacove/decisions/admission.py
@@ -18,9 +18,10 @@
 class AdmissionQueue:
     """Start-time fair queuing over organisations; state only, no clock, no task.
 
-    Each item gets a start tag, the finish tag of its organisation's item before it
-    or the present virtual time; the least start tag runs next. So an organisation
-    that sends ten times its share waits behind itself. ``limit`` is set from
+    Each organisation's next item has a start tag, which grows by the work of each
+    item that runs, over the weight; the least start tag runs next. So an
+    organisation that sends ten times its share waits behind itself, and one whose
+    items are refused or cancelled is not charged for them. ``limit`` is set from
     outside (ramp and adaptive limit) before ``next`` is asked.
     """
 
@@ -34,6 +35,7 @@
     _refused: list[RefusedItem] = field(factory=list)
     _token_s: float = field(init=False)
     _samples: int = 0
+    _looked_at_s: float = float("-inf")
 
     def __attrs_post_init__(self) -> None:
         """Start from the settings' guess of the speed."""
@@ -43,22 +45,21 @@
         """Queue an item, or return the refusal at once."""
         lane = self._lane(item, now_s)
         wait_s = self._expected_wait_s(lane, item.batch, now_s)
-        margin = self.settings.wait_margin
-        if now_s + margin * wait_s + self._service_s(item) > item.deadline_at_s:
+        until_s = self._waits_until_s(item, now_s)
+        if now_s + self.settings.wait_margin * wait_s > until_s:
             return self._overloaded(Reason.DEADLINE_EXCEEDED, wait_s)
         if self.queued >= self.settings.max_queue and not self._push_out(lane, now_s):
             return self._overloaded(Reason.OVERLOADED, wait_s)
-        start = self._start_tag(lane, now_s)
-        lane.finish_tag = start + item.cost_tokens / item.weight
+        if not lane.queued:
+            lane.next_tag = self._start_tag(lane, now_s)
         self._enter_kind(item.batch)
-        lane.enter(start, item)
+        lane.enter(item, until_s)
         return None
 
     def next(self, now_s: float) -> WaitingItem | None:
         """Take the next item to run, if the limit has room.
 
-        Items that can no longer be answered by their deadline are given up, see
-        ``take_refused``.
+        Items that have waited as long as they may are given up, see ``take_refused``.
         """
         self._give_up_late(now_s)
         if len(self.running) >= self.limit:
@@ -67,9 +68,10 @@
         if found is None:
             return None
         lane, batch = found
-        start, item = lane.take(batch)
+        item = lane.take(batch)
         self._kind_counts[batch] -= 1
-        self._virtual = max(self._virtual, start)
+        self._virtual = max(self._virtual, lane.next_tag)
+        lane.next_tag += item.cost_tokens / item.weight
         self._kind_tags[batch] += item.cost_tokens / self._kind_share(batch)
         lane.running += 1
         self.running[item.request_id] = (item, now_s)
@@ -91,7 +93,7 @@
         lane = self._lanes[item.organisation]
         lane.running -= 1
         used = item.cost_tokens if used_tokens is None else used_tokens
-        lane.finish_tag += (used - item.cost_tokens) / item.weight
+        lane.next_tag += (used - item.cost_tokens) / item.weight
         if ok and used > 0:
             self._learn((now_s - started_at_s) / used)
 
@@ -159,7 +161,7 @@
                 continue
             lanes = [n for n in self._lanes.values() if n.waiting(batch) and fits(n)]
             if lanes:
-                picked[batch] = min(lanes, key=lambda n: n.waiting(batch)[0][0])
+                picked[batch] = min(lanes, key=lambda n: n.next_tag)
         if not picked:
             return None
         batch = min(picked, key=lambda kind: self._kind_tags[kind])
@@ -184,7 +186,7 @@
         long answer or two requests at once at one endpoint put its next request
         behind a whole flood, though over a minute it uses a part of its share.
         """
-        return max(self._virtual - self._credit(now_s), lane.finish_tag)
+        return max(self._virtual - self._credit(now_s), lane.next_tag)
 
     def _credit(self, now_s: float) -> float:
         """Return the tokens by weight that are served in ``credit_s``."""
@@ -192,10 +194,10 @@
         return self.settings.credit_s * tokens_per_s / self._active_weight(now_s)
 
     def _is_entitled(self, lane: Lane, now_s: float) -> bool:
-        """Tell whether a lane is in credit, or one more slot is within its share."""
-        if lane.waiting_tag < self._virtual:
+        """Tell whether a lane is in credit, or holds about its share of the slots."""
+        if lane.next_tag < self._virtual:
             return True
-        share = self.limit / self._active_weight(now_s)
+        share = self.settings.slack * self.limit / self._active_weight(now_s)
         return (lane.running + 1) / lane.weight <= share
 
     def _active_weight(self, now_s: float) -> float:
@@ -223,7 +225,8 @@
         is_idle = self.queued == 0 and len(self.running) < self.limit
         if is_idle or self._samples < self.settings.min_samples:
             return 0.0
-        start = max(0.0, self._start_tag(lane, now_s) - self._virtual)
+        own = sum(lane.queued_tokens.values()) / lane.weight
+        start = max(0.0, self._start_tag(lane, now_s) + own - self._virtual)
         ahead = lane.queued_tokens[batch] + sum(
             min(other.queued_tokens[batch], start * other.weight)
             for other in self._lanes.values()
@@ -232,17 +235,21 @@
         share = self._kind_share(batch) if self._kind_counts[not batch] else 1.0
         return ahead * self._token_s / (max(1, self.limit) * share)
 
+    def _waits_until_s(self, item: WaitingItem, now_s: float) -> float:
+        """Return when waiting ends: a part of the time left, so a retry still helps."""
+        time_left_s = item.deadline_at_s - now_s
+        longest_s = self.settings.max_wait_share * time_left_s
+        return now_s + min(longest_s, time_left_s - self._service_s(item))
+
     def _give_up_late(self, now_s: float) -> None:
-        """Refuse the oldest items that cannot be answered in time any more."""
+        """Refuse the items that have waited as long as they may."""
+        if now_s - self._looked_at_s < self.settings.look_every_s:
+            return
+        self._looked_at_s = now_s
         for lane in self._lanes.values():
-            for batch in (False, True):
-                while lane.waiting(batch):
-                    item = lane.waiting(batch)[0][1]
-                    end_s = now_s + self._service_s(item)
-                    if end_s <= item.deadline_at_s:
-                        break
-                    lane.take(batch)
-                    self._drop(lane, item, Reason.DEADLINE_EXCEEDED, now_s)
+            for item in lane.overdue(now_s):
+                lane.remove(item.request_id)
+                self._drop(lane, item, Reason.DEADLINE_EXCEEDED, now_s)
 
     def _overloaded(self, reason: Reason, wait_s: float) -> Refusal:
         retry_after_s = max(self.settings.min_retry_after_s, wait_s)
@@ -253,16 +260,15 @@
         longest = max(self._lanes.values(), key=lambda n: n.queued / n.weight)
         if longest.queued / longest.weight <= (arriving.queued + 1) / arriving.weight:
             return False
-        _, item = longest.take(bool(longest.batch), newest=True)
+        item = longest.take(bool(longest.batch), newest=True)
         self._drop(longest, item, Reason.OVERLOADED, now_s)
         return True
 
     def _drop(
         self, lane: Lane, item: WaitingItem, reason: Reason, now_s: float
     ) -> None:
-        """Give back what an item was charged, and keep its refusal."""
+        """Keep the refusal of an item that left its lane unserved."""
         self._kind_counts[item.batch] -= 1
-        lane.finish_tag -= item.cost_tokens / item.weight
         wait_s = self._expected_wait_s(lane, item.batch, now_s)
         self._refused.append(RefusedItem(item, self._overloaded(reason, wait_s)))
 
--- a/acaciacove/decisions/endpoint_choice.py
+++ b/acaciacove/decisions/endpoint_choice.py
@@ -193,6 +193,7 @@
     say = exp((view.reported_at_s - now_s) / fade_s)
     unheard = max(float(view.own_in_flight), usual.load * limit)
     believed = say * view.at_endpoint + (1.0 - say) * unheard
+    believed = min(believed, max(settings.queue_cap * limit, view.own_in_flight))
     slower = view.load.service_s / (settings.slower_factor * usual.service_s)
     service_s = usual.service_s * max(1.0, slower)
     expected_s = service_s * (1.0 + (believed + 1.0) / limit)
--- a/acaciacove/decisions/endpoint_view.py
+++ b/acaciacove/decisions/endpoint_view.py
@@ -45,7 +45,11 @@
                 del self.prefixes[next(iter(self.prefixes))]
 
     def ended(self, ok: bool, now_s: float, organisation: str = "") -> None:
-        """Count a request answered, refused or lost; by the same organisation."""
+        """Count a request answered, refused or lost; by the same organisation.
+
+        ``ok`` is false for a failure. A sidecar's refusal is none: a flood's refusals
+        would otherwise make each endpoint in turn look broken to everyone.
+        """
         self.own_in_flight = max(0, self.own_in_flight - 1)
         self.by_organisation[organisation] -= 1
         if self.by_organisation[organisation] <= 0:
--- a/acaciacove/decisions/ramp_settings.py
+++ b/acaciacove/decisions/ramp_settings.py
@@ -13,8 +13,8 @@
     that the endpoint is cold.
     """
 
-    stretch: float = 1.25
-    power: float = 2.0
+    stretch: float = 1.3
+    power: float = 3.0
     earned_per_request: float = 1.0
     latency_step: float = 2.5
     gap_steps: float = 4.0
