--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -20,12 +20,12 @@
 from acaciacove.cli.flag import Flag
 from acaciacove.settings.bench_settings import BenchSettings
 from acaciacove.settings.decision_settings import DecisionSettings
-from acaciacove.settings.demo_settings import DemoSettings
 from acaciacove.settings.diff_settings import DiffSettings
 from acaciacove.settings.entry_settings import EntrySettings
 from acaciacove.settings.file_settings import FileSettings
-from acaciacove.settings.help_settings_settings import HelpSettingsSettings
+from acaciacove.settings.help_settings import HelpSettings
 from acaciacove.settings.load_settings import LoadSettings
+from acaciacove.settings.no_settings import NoSettings
 from acaciacove.settings.publish_settings import PublishSettings
 from acaciacove.settings.show_settings import ShowSettings
 from acaciacove.settings.sidecar_settings import SidecarSettings
@@ -58,11 +58,6 @@
     "of the record is then unknown, and the exit status says so.",
     "SECONDS",
 )
-RETRY_DELAY = Flag(
-    "retry_delay_s",
-    "Seconds between two tries at a log that does not answer.",
-    "SECONDS",
-)
 INSTANCE_LIST_URL = Flag(
     "instance_list_url",
     "URL of the platform's list of live and leaving instances. Empty (for the "
@@ -171,6 +166,11 @@
             "0 to 1. Only idempotent requests are sent twice.",
             "SHARE",
         ),
+        Flag(
+            "rating_share",
+            "Answers handed to the rating service, as a share of all, 0 to 1.",
+            "SHARE",
+        ),
         Flag(
             "session_secret",
             "Secret that signs session tokens, the same on all entries, 16 characters "
@@ -277,7 +277,7 @@
     settings=PublishSettings,
     run=release_publish.run,
     arguments=(NOTE,),
-    flags=(LOG_URL, OPERATOR, TIMEOUT, RETRY_DELAY, MAX_NOTE_BYTES, JSON),
+    flags=(LOG_URL, OPERATOR, TIMEOUT, MAX_NOTE_BYTES, JSON),
 )
 RELEASE_SHOW = Command(
     words=("release", "show"),
@@ -311,7 +311,6 @@
         "ID",
     ),
     TIMEOUT,
-    RETRY_DELAY,
     JSON,
 )
 ZONE = Argument("name", "ZONE", "Name of the availability zone.")
@@ -404,7 +403,7 @@
         this one process on loopback, sends a few requests, and prints what was routed
         where and why.
     """,
-    settings=DemoSettings,
+    settings=NoSettings,
     run=demo.run,
 )
 
@@ -430,11 +429,17 @@
     words=("bench",),
     summary="Measure the decisions, and what entry and sidecar add to a call.",
     help="""
-        Runs one bench. cascade and the other scenarios run the decisions on drawn
-        load, ours beside baselines on the same arrivals, and print one table.
+        Runs one bench.
+
+        cascade, fairness, zone_move and balance run the decisions on drawn load,
+        ours beside baselines on the same arrivals, and print one table.
+
         overhead starts a small fleet of processes on loopback and compares calls
         through entry and sidecar with calls of the engine itself.
 
+        capacity measures slopes on this machine, projects them to the size to
+        design for, and marks what is over its budget.
+
         With --json the last line is one JSON object. Flags that a bench does not
         know are left alone; empty ones take the bench's own default.
     """,
@@ -506,11 +511,19 @@
     summary="Print the tables of all settings for the operators' page.",
     help="""
         Prints every flag of every command, its environment variable, its default and
-        its meaning as Markdown tables. docs/operations.md holds the output, and a
-        test compares the two.
+        its meaning as Markdown tables. docs/operations.md holds them, and a test
+        compares the two; after a change, --page=docs/operations.md puts it right.
     """,
-    settings=HelpSettingsSettings,
+    settings=HelpSettings,
     run=help_settings.run,
+    flags=(
+        Flag(
+            "page",
+            "Write the tables into this page, between its two settings comments, "
+            "instead of printing them.",
+            "FILE",
+        ),
+    ),
 )
 
 COMMANDS = (
--- a/acaciacove/decisions/rollout_guard.py
+++ b/acaciacove/decisions/rollout_guard.py
@@ -60,7 +60,7 @@
         ``sequence`` is a rating's sequence number. It sets the window, so that
         entries agree on windows without agreeing on a clock.
         """
-        self._turn_to(sequence // self.settings.window_ratings)
+        self.turn_to(sequence // self.settings.window_ratings)
         bucket = str(score_bucket(score))
         self._count(_name(str(self.window), fleet, version, kind, bucket))
         total = _name(BASELINE, fleet, version, kind, ALL_BUCKETS)
@@ -102,7 +102,7 @@
     def merge(self, cells: tuple[SharedCell, ...]) -> None:
         """Take in a peer's counters."""
         windows = [int(c.name[0]) for c in cells if c.name[0] != BASELINE]
-        self._turn_to(max(windows, default=self.window))
+        self.turn_to(max(windows, default=self.window))
         oldest = self.window - self.settings.kept_windows
         wanted = [c for c in cells if c.name[0] == BASELINE or int(c.name[0]) > oldest]
         for name, grown in self._counts.merge(tuple(wanted)):
@@ -119,7 +119,8 @@
         row = self._rows.setdefault(name[:-1], [0.0] * (BUCKETS + 1))
         row[int(name[-1])] += count
 
-    def _turn_to(self, window: int) -> None:
+    def turn_to(self, window: int) -> None:
+        """Go on to a later window, and forget those that are no longer kept."""
         if window <= self.window:
             return
         self.window = window
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -1,23 +1,26 @@
 """The way of one request: choose, attempt, and go on elsewhere when allowed."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 from contextlib import aclosing
 
 from acaciacove.daemon.decision_log import log_event
 from acaciacove.decisions.answer_signal import AnswerSignal
 from acaciacove.decisions.cascade import should_escalate
 from acaciacove.decisions.decision import Decision
+from acaciacove.decisions.rated_class import RatedClass, signal_bin
 from acaciacove.entry.answer_end import AnswerEnd
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.answer_head import AnswerHead
 from acaciacove.entry.answer_piece import AnswerPiece
+from acaciacove.entry.bill_request import bill_request
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.entry_state import EntryState
 from acaciacove.entry.progress import Progress
 from acaciacove.entry.retry_rule import as_refusal, final_refusal
 from acaciacove.entry.try_endpoint import try_endpoint
 from acaciacove.entry.whole_answer import WholeAnswer
+from acaciacove.fleet.api_kind import ApiKind
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
 from acaciacove.messages.refused import Refused
@@ -31,12 +34,34 @@
 async def dispatch(
     request: CallerRequest, entry: EntryState
 ) -> AsyncGenerator[AnswerEvent, None]:
-    """Yield the events of an answer; the last is an AnswerEnd or a Refusal."""
+    """Yield the events of an answer; the last is an AnswerEnd or a Refusal.
+
+    The request is billed however this ends, also when the caller leaves half-way.
+    """
     progress = Progress()
     entry.retries.earn()
+    end: AnswerEnd | None = None
+    events = _all_attempts(request, progress, entry)
+    try:
+        async with aclosing(events):
+            async for event in events:
+                if isinstance(event, AnswerEnd):
+                    end = event
+                yield event
+    finally:
+        if end is None and progress.asked and not progress.is_settled:
+            progress.may_have_run = True
+        bill_request(request, progress, entry, end)
+
+
+async def _all_attempts(
+    request: CallerRequest, progress: Progress, entry: EntryState
+) -> AsyncGenerator[AnswerEvent, None]:
+    """Make attempts until one succeeds or none may follow."""
     while True:
         chosen = _choose(request, progress, entry)
         if isinstance(chosen, Refusal):
+            progress.is_settled = True
             yield chosen
             return
         refused: Refused | None = None
@@ -51,6 +76,7 @@
             return
         refusal = _after_refused(refused, request, progress, entry, chosen[1])
         if refusal is not None:
+            progress.is_settled = True
             yield refusal
             return
 
@@ -64,19 +90,19 @@
 ) -> AsyncGenerator[AnswerEvent | Refused, None]:
     """Yield one attempt's events, or those of the version it escalates to."""
     if request.stream:
-        had_head = progress.is_begun
-        events = try_endpoint(request, progress, entry, version, endpoint)
+        events = _streamed_events(request, progress, entry, version, endpoint)
         async with aclosing(events):
             async for event in events:
-                if not (had_head and isinstance(event, AnswerHead)):
-                    yield event
+                yield event
         return
     whole = await _whole_answer(request, progress, entry, version, endpoint)
     if isinstance(whole, Refused):
         yield whole
         return
-    if _escalates(request, progress, entry, whole):
-        better = await _escalated(request, progress, entry)
+    signal = _signal(whole.head, whole.end)
+    _learn(request, entry, whole.end, signal, whole.pieces, _explored(progress))
+    if _escalates(request, progress, entry, whole, signal):
+        better = await _escalated(request, progress, entry, whole, signal)
         whole = better or whole
     yield whole.head
     for piece in whole.pieces:
@@ -84,6 +110,63 @@
     yield whole.end
 
 
+async def _streamed_events(
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    version: Version,
+    endpoint: Instance,
+) -> AsyncGenerator[AnswerEvent | Refused, None]:
+    """Relay a stream, without a second head where one is resumed."""
+    is_resumed = progress.is_begun
+    head: AnswerHead | None = None
+    pieces: list[AnswerPiece] = []
+    events = try_endpoint(request, progress, entry, version, endpoint)
+    async with aclosing(events):
+        async for event in events:
+            match event:
+                case AnswerHead():
+                    head = event
+                    if is_resumed:
+                        continue
+                case AnswerPiece():
+                    pieces.append(event)
+                case AnswerEnd() if head is not None and not is_resumed:
+                    _learn(request, entry, event, _signal(head, event), pieces, False)
+            yield event
+
+
+def _signal(head: AnswerHead, end: AnswerEnd) -> float:
+    """Sum up how good an answer looks before anyone has rated it."""
+    return AnswerSignal(
+        status=head.status,
+        finish_reason=end.finish_reason,
+        completion_tokens=end.completion_tokens,
+    ).value()
+
+
+def _explored(progress: Progress) -> bool:
+    return progress.decision is not None and progress.decision.always_escalates
+
+
+def _learn(
+    request: CallerRequest,
+    entry: EntryState,
+    end: AnswerEnd,
+    signal: float,
+    pieces: Sequence[AnswerPiece],
+    explored: bool,
+) -> None:
+    """Count a first answer by its signal, and have a sample of them rated."""
+    if request.api.kind is not ApiKind.MODEL:
+        return
+    bin_ = signal_bin(signal)
+    entry.router.estimates.record_answer(end.version, request.request_class, bin_)
+    rated_class = str(RatedClass(request.request_class, signal_bin=bin_))
+    answer = b"".join(piece.data for piece in pieces)
+    entry.rater.offer(request.request_id, end.version, rated_class, answer, explored)
+
+
 async def _whole_answer(
     request: CallerRequest,
     progress: Progress,
@@ -114,24 +197,27 @@
 
 
 def _escalates(
-    request: CallerRequest, progress: Progress, entry: EntryState, whole: WholeAnswer
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    whole: WholeAnswer,
+    signal: float,
 ) -> bool:
-    """Judge an answer by what is known of it, and say whether to ask a better one."""
+    """Say whether to ask a better version, if the time left allows it."""
     decision = progress.decision
     if decision is None or request.non_idempotent or progress.step > 0:
         return False
-    signal = AnswerSignal(
-        status=whole.head.status,
-        finish_reason=whole.end.finish_reason,
-        completion_tokens=whole.end.completion_tokens,
-    ).value()
     left_s = request.deadline_at_s - asyncio.get_running_loop().time()
     has_time = left_s > whole.end.service_s
     return should_escalate(decision, signal, entry.rng, has_time)
 
 
 async def _escalated(
-    request: CallerRequest, progress: Progress, entry: EntryState
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    first: WholeAnswer,
+    signal: float,
 ) -> WholeAnswer | None:
     """Ask the next version on the ladder; None leaves the answer at hand."""
     progress.step += 1
@@ -140,7 +226,14 @@
     if isinstance(chosen, Refusal):
         return None
     whole = await _whole_answer(request, progress, entry, *chosen)
-    return None if isinstance(whole, Refused) else whole
+    if isinstance(whole, Refused):
+        return None
+    rated_class = RatedClass(
+        request.request_class, str(first.end.version), signal_bin(signal)
+    )
+    answer = b"".join(piece.data for piece in whole.pieces)
+    entry.rater.offer(request.request_id, whole.end.version, str(rated_class), answer)
+    return whole
 
 
 def _choose(
@@ -171,7 +264,13 @@
 def _refused_choice(
     request: CallerRequest, progress: Progress, entry: EntryState, refusal: Refusal
 ) -> Refusal:
-    """Log a request that has nowhere to go; "not run" holds for all attempts."""
+    """Log a request that has nowhere to go; "not run" holds for all attempts.
+
+    Where attempts were made, what the last one met tells a caller more than that
+    no endpoint is left.
+    """
+    if progress.last_refused is not None:
+        refusal = as_refusal(progress.last_refused, progress)
     truthful = Refusal(
         refusal.reason,
         refusal.not_run and not progress.may_have_run,
@@ -227,6 +326,7 @@
         not_run=refused.not_run,
         detail=refused.detail,
     )
+    progress.last_refused = refused
     progress.may_have_run |= not refused.not_run
     progress.failed_endpoints.add(endpoint.name)
     final = final_refusal(refused, request, progress)
--- a/acaciacove/settings/help_settings_settings.py
+++ b/acaciacove/settings/help_settings.py
@@ -6,5 +6,7 @@
 
 
 @frozen
-class HelpSettingsSettings(CheckedSettings):
-    """The table of settings needs no settings."""
+class HelpSettings(CheckedSettings):
+    """The page whose tables are brought up to date; empty prints them."""
+
+    page: str = ""
--- a/acaciacove/sidecar/entry_session.py
+++ b/acaciacove/sidecar/entry_session.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from acaciacove.messages.billed import Billed
 from acaciacove.messages.cancel import Cancel
+from acaciacove.messages.hello import Hello
 from acaciacove.messages.message import Message
 from acaciacove.messages.run import Run
 from acaciacove.sidecar.run_attempt import run_attempt
@@ -12,31 +14,36 @@
 from acaciacove.wire.outbox import Outbox
 
 Send = Callable[[Message], Awaitable[None]]
-OtherMessageHandler = Callable[[Message, Send], Awaitable[None]]
+OtherMessageHandler = Callable[[str, Message, Send], Awaitable[None]]
 
 
 class EntrySession:
     """Reads one connection; each attempt is a task that answers through the outbox.
 
-    ``on_other`` gets the messages that are no attempts, and a way to answer.
+    ``peer`` is the instance at the other end once it has named itself. ``on_other``
+    gets its name and the messages that are no attempts, and a way to answer.
     """
 
     def __init__(
         self,
         connection: Connection,
         sidecar: SidecarState,
+        hello: Callable[[], Hello],
         on_other: OtherMessageHandler,
     ) -> None:
         """Take over a connection that a peer has opened."""
+        self.peer = ""
         self.outbox = Outbox(connection)
         self._connection = connection
         self._sidecar = sidecar
+        self._hello = hello
         self._on_other = on_other
         self._attempts: dict[tuple[str, int], asyncio.Task[None]] = {}
 
     async def run(self) -> None:
         """Serve the peer until it closes, then stop what it had asked for."""
         writer = asyncio.create_task(self.outbox.run())
+        self._sidecar.connected[self.peer] += 1
         try:
             while (message := await self._connection.receive()) is not None:
                 await self._handle(message)
@@ -45,6 +52,12 @@
             for task in tuple(self._attempts.values()):
                 task.cancel()
             self._connection.close()
+            self._sidecar.connected[self.peer] -= 1
+
+    def _name_peer(self, name: str) -> None:
+        self._sidecar.connected[self.peer] -= 1
+        self.peer = name
+        self._sidecar.connected[name] += 1
 
     async def _handle(self, message: Message) -> None:
         match message:
@@ -54,8 +67,13 @@
                 task = self._attempts.get((message.request_id, message.attempt))
                 if task is not None:
                     task.cancel()
+            case Billed():
+                self._sidecar.billing.confirm(message.request_ids)
+            case Hello():
+                self._name_peer(message.instance)
+                await self.outbox.put(self._hello())
             case _:
-                await self._on_other(message, self.outbox.put)
+                await self._on_other(self.peer, message, self.outbox.put)
 
     def _start(self, run: Run) -> None:
         """Start an attempt; one that is repeated word for word starts once."""
@@ -63,7 +81,9 @@
         if key in self._attempts:
             return
         self._sidecar.in_flight += 1
-        task = asyncio.create_task(run_attempt(run, self._sidecar, self.outbox.put))
+        task = asyncio.create_task(
+            run_attempt(run, self.peer, self._sidecar, self.outbox.put)
+        )
         self._attempts[key] = task
         task.add_done_callback(lambda done: self._finished(key, done))
 
--- a/acaciacove/state/reducer.py
+++ b/acaciacove/state/reducer.py
@@ -15,6 +15,7 @@
 from acaciacove.state.quarantine_record import QuarantineRecord
 from acaciacove.state.record import Record
 from acaciacove.state.release_note import ReleaseNote
+from acaciacove.state.session_bases import with_session_bases
 from acaciacove.state.snapshot import Snapshot
 from acaciacove.state.verdict import Verdict
 from acaciacove.state.zone_decision import ZoneDecision
@@ -80,7 +81,7 @@
         exposures=_without(state.exposures, declared),
         declared_at={**state.declared_at, **dict.fromkeys(declared, state.revision)},
     )
-    return Folded(accepted, Verdict.ACCEPTED)
+    return Folded(with_session_bases(accepted), Verdict.ACCEPTED)
 
 
 def _unknown_names(
@@ -126,7 +127,8 @@
         return Folded(state, Verdict.DUPLICATE)
     stopped = Quarantine(record.version, record.reason, state.revision)
     quarantines = {**state.quarantines, record.version: stopped}
-    return Folded(evolve(state, quarantines=quarantines), Verdict.ACCEPTED)
+    stopped_state = evolve(state, quarantines=quarantines)
+    return Folded(with_session_bases(stopped_state), Verdict.ACCEPTED)
 
 
 def _fold_exposure(state: FleetState, record: ExposureRecord) -> Folded:
--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -61,7 +61,7 @@
         """
         if self._holder.revision == NO_REVISION:
             return False
-        if self._log_read:
+        if self._log_read and not self._holder.gap:
             return True
         told = self._peer_revisions.values()
         enough = len(told) >= self._settings.start_peers
@@ -69,7 +69,7 @@
 
     def log_caught_up(self) -> None:
         """Learn that the release stream has been read to its end."""
-        self._log_read = not self._holder.gap
+        self._log_read = True
 
     def tick(self, now_s: float, peers: Sequence[Instance]) -> list[Outgoing]:
         """Return what to send now; call it every 0.1 s or so, and on each change.
@@ -110,15 +110,12 @@
 
     def _on_digest(self, sender: str, digest: Digest, now_s: float) -> list[Outgoing]:
         self._note_peer(sender, digest.revision)
-        if digest.revision > self._holder.revision:
-            return self._pull(sender, digest.revision, now_s)
-        if digest.reply_wanted and digest.revision < self._holder.revision:
-            return [Outgoing(sender, self._digest(reply_wanted=False))]
-        if digest.reply_wanted and not self.ready:
-            return [Outgoing(sender, self._digest(reply_wanted=False))]
-        if digest.reply_wanted and digest.status == InstanceStatus.STARTING:
-            return [Outgoing(sender, self._digest(reply_wanted=False))]
-        return []
+        outgoing = self._pull(sender, digest.revision, now_s)
+        behind = digest.revision < self._holder.revision
+        if behind or digest.reply_wanted:
+            # Whoever probes needs a sign of life, whatever its revision is.
+            outgoing.append(Outgoing(sender, self.digest(reply_wanted=False)))
+        return outgoing
 
     def _on_records(
         self, sender: str, message: Records, now_s: float
@@ -143,10 +140,11 @@
             self._peer_revisions[sender] = max(known, revision)
 
     def _tell(self, peers: Sequence[Instance], count: int) -> list[Outgoing]:
-        digest = self._digest(reply_wanted=True)
+        digest = self.digest(reply_wanted=not self.ready)
         return [Outgoing(peer, digest) for peer in self._choose(peers, count)]
 
-    def _digest(self, reply_wanted: bool) -> Digest:
+    def digest(self, reply_wanted: bool) -> Digest:
+        """Write what this process has to say of itself."""
         return Digest(
             instance=self._me.name,
             incarnation=self._me.incarnation,
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -133,12 +133,26 @@
   httpStatus @3 :UInt16;
   headers @4 :List(Header);
   body @5 :Data;
+  incarnation @6 :UInt64;
 }
 
 struct Billed {
   requestIds @0 :List(Text);
 }
 
+struct EvidenceCell {
+  origin @0 :Text;
+  name @1 :List(Text);
+  count @2 :Float64;
+  total @3 :Float64;
+  squares @4 :Float64;
+}
+
+struct Evidence {
+  cells @0 :List(EvidenceCell);
+  window @1 :UInt32;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -155,5 +169,6 @@
     claimQuery @11 :ClaimQuery;
     claimAnswer @12 :ClaimAnswer;
     billed @13 :Billed;
+    evidence @14 :Evidence;
   }
 }
