Write one line for each route, count what is answered, split the dispatch

Change: choose.py and learn_from.py; one route line with both decisions; requests, costs, tokens and latencies are counted; no proxy-header middleware. Conclusion: reads shorter.

--- a/acaciacove/daemon/http_server.py
+++ b/acaciacove/daemon/http_server.py
@@ -38,6 +38,7 @@
         http="httptools",
         ws="none",
         server_header=False,
+        proxy_headers=False,
         timeout_keep_alive=KEEP_ALIVE_S,
         h11_max_incomplete_event_size=max_header_bytes,
     )
--- a/acaciacove/demo.py
+++ b/acaciacove/demo.py
@@ -25,7 +25,6 @@
 CHAT_PATH = "/v1/chat/completions"
 BODY_CHARS = 72
 DEPLOYMENTS = (SWIMHOLE, SOUK)
-DECISIONS = frozenset({"version", "endpoint", "refuse"})
 
 
 @frozen
@@ -141,13 +140,20 @@
 
 def _print_decision(event: dict[str, Any], env: Environment) -> None:
     """Print what was chosen, and why the others were not."""
-    if event["event"] not in DECISIONS:
-        return
-    lost = ", ".join(f"{name} {why}" for name, why in event.get("lost", {}).items())
-    chosen = event.get("chosen") or event.get("reason")
-    env.print(f"    {event['event']:<9}{chosen} ({event.get('why', '')})")
+    match event["event"]:
+        case "route":
+            for kind in ("version", "endpoint"):
+                _print_choice(event, kind, env)
+        case "refuse":
+            env.print(f"    refused: {event['reason']} ({event['detail']})")
+
+
+def _print_choice(event: dict[str, Any], kind: str, env: Environment) -> None:
+    env.print(f"    {kind:<9}{event[kind]} ({event[f'{kind}_why']})")
+    lost = event[f"{kind}s_lost"]
     if lost:
-        env.print(f"    {'':<9}not chosen: {lost}")
+        reasons = ", ".join(f"{name} {why}" for name, why in lost.items())
+        env.print(f"    {'':<9}not chosen: {reasons}")
 
 
 def _shortened(body: str) -> str:
--- /dev/null
+++ b/acaciacove/entry/choose.py
@@ -0,0 +1,98 @@
+"""Chooses version and endpoint for the next attempt, with one log line."""
+
+from acaciacove.daemon.decision_log import log_event
+from acaciacove.decisions.decision import Decision
+from acaciacove.decisions.endpoint_decision import EndpointDecision
+from acaciacove.decisions.version_decision import VersionDecision
+from acaciacove.entry.caller_request import CallerRequest
+from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.progress import Progress
+from acaciacove.entry.retry_rule import as_refusal
+from acaciacove.fleet.instance import Instance
+from acaciacove.fleet.version import Version
+from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+
+RETRY_LATER_S = 1.0
+
+
+def choose(
+    request: CallerRequest, progress: Progress, entry: EntryState
+) -> tuple[Version, Instance] | Refusal:
+    """Choose version and endpoint for the next attempt, and log why."""
+    fleet = entry.holder.state
+    if progress.decision is None:
+        decision = entry.router.choose_version(fleet, request)
+        if isinstance(decision, Refusal):
+            return _refused(request, progress, entry, decision)
+        progress.decision = decision
+    version = progress.decision.ladder[progress.step]
+    if not fleet.is_usable(version):
+        # A release note or the guard stopped the version between two attempts.
+        # Another attempt would be new work on it.
+        refusal = Refusal(Reason.VERSION_WITHDRAWN, True, str(version))
+        return _refused(request, progress, entry, refusal)
+    chosen = entry.router.choose_endpoint(fleet, request, version, progress)
+    if isinstance(chosen, Refusal):
+        return _refused(request, progress, entry, chosen)
+    _log_route(request, progress, entry, progress.decision, chosen)
+    return fleet.versions[version], chosen.endpoint
+
+
+def _refused(
+    request: CallerRequest, progress: Progress, entry: EntryState, refusal: Refusal
+) -> Refusal:
+    """Log a request that has nowhere to go; "not run" holds for all attempts.
+
+    Where attempts were made, what the last one met tells a caller more than that
+    no endpoint is left.
+    """
+    if progress.last_refused is not None:
+        refusal = as_refusal(progress.last_refused, progress)
+    truthful = Refusal(
+        refusal.reason,
+        refusal.not_run and not progress.may_have_run,
+        refusal.detail,
+        refusal.retry_after_s or RETRY_LATER_S,
+    )
+    entry.metrics.count_refusal(truthful)
+    log_event(
+        "refuse",
+        request_id=request.request_id,
+        organisation=request.organisation.name,
+        api=request.api.name,
+        reason=truthful.reason,
+        not_run=truthful.not_run,
+        detail=truthful.detail,
+        revision=entry.holder.state.revision,
+    )
+    return truthful
+
+
+def _log_route(
+    request: CallerRequest,
+    progress: Progress,
+    entry: EntryState,
+    version: VersionDecision,
+    endpoint: EndpointDecision,
+) -> None:
+    """Write the one line that says what was chosen and why the others lost."""
+    log_event(
+        "route",
+        request_id=request.request_id,
+        organisation=request.organisation.name,
+        api=request.api.name,
+        request_class=request.request_class,
+        attempt=progress.attempts + 1,
+        version=str(progress.version),
+        version_why=version.decision.why,
+        versions_lost=_lost(version.decision),
+        endpoint=endpoint.endpoint.name,
+        endpoint_why=endpoint.decision.why,
+        endpoints_lost=_lost(endpoint.decision),
+        revision=entry.holder.state.revision,
+    )
+
+
+def _lost(decision: Decision) -> dict[str, str]:
+    return {c.name: c.lost.value for c in decision.candidates if c.lost}
--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -1,30 +1,27 @@
 """The way of one request: choose, attempt, and go on elsewhere when allowed."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Sequence
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
 from acaciacove.daemon.decision_log import log_event
-from acaciacove.decisions.answer_signal import AnswerSignal
 from acaciacove.decisions.cascade import should_escalate
-from acaciacove.decisions.decision import Decision
-from acaciacove.decisions.rated_class import RatedClass, signal_bin
 from acaciacove.entry.answer_end import AnswerEnd
 from acaciacove.entry.answer_event import AnswerEvent
 from acaciacove.entry.answer_head import AnswerHead
 from acaciacove.entry.answer_piece import AnswerPiece
 from acaciacove.entry.bill_request import bill_request
 from acaciacove.entry.caller_request import CallerRequest
+from acaciacove.entry.choose import choose
 from acaciacove.entry.entry_state import EntryState
+from acaciacove.entry.learn_from import learn_from, learn_from_second, signal_of
 from acaciacove.entry.progress import Progress
 from acaciacove.entry.retry_rule import as_refusal, final_refusal
 from acaciacove.entry.try_endpoint import try_endpoint
 from acaciacove.entry.whole_answer import WholeAnswer
-from acaciacove.fleet.api_kind import ApiKind
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
 from acaciacove.messages.refused import Refused
-from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
 MAX_ATTEMPTS = 8
@@ -41,12 +38,23 @@
     progress = Progress()
     entry.retries.earn()
     end: AnswerEnd | None = None
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    has_begun = False
     events = _all_attempts(request, progress, entry)
     try:
         async with aclosing(events):
             async for event in events:
-                if isinstance(event, AnswerEnd):
-                    end = event
+                match event:
+                    case AnswerPiece() if not has_begun:
+                        has_begun = True
+                        latency_s = loop.time() - started_s
+                        entry.metrics.count_first_piece(request, latency_s)
+                    case AnswerEnd():
+                        end = event
+                        entry.metrics.count_answer(
+                            request, end, loop.time() - started_s
+                        )
                 yield event
     finally:
         if end is None and progress.asked and not progress.is_settled:
@@ -59,7 +67,7 @@
 ) -> AsyncGenerator[AnswerEvent, None]:
     """Make attempts until one succeeds or none may follow."""
     while True:
-        chosen = _choose(request, progress, entry)
+        chosen = choose(request, progress, entry)
         if isinstance(chosen, Refusal):
             progress.is_settled = True
             yield chosen
@@ -99,8 +107,8 @@
     if isinstance(whole, Refused):
         yield whole
         return
-    signal = _signal(whole.head, whole.end)
-    _learn(request, entry, whole.end, signal, whole.pieces, _explored(progress))
+    signal = signal_of(whole.head, whole.end)
+    learn_from(request, entry, whole.end, signal, whole.pieces, progress.is_trial)
     if _escalates(request, progress, entry, whole, signal):
         better = await _escalated(request, progress, entry, whole, signal)
         whole = better or whole
@@ -132,41 +140,12 @@
                 case AnswerPiece():
                     pieces.append(event)
                 case AnswerEnd() if head is not None and not is_resumed:
-                    _learn(request, entry, event, _signal(head, event), pieces, False)
+                    learn_from(
+                        request, entry, event, signal_of(head, event), pieces, False
+                    )
             yield event
 
 
-def _signal(head: AnswerHead, end: AnswerEnd) -> float:
-    """Sum up how good an answer looks before anyone has rated it."""
-    return AnswerSignal(
-        status=head.status,
-        finish_reason=end.finish_reason,
-        completion_tokens=end.completion_tokens,
-    ).value()
-
-
-def _explored(progress: Progress) -> bool:
-    return progress.decision is not None and progress.decision.always_escalates
-
-
-def _learn(
-    request: CallerRequest,
-    entry: EntryState,
-    end: AnswerEnd,
-    signal: float,
-    pieces: Sequence[AnswerPiece],
-    explored: bool,
-) -> None:
-    """Count a first answer by its signal, and have a sample of them rated."""
-    if request.api.kind is not ApiKind.MODEL:
-        return
-    bin_ = signal_bin(signal)
-    entry.router.estimates.record_answer(end.version, request.request_class, bin_)
-    rated_class = str(RatedClass(request.request_class, signal_bin=bin_))
-    answer = b"".join(piece.data for piece in pieces)
-    entry.rater.offer(request.request_id, end.version, rated_class, answer, explored)
-
-
 async def _whole_answer(
     request: CallerRequest,
     progress: Progress,
@@ -222,93 +201,16 @@
     """Ask the next version on the ladder; None leaves the answer at hand."""
     progress.step += 1
     entry.metrics.escalations.inc({"api": request.api.name})
-    chosen = _choose(request, progress, entry)
+    chosen = choose(request, progress, entry)
     if isinstance(chosen, Refusal):
         return None
     whole = await _whole_answer(request, progress, entry, *chosen)
     if isinstance(whole, Refused):
         return None
-    rated_class = RatedClass(
-        request.request_class, str(first.end.version), signal_bin(signal)
-    )
-    answer = b"".join(piece.data for piece in whole.pieces)
-    entry.rater.offer(request.request_id, whole.end.version, str(rated_class), answer)
+    learn_from_second(request, entry, first, signal, whole)
     return whole
 
 
-def _choose(
-    request: CallerRequest, progress: Progress, entry: EntryState
-) -> tuple[Version, Instance] | Refusal:
-    """Choose version and endpoint for the next attempt, and log why."""
-    fleet = entry.holder.state
-    if progress.decision is None:
-        decision = entry.router.choose_version(fleet, request)
-        if isinstance(decision, Refusal):
-            return _refused_choice(request, progress, entry, decision)
-        _log_decision(request, progress, entry, decision.decision)
-        progress.decision = decision
-    version = progress.version
-    assert version is not None
-    if not fleet.is_usable(version):
-        # A release note or the guard stopped the version between two attempts.
-        # Another attempt would be new work on it.
-        refusal = Refusal(Reason.VERSION_WITHDRAWN, True, str(version))
-        return _refused_choice(request, progress, entry, refusal)
-    chosen = entry.router.choose_endpoint(fleet, request, version, progress)
-    if isinstance(chosen, Refusal):
-        return _refused_choice(request, progress, entry, chosen)
-    _log_decision(request, progress, entry, chosen.decision)
-    return fleet.versions[version], chosen.endpoint
-
-
-def _refused_choice(
-    request: CallerRequest, progress: Progress, entry: EntryState, refusal: Refusal
-) -> Refusal:
-    """Log a request that has nowhere to go; "not run" holds for all attempts.
-
-    Where attempts were made, what the last one met tells a caller more than that
-    no endpoint is left.
-    """
-    if progress.last_refused is not None:
-        refusal = as_refusal(progress.last_refused, progress)
-    truthful = Refusal(
-        refusal.reason,
-        refusal.not_run and not progress.may_have_run,
-        refusal.detail,
-        refusal.retry_after_s or RETRY_LATER_S,
-    )
-    entry.metrics.count_refusal(truthful)
-    log_event(
-        "refuse",
-        request_id=request.request_id,
-        organisation=request.organisation.name,
-        api=request.api.name,
-        reason=truthful.reason,
-        not_run=truthful.not_run,
-        detail=truthful.detail,
-        revision=entry.holder.state.revision,
-    )
-    return truthful
-
-
-def _log_decision(
-    request: CallerRequest, progress: Progress, entry: EntryState, decision: Decision
-) -> None:
-    """Write the one line that says what was chosen and why the others lost."""
-    log_event(
-        decision.kind,
-        request_id=request.request_id,
-        organisation=request.organisation.name,
-        api=request.api.name,
-        request_class=request.request_class,
-        attempt=progress.attempts + 1,
-        chosen=decision.chosen,
-        why=decision.why,
-        lost={c.name: c.lost for c in decision.candidates if c.lost},
-        revision=entry.holder.state.revision,
-    )
-
-
 def _after_refused(
     refused: Refused,
     request: CallerRequest,
--- a/acaciacove/entry/progress.py
+++ b/acaciacove/entry/progress.py
@@ -36,6 +36,11 @@
         """Return the version to ask now, once one was chosen."""
         return self.decision.ladder[self.step] if self.decision else None
 
+    @property
+    def is_trial(self) -> bool:
+        """Tell whether the first answer is only asked to be rated."""
+        return self.decision is not None and self.decision.always_escalates
+
     @property
     def is_begun(self) -> bool:
         """Tell whether the caller already has a part of the answer."""
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -75,6 +75,8 @@
 
     def status() -> dict[str, Any]:
         process.refresh(shared.holder.revision, shared.network.control_bytes)
+        strays = sum(link.stray_count for link in entry.links.values())
+        entry.metrics.strays.set({}, strays)
         return _status(entry)
 
     def answer(request: CallerRequest) -> AsyncGenerator[AnswerEvent, None]:
--- a/acaciacove/entry/try_endpoint.py
+++ b/acaciacove/entry/try_endpoint.py
@@ -36,6 +36,7 @@
 ) -> AsyncGenerator[AnswerEvent | Refused, None]:
     """Yield an attempt's events; the last is an AnswerEnd or a Refused."""
     progress.attempts += 1
+    entry.metrics.attempts.inc({"endpoint": endpoint.name})
     remaining_s = request.deadline_at_s - asyncio.get_running_loop().time()
     run = _run_message(request, progress, entry, version, endpoint, remaining_s)
     link = entry.link_to(endpoint)
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -57,6 +57,8 @@
         if outcome is None or not outcome.not_run:
             hold_bill(run, entry, sidecar, ticket, completed)
             sidecar.evidence.count(ticket, sidecar.holder.state, completed)
+        if completed:
+            sidecar.metrics.count_answer(run.version, ticket.tokens)
     finally:
         sidecar.admission.leave(ticket, completed)
     if outcome is not None:
