Decide nothing on old state after a pause, in entry and sidecar

Cause: a process that was stopped and goes on would serve on what it knew before. Change: the tail confirms the spread's guard; the gate refuses as STALE_REVISION and the entry refuses new requests until something new was heard.

--- a/acaciacove/daemon/shared_state.py
+++ b/acaciacove/daemon/shared_state.py
@@ -103,6 +103,11 @@
             reason = Reason(refused.reason)
             self.membership.refused(name, peer.incarnation, reason, _now_s())
 
+    @property
+    def may_decide(self) -> bool:
+        """Tell whether the state held is current: it is not right after a pause."""
+        return self.spread.guard.may_decide(_now_s())
+
     async def ready(self) -> None:
         """Wait until this process knows enough to decide."""
         while not self.spread.ready or self.holder.state.release_revision < 0:
@@ -162,6 +167,7 @@
         rng,
         health,
         processes=lambda: len(membership.usable()) + 1,
+        guard=spread.guard,
     )
     holder.listen(lambda _: tail.advance_to(holder.next_offset))
     return SharedState(
--- a/acaciacove/entry/read_request.py
+++ b/acaciacove/entry/read_request.py
@@ -25,6 +25,9 @@
 MAX_NAME_CHARS = 200
 CHARS_PER_TOKEN = 4
 CHAT_PATH = "/v1/chat/completions"
+WAS_PAUSED = Refusal(
+    Reason.STALE_REVISION, True, "the entry was paused and is catching up", 1.0
+)
 NOT_READY = Refusal(Reason.NOT_READY, True, "no release note is known yet", 1.0)
 NO_ROOM = Refusal(
     Reason.OVERLOADED, True, "too many bills wait for the platform's log", 5.0
@@ -61,6 +64,8 @@
         return DRAINING
     if not entry.lifecycle.takes_work:
         return NOT_READY
+    if not entry.shared.may_decide:
+        return WAS_PAUSED
     if not entry.billing.has_room:
         return NO_ROOM
     header_bytes = sum(len(name) + len(value) for name, value in request.headers.raw)
--- a/acaciacove/sidecar/gate.py
+++ b/acaciacove/sidecar/gate.py
@@ -19,13 +19,17 @@
 
 @frozen
 class GateView:
-    """What the gate looks at: the state in force and this endpoint's own."""
+    """What the gate looks at: the state in force and this endpoint's own.
+
+    ``current`` is false from the end of a pause until the state was confirmed.
+    """
 
     fleet: FleetState
     instance: str
     availability_zone: str
     served: frozenset[VersionId]
     takes_work: bool
+    current: bool = True
 
 
 Check = Callable[[Run, GateView], Refusal | None]
@@ -54,6 +58,9 @@
     The entry may know of a withdrawal that this side does not. Without this check a
     sidecar that was paused would serve what operators have stopped.
     """
+    if not view.current:
+        detail = f"{view.instance} was paused and is catching up"
+        return Refusal(Reason.STALE_REVISION, True, detail, SOON_S)
     if run.revision > view.fleet.revision:
         detail = f"{view.instance} is still reading revision {run.revision}"
         return Refusal(Reason.STALE_REVISION, True, detail, SOON_S)
--- a/acaciacove/sidecar/sidecar_state.py
+++ b/acaciacove/sidecar/sidecar_state.py
@@ -57,4 +57,5 @@
             availability_zone=self.settings.availability_zone,
             served=self.served,
             takes_work=self.lifecycle.takes_work,
+            current=self.shared.may_decide,
         )
