Correct ratings for who rates, bound plans at 90 in 100, mix both deployments

Cause: unhappy callers rate more, so plans paid for quality they had already; a plan picked as the cheapest of many is picked for its luck too.

--- a/acaciacove/bench/cascade_oracle.py
+++ b/acaciacove/bench/cascade_oracle.py
@@ -17,6 +17,23 @@
     true quality of that answer and of the one that would follow. Per class it takes
     the plan that meets the target at the least cost.
     """
+    return _best_costs(load, versions, sees_gain=True)
+
+
+def signal_oracle_costs(
+    load: CascadeLoad, versions: dict[VersionId, Version]
+) -> Floats:
+    """Return costs if the truth of every threshold were known, on our signals.
+
+    It escalates in order of the engine's noisy confidence, as we do; what we cost
+    more is the price of learning.
+    """
+    return _best_costs(load, versions, sees_gain=False)
+
+
+def _best_costs(
+    load: CascadeLoad, versions: dict[VersionId, Version], sees_gain: bool
+) -> Floats:
     costs = full(len(load.classes), 0.0, dtype=float64)
     for name in CLASSES:
         mask = [at for at, c in enumerate(load.classes) if c == name]
@@ -25,7 +42,8 @@
             for second, two in versions.items():
                 if two.cost_per_1k_tokens < one.cost_per_1k_tokens:
                     continue
-                part = _plan_costs(load, mask, (first, one), (second, two))
+                steps = ((first, one), (second, two))
+                part = _plan_costs(load, mask, steps, sees_gain)
                 if part is not None and (best is None or part.sum() < best.sum()):
                     best = part
         if best is not None:
@@ -36,10 +54,11 @@
 def _plan_costs(
     load: CascadeLoad,
     mask: list[int],
-    first: tuple[VersionId, Version],
-    second: tuple[VersionId, Version],
+    steps: tuple[tuple[VersionId, Version], tuple[VersionId, Version]],
+    sees_gain: bool,
 ) -> Floats | None:
-    """Escalate the requests that gain most per cost, as few as the target needs."""
+    """Escalate the most rewarding requests, as few as the target needs."""
+    first, second = steps
     tokens = load.tokens[mask] / 1000.0
     before = load.qualities[first[0]][mask]
     gain = load.qualities[second[0]][mask] - before
@@ -47,7 +66,7 @@
     cost = first[1].cost_per_1k_tokens * tokens
     if need <= 0:
         return cost
-    order = argsort(-gain / tokens)
+    order = argsort(-gain / tokens if sees_gain else load.signals[first[0]][mask])
     reached = cumsum(gain[order])
     if reached.max(initial=0.0) < need:
         return None
--- a/acaciacove/bench/fake_entry.py
+++ b/acaciacove/bench/fake_entry.py
@@ -19,6 +19,7 @@
 from acaciacove.refusal import Refusal
 
 MAX_ATTEMPTS = 3
+RETRY_BEFORE_SHARE = 0.3
 MAX_SESSIONS = 4096
 Choose = Callable[["FakeEntry", FakeRequest, set[str]], Instance | None]
 
@@ -90,7 +91,10 @@
             request.ok = True
             return
         excluded.add(view.instance.name)
-        if request.attempts < MAX_ATTEMPTS and self.budget.spend():
+        passed_s = self.events.now_s - request.arrived_at_s
+        has_time = passed_s < RETRY_BEFORE_SHARE * request.deadline_s
+        can_retry = has_time and request.attempts < MAX_ATTEMPTS
+        if can_retry and self.budget.spend():
             self._attempt(request, excluded)
             return
         self._refused(request)
--- a/acaciacove/bench/scenario.py
+++ b/acaciacove/bench/scenario.py
@@ -1,7 +1,6 @@
 """The scenarios by name, and how a report is printed."""
 
 from collections.abc import Callable
-from sys import stdout
 from typing import Any
 
 import orjson
@@ -14,6 +13,7 @@
 from acaciacove.bench.scenario_cascade import run_cascade
 from acaciacove.bench.scenario_cold_start import run_cold_start
 from acaciacove.bench.scenario_fairness import run_fairness
+from acaciacove.bench.scenario_mix import run_mix
 from acaciacove.bench.scenario_overload import run_overload
 from acaciacove.bench.scenario_report import ScenarioReport
 from acaciacove.bench.scenario_settings import ScenarioSettings
@@ -29,6 +29,7 @@
     "balance": run_balance,
     "cold_start": run_cold_start,
     "overload": run_overload,
+    "mix": run_mix,
 }
 
 
@@ -46,7 +47,7 @@
     """Print a table, and with ``as_json`` one JSON object on the last line."""
     Console(soft_wrap=True).print(_table(report))
     if as_json:
-        stdout.write(orjson.dumps(report_document(report)).decode() + "\n")
+        print(orjson.dumps(report_document(report)).decode())
 
 
 def _table(report: ScenarioReport) -> Table:
--- a/acaciacove/bench/scenario_cascade.py
+++ b/acaciacove/bench/scenario_cascade.py
@@ -14,7 +14,11 @@
     cascade_versions,
     draw_cascade_load,
 )
-from acaciacove.bench.cascade_oracle import clairvoyant_costs, oracle_costs
+from acaciacove.bench.cascade_oracle import (
+    clairvoyant_costs,
+    oracle_costs,
+    signal_oracle_costs,
+)
 from acaciacove.bench.policy_runs import OURS, run_policies
 from acaciacove.bench.scenario_report import Figures, ScenarioReport
 from acaciacove.bench.scenario_settings import ScenarioSettings
@@ -87,6 +91,9 @@
             "always_best": lambda: _fixed(load, _BEST),
             "always_cheapest": lambda: _fixed(load, _CHEAPEST),
             "oracle": lambda: _seen(load, oracle_costs(load, _VERSIONS)),
+            "oracle_on_our_signals": lambda: _seen(
+                load, signal_oracle_costs(load, _VERSIONS)
+            ),
             "clairvoyant": lambda: _seen(load, clairvoyant_costs(load, _VERSIONS)),
         },
     )
--- a/acaciacove/decisions/admission.py
+++ b/acaciacove/decisions/admission.py
@@ -12,6 +12,7 @@
 from acaciacove.refusal import Refusal
 
 _MAX_LANES = 1024
+_MIN_TOKEN_S = 1e-4
 
 
 @define
@@ -190,7 +191,7 @@
 
     def _credit(self, now_s: float) -> float:
         """Return the tokens by weight that are served in ``credit_s``."""
-        tokens_per_s = self.limit / self._token_s
+        tokens_per_s = self.limit / max(_MIN_TOKEN_S, self._token_s)
         return self.settings.credit_s * tokens_per_s / self._active_weight(now_s)
 
     def _is_entitled(self, lane: Lane, now_s: float) -> bool:
--- a/acaciacove/decisions/cascade_planner.py
+++ b/acaciacove/decisions/cascade_planner.py
@@ -1,6 +1,7 @@
 """Find the cheapest plan that meets the quality target."""
 
 from collections.abc import Sequence
+from itertools import chain
 
 from attrs import evolve, frozen
 
@@ -12,6 +13,7 @@
     deviation_of,
 )
 from acaciacove.decisions.rated_class import SIGNAL_BINS
+from acaciacove.decisions.response_bias import ResponseBias, fit_response_bias
 from acaciacove.decisions.tally import Tally
 from acaciacove.fleet.version import Version
 
@@ -44,7 +46,9 @@
     Where nothing meets the target with confidence, the plan of the best expected
     quality is taken, never the cheapest.
     """
-    curves = {v.id: _curve(estimates, v, request_class) for v in ladder}
+    first_bins = {v.id: estimates.bins(v.id, request_class) for v in ladder}
+    bias = fit_response_bias(chain.from_iterable(first_bins.values()))
+    curves = {v.id: _curve(v, first_bins[v.id], bias) for v in ladder}
     plans = [_direct(version, curves[version.id]) for version in ladder]
     if may_escalate:
         for place, first in enumerate(ladder):
@@ -52,7 +56,7 @@
                 before = curves[first.id]
                 expected = curves[second.id].mean
                 bins = estimates.bins(second.id, request_class, str(first.id))
-                after = _after(before, expected, bins)
+                after = _after(before, expected, bins, bias)
                 plans.append(_escalating(first, second, before, after, target))
     meeting = [plan for plan in plans if plan.lower >= target]
     if meeting:
@@ -60,9 +64,11 @@
     return max(plans, key=lambda plan: plan.quality)
 
 
-def _curve(estimates: QualityEstimates, version: Version, request_class: str) -> _Curve:
+def _curve(
+    version: Version, raw: tuple[tuple[float, Tally], ...], bias: ResponseBias
+) -> _Curve:
     """Draw each bin's mean towards the version's mean, that towards its prior."""
-    bins = estimates.bins(version.id, request_class)
+    bins = [(count, bias.correct(tally)) for count, tally in raw]
     seen = sum(count for count, _ in bins)
     rated = sum(tally.count for _, tally in bins)
     total = sum(tally.total for _, tally in bins)
@@ -76,7 +82,10 @@
 
 
 def _after(
-    before: _Curve, expected: float, bins: tuple[tuple[float, Tally], ...]
+    before: _Curve,
+    expected: float,
+    bins: tuple[tuple[float, Tally], ...],
+    bias: ResponseBias,
 ) -> _Curve:
     """Return the second answer's ratings by the first one's signal.
 
@@ -87,7 +96,7 @@
         expected + HARDNESS_CARRIES * min(0.0, mean - before.mean)
         for mean in before.means
     ]
-    tallies = [tally for _, tally in bins]
+    tallies = [bias.correct(tally) for _, tally in bins]
     return _Curve(
         before.shares,
         tuple(_drawn(t, prior) for t, prior in zip(tallies, priors, strict=True)),
--- a/acaciacove/decisions/quality_estimates.py
+++ b/acaciacove/decisions/quality_estimates.py
@@ -13,8 +13,8 @@
 
 PRIOR_RATINGS = 4.0
 PRIOR_DEVIATION = 0.3
-# A one-sided confidence of 80 in 100.
-CONFIDENCE_DEVIATIONS = 0.84
+# A one-sided confidence of 90 in 100, per plan and class.
+CONFIDENCE_DEVIATIONS = 1.28
 EPOCH_RATINGS = 20_000
 KEPT_EPOCHS = 3
 _RATED = "rated"
