--- a/acaciacove/cli/bench.py
+++ b/acaciacove/cli/bench.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import fields
+from attrs import asdict, fields
 
 from acaciacove.cli.output import print_json
+from acaciacove.cli.tables import new_table, open_console
 from acaciacove.context import Environment
 from acaciacove.errors import InvalidSettingsError
 from acaciacove.exit_status import ExitStatus
@@ -59,7 +60,26 @@
     return ExitStatus.SUCCESS
 
 
+def _run_promises(settings: BenchSettings, env: Environment) -> ExitStatus:
+    """Assert every promise under faults, in a long run on a clock of its own."""
+    from acaciacove.bench.promises import run_promises
+
+    report = run_promises(
+        settings.seed, settings.rounds, settings.break_promise or None
+    )
+    table = new_table("promise", "checks", "violations")
+    for promise, checks in report.checks.items():
+        table.add_row(promise, str(checks), str(report.violations.get(promise, 0)))
+    open_console(env).print(table)
+    for detail in report.details:
+        env.print(detail)
+    if settings.json:
+        print_json({**asdict(report), "kept": report.kept}, env)
+    return ExitStatus.SUCCESS if report.kept else ExitStatus.CHECK_FAILED
+
+
 _BENCHES: dict[str, Bench] = {
+    "promises": _run_promises,
     "capacity": _run_capacity,
     "overhead": _run_overhead,
 }
--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -437,6 +437,10 @@
         overhead starts a small fleet of processes on loopback and compares calls
         through entry and sidecar with calls of the engine itself.
 
+        promises sends random requests to a simulated fleet under faults and asserts
+        every promise; --break_promise takes one mechanism away to see that its check
+        rises. Exit status 7 when a promise was found broken.
+
         capacity measures slopes on this machine, projects them to the size to
         design for, and marks what is over its budget.
 
@@ -462,6 +466,12 @@
         Flag("rated_share", "Share of the answers that get a rating.", "SHARE"),
         Flag("rating_delay_s", "Seconds until a rating arrives.", "SECONDS"),
         Flag("report_lag_s", "Age of load reports in seconds.", "SECONDS"),
+        Flag("rounds", "Rounds of promises, a hundred requests each.", "COUNT"),
+        Flag(
+            "break_promise",
+            "Mechanism that promises does without, such as claims. Empty: none.",
+            "NAME",
+        ),
         JSON,
     ),
 )
--- a/acaciacove/settings/bench_settings.py
+++ b/acaciacove/settings/bench_settings.py
@@ -42,4 +42,6 @@
     report_lag_s: float | None = field(
         default=None, metadata=check(optional(at_least(0)))
     )
+    rounds: int = field(default=10, metadata=check(at_least(1)))
+    break_promise: str = ""
     json: bool = False
--- a/features/caller.feature
+++ b/features/caller.feature
@@ -34,3 +34,15 @@
   Scenario: A shuttle that is booked once takes effect once
     When "broad-river-guides" books shuttle "s-2" with key "k-2"
     Then shuttle "s-2" is booked 1 times
+
+  Scenario: A booking that is sent again through another entry runs once
+    When "broad-river-guides" books shuttle "s-3" with key "k-3"
+    And "broad-river-guides" books shuttle "s-3" with key "k-3" through another entry
+    Then both answers are the same
+    And shuttle "s-3" is booked 1 times
+
+  Scenario: A key that was used for one booking is refused for another
+    When "broad-river-guides" books shuttle "s-4" with key "k-4"
+    And "broad-river-guides" books shuttle "s-5" with key "k-4"
+    Then the request is refused as "key_reused" and has not run
+    And shuttle "s-5" is booked 0 times
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -84,10 +84,11 @@
         path = "/v1/chat/completions"
         return await self._post(organisation, path, body, {}, entry)
 
-    async def book(self, organisation, reference, key=""):
+    async def book(self, organisation, reference, key="", entry=0):
         headers = {"Idempotency-Key": key} if key else {}
         path = "/services/bookings/shuttles"
-        return await self._post(organisation, path, {"reference": reference}, headers)
+        body = {"reference": reference}
+        return await self._post(organisation, path, body, headers, entry)
 
     async def _post(self, organisation, path, body, headers, entry=0):
         url = f"http://127.0.0.1:{self.local.entries[entry].http_port}{path}"
--- a/features/steps/steps.py
+++ b/features/steps/steps.py
@@ -50,6 +50,15 @@
     context.answers.append(context.runner.run(booking))
 
 
+@when(
+    '"{organisation}" books shuttle "{reference}" with key "{key}" '
+    "through another entry"
+)
+def book_elsewhere(context, organisation, reference, key):
+    booking = context.fleet.book(organisation, reference, key, entry=1)
+    context.answers.append(context.runner.run(booking))
+
+
 @when("{count:d} shuttles are booked")
 def book_often(context, count):
     context.answers.clear()
@@ -78,6 +87,13 @@
     assert answer.document["choices"][0]["finish_reason"] == "stop"
 
 
+@then("both answers are the same")
+def are_the_same(context):
+    first, second = context.answers
+    assert first.status == second.status == 200, second.body
+    assert first.body == second.body
+
+
 @then('a version of "{model}" has answered')
 def has_answered_for(context, model):
     assert context.answers[-1].headers["x-version"].startswith(model)
--- a/tests/test_cli_bench.py
+++ b/tests/test_cli_bench.py
@@ -4,6 +4,7 @@
 from io import StringIO
 
 import orjson
+import pytest
 
 from acaciacove.context import Environment
 from acaciacove.core import main
@@ -59,6 +60,19 @@
     assert document["ours"]
 
 
+@pytest.mark.parametrize(
+    ("broken", "expected"),
+    [("", ExitStatus.SUCCESS), ("claims", ExitStatus.CHECK_FAILED)],
+)
+def test_a_broken_promise_ends_a_run_with_a_failed_check(broken, expected):
+    args = ("--rounds=2", f"--break_promise={broken}", "--json")
+    status, out, _ = run("bench", "promises", *args)
+    report = orjson.loads(out.splitlines()[-1])
+    assert status is expected
+    assert report["kept"] is (expected is ExitStatus.SUCCESS)
+    assert report["checks"]["claims"] > 0
+
+
 def test_an_unknown_bench_is_refused_with_those_that_there_are():
     status, _, err = run("bench", "nope")
     assert status is ExitStatus.USAGE
