--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -17,6 +17,8 @@
 from acaciacove.state.fleet_holder import FleetHolder
 from acaciacove.state.outgoing import Outgoing
 from acaciacove.state.spread_settings import SpreadSettings
+from acaciacove.state.token_bucket import TokenBucket
+from acaciacove.state.wake_guard import WakeGuard
 
 NOT_YET_S = -1e9
 CHOICE_TRIES = 4
@@ -26,7 +28,8 @@
     """One process's share of the spread.
 
     ``status`` returns the process's own lifecycle status and ``evidence`` what it
-    has seen of others lately, in the form of ``Digest.peers``.
+    has seen of others lately, in the form of ``Digest.peers``. ``guard`` tells
+    whether the process may decide, or was paused and has not heard anything since.
     """
 
     def __init__(
@@ -47,9 +50,12 @@
         self._evidence = evidence
         self._next_tick_s = NOT_YET_S
         self._told_revision = NO_REVISION
+        self._again_s: float | None = None
         self._pulled_s = NOT_YET_S
         self._peer_revisions: dict[str, int] = {}
         self._log_read = False
+        self.guard = WakeGuard()
+        self._answers = TokenBucket(settings.answers_per_s, settings.answer_burst)
 
     @property
     def ready(self) -> bool:
@@ -77,10 +83,9 @@
         ``peers`` are the instances of the fleet that are not known to be gone;
         the own one is skipped.
         """
+        self.guard.tick(now_s)
         outgoing: list[Outgoing] = []
-        if self._holder.revision > self._told_revision:
-            outgoing += self._tell(peers, self._settings.eager_peers)
-            self._told_revision = self._holder.revision
+        outgoing += self._tell_news(now_s, peers)
         if now_s >= self._next_tick_s:
             # A fixed phase would let a thousand processes that were started
             # together speak in the same instant, for ever.
@@ -99,7 +104,7 @@
             case Digest():
                 return self._on_digest(sender, message, now_s)
             case Pull():
-                return [Outgoing(sender, self._holder.records_for(message))]
+                return self._on_pull(sender, message, now_s)
             case Records():
                 return self._on_records(sender, message, now_s)
         return []
@@ -110,6 +115,8 @@
 
     def _on_digest(self, sender: str, digest: Digest, now_s: float) -> list[Outgoing]:
         self._note_peer(sender, digest.revision)
+        if digest.revision <= self._holder.revision:
+            self.guard.confirmed(now_s)
         outgoing = self._pull(sender, digest.revision, now_s)
         behind = digest.revision < self._holder.revision
         if behind or digest.reply_wanted:
@@ -117,6 +124,31 @@
             outgoing.append(Outgoing(sender, self.digest(reply_wanted=False)))
         return outgoing
 
+    def _tell_news(self, now_s: float, peers: Sequence[Instance]) -> list[Outgoing]:
+        """Tell some peers of a new revision at once, and some more a little later.
+
+        Digests get lost. With one wave alone, a process in a fleet that loses a
+        third of them was 3.2 s behind once in a thousand releases or so.
+        """
+        if self._holder.revision > self._told_revision:
+            self._told_revision = self._holder.revision
+            self._again_s = now_s + self._settings.eager_again_s
+            return self._tell(peers, self._settings.eager_peers)
+        if self._again_s is not None and now_s >= self._again_s:
+            self._again_s = None
+            return self._tell(peers, self._settings.eager_peers)
+        return []
+
+    def _on_pull(self, sender: str, pull: Pull, now_s: float) -> list[Outgoing]:
+        """Answer with records, but not everybody at once.
+
+        The first to read a release would otherwise send it to whoever meets it,
+        several times its share of the cost. Who gets no answer asks another peer.
+        """
+        if not self._answers.take(now_s):
+            return []
+        return [Outgoing(sender, self._holder.records_for(pull))]
+
     def _on_records(
         self, sender: str, message: Records, now_s: float
     ) -> list[Outgoing]:
