--- a/acaciacove/sidecar/entry_session.py
+++ b/acaciacove/sidecar/entry_session.py
@@ -33,6 +33,7 @@
     ) -> None:
         """Take over a connection that a peer has opened."""
         self.peer = ""
+        self._is_entry = False
         self.outbox = Outbox(connection)
         self._connection = connection
         self._sidecar = sidecar
@@ -53,6 +54,17 @@
                 task.cancel()
             self._connection.close()
             self._sidecar.connected[self.peer] -= 1
+            self._note_loss()
+
+    def _note_loss(self) -> None:
+        """Take the end of an entry's last connection for the loss of the entry.
+
+        An entry that is killed says nothing, and the platform's list shows it for a
+        minute more. Its bills would wait all that time. One that lives after all
+        is heard again within a second.
+        """
+        if self._is_entry and self._sidecar.connected[self.peer] == 0:
+            self._sidecar.shared.connection_lost(self.peer)
 
     def _name_peer(self, name: str) -> None:
         self._sidecar.connected[self.peer] -= 1
@@ -77,6 +89,7 @@
 
     def _start(self, run: Run) -> None:
         """Start an attempt; one that is repeated word for word starts once."""
+        self._is_entry = True
         key = (run.request_id, run.attempt)
         if key in self._attempts:
             return
