--- a/acaciacove/bench/fake_sidecar.py
+++ b/acaciacove/bench/fake_sidecar.py
@@ -87,6 +87,8 @@
             self.ramp.reported(Load(), self.engine.restarts, now_s)
             if self.engine.running:
                 self.ramp.observed_gap(self.engine.token_interval_s(), now_s)
+            if not self.ramp.warm:
+                self._adaptive.restarted(self.engine.settings.warm_bears)
         if self.first_come:
             self._pump_line()
         else:
--- a/acaciacove/decisions/concurrency_limit.py
+++ b/acaciacove/decisions/concurrency_limit.py
@@ -37,3 +37,11 @@
         self._usual_token_s += weight * (token_s - self._usual_token_s)
         self._samples += 1
         self.limit = min(float(ceiling), self.limit + 1.0 / self.limit)
+
+    def restarted(self, ceiling: int) -> None:
+        """Forget the cuts: a ramp has taken over, and bounds the limit itself.
+
+        A restart cuts what was running. Taken for slowness, those failures would
+        hold the limit down long after the endpoint is warm again.
+        """
+        self.limit = float(ceiling)
--- a/acaciacove/decisions/ramp.py
+++ b/acaciacove/decisions/ramp.py
@@ -29,6 +29,7 @@
     _earned: float = field(init=False)
     _baseline_s: float = 0.0
     _samples: int = 0
+    _bad_in_a_row: int = 0
     _restarts: int | None = None
     _fell_back_at_s: float = float("-inf")
 
@@ -53,17 +54,20 @@
         now_s: float,
         started_at_s: float | None = None,
     ) -> None:
-        """Count one completed request; ``latency_s`` is its time per token.
+        """Count one ended request; ``latency_s`` is its time per token.
 
-        Requests that started before the last fall-back say nothing new.
+        One slow or failed request may be the caller's doing (a long prompt, a
+        cancellation), several in a row are the endpoint's. Requests that started
+        before the last fall-back say nothing new.
         """
         if started_at_s is not None and started_at_s < self._fell_back_at_s:
             return
-        if self._is_step(latency_s) or (self.warm and not ok):
-            self.fall_back(now_s)
-            return
-        if not ok:
+        if not ok or self._is_step(latency_s):
+            self._bad_in_a_row += 1
+            if self._bad_in_a_row >= self.settings.bad_in_a_row:
+                self.fall_back(now_s)
             return
+        self._bad_in_a_row = 0
         self._learn(latency_s)
         self._earned += self.settings.earned_per_request
         if not self.warm and self.limit(now_s) >= self.version.warm_bears:
@@ -90,6 +94,7 @@
         self.started_at_s = now_s
         self._fell_back_at_s = now_s
         self._earned = float(self.version.cold_bears)
+        self._bad_in_a_row = 0
         self.warm = False
 
     def _is_step(self, latency_s: float) -> bool:
--- a/acaciacove/decisions/ramp_settings.py
+++ b/acaciacove/decisions/ramp_settings.py
@@ -9,8 +9,8 @@
 
     The ramp lasts ``stretch`` times the declared warm-up and follows a power of
     time. Each good request earns ``earned_per_request`` of the limit. A time per
-    token ``latency_step`` times the usual, or a gap of ``gap_steps`` times it, means
-    that the endpoint is cold.
+    token ``latency_step`` times the usual in ``bad_in_a_row`` requests, or one gap
+    of ``gap_steps`` times it, means that the endpoint is cold.
     """
 
     stretch: float = 1.3
@@ -18,3 +18,4 @@
     earned_per_request: float = 1.0
     latency_step: float = 2.5
     gap_steps: float = 4.0
+    bad_in_a_row: int = 3
--- a/tests/test_decisions_limits.py
+++ b/tests/test_decisions_limits.py
@@ -171,7 +171,8 @@
         if notice == "gap":
             ramp.observed_gap(0.3, 31.0)
         elif notice == "latency":
-            ramp.finished(0.2, True, 31.0)
+            for _ in range(3):
+                ramp.finished(0.2, True, 31.0)
         else:
             ramp.reported(
                 Load(cold=notice == "report"), 1 + (notice == "restart"), 31.0
@@ -179,6 +180,17 @@
         assert ramp.limit(31.0) == 2, notice
 
 
+def test_a_caller_who_leaves_or_sends_a_long_prompt_does_not_cool_an_endpoint():
+    # One caller cancels, another sends a prompt that takes long. Were the limit put
+    # back to cold for it, everybody else would queue before a warm endpoint.
+    ramp = Ramp(VERSION, 0.0, warm=True)
+    for second in range(40):
+        ramp.finished(0.03, True, float(second))
+        if second % 4 == 0:
+            ramp.finished(0.5, second % 8 == 0, float(second))
+    assert ramp.limit(40.0) == 16
+
+
 def test_the_adaptive_limit_cuts_once_per_burst_of_slow_answers():
     limit = ConcurrencyLimit(16.0)
     for second in range(30):
