Load rolled-out versions on the endpoints that the rule names, unload withdrawn ones

Cause: a release note could declare a version that no engine held; nothing gave orders. Change: planned_versions names holders by hash and earned share; sidecars load by it under a fencing number, paced by the weight store, and unload what is withdrawn and idle; entries look for holders by the same rule and pass over those still loading. Sidecars read the engine's load report, so that a restart puts its limit back.

--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -22,6 +22,7 @@
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
 from acaciacove.messages.refused import Refused
+from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
 MAX_ATTEMPTS = 8
@@ -229,6 +230,11 @@
         detail=refused.detail,
     )
     progress.last_refused = refused
+    if refused.reason == Reason.NO_ENDPOINT and progress.version is not None:
+        entry.router.lacks(endpoint, progress.version)
+        if not progress.is_begun and request.explicit is None:
+            # Another version may serve meanwhile, as if this one had not been tried.
+            progress.decision = None
     progress.may_have_run |= not refused.not_run
     progress.failed_endpoints.add(endpoint.name)
     final = final_refusal(refused, request, progress)
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from acaciacove.decisions.endpoint_choice import choose_endpoint
 from acaciacove.decisions.endpoint_decision import EndpointDecision
@@ -13,6 +13,7 @@
 from acaciacove.decisions.subset import choose_subset
 from acaciacove.decisions.version_choice import choose_version
 from acaciacove.decisions.version_decision import VersionDecision
+from acaciacove.decisions.version_holders import planned_versions
 from acaciacove.decisions.zone_moves import ZoneMoves
 from acaciacove.entry.caller_request import CallerRequest
 from acaciacove.entry.progress import Progress
@@ -28,6 +29,7 @@
 
 RETRY_LATER_S = 1.0
 SESSION_PARTITIONS = 4096
+LACKING_S = 2.0
 
 
 @define(eq=False)
@@ -47,11 +49,16 @@
     views: dict[str, EndpointView] = field(factory=dict)
     subsets: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
     serving: dict[VersionId, tuple[Instance, ...]] = field(factory=dict)
+    lacking: dict[tuple[str, VersionId], float] = field(factory=dict)
 
     def update(self, instances: list[Instance], fleet: FleetState) -> None:
         """Follow the fleet: endpoints keep their views, subsets are made anew."""
         entries = [i.name for i in instances if i.role is Role.ENTRY]
-        endpoints = [i for i in instances if i.role is Role.ENDPOINT]
+        listed = [i for i in instances if i.role is Role.ENDPOINT]
+        planned = planned_versions(fleet, listed)
+        endpoints = [
+            evolve(e, versions=(*e.versions, *sorted(planned[e.name]))) for e in listed
+        ]
         self.zone_moves.update(fleet, _now_s())
         names = {endpoint.name for endpoint in endpoints}
         self.views = {n: view for n, view in self.views.items() if n in names}
@@ -92,7 +99,7 @@
             pinned=pinned,
             session=request.session,
             shares=exposures(fleet),
-            serving=self.subsets.keys(),
+            serving=self._served(),
         )
 
     def _refuse_named(
@@ -122,7 +129,7 @@
     ) -> EndpointDecision | Refusal:
         """Choose one of this entry's endpoints of a version."""
         now_s = _now_s()
-        subset = self.subsets.get(version, ())
+        subset = self._holding(version, now_s)
         if request.non_idempotent:
             subset = self._claim_owner(fleet, request, version, progress)
         if not subset:
@@ -141,6 +148,27 @@
             zone_shares={zone: self.zone_moves.share(zone, now_s) for zone in zones},
         )
 
+    def _served(self) -> set[VersionId]:
+        """Return the versions that some endpoint is believed to hold."""
+        now_s = _now_s()
+        return {version for version in self.subsets if self._holding(version, now_s)}
+
+    def lacks(self, endpoint: Instance, version: VersionId) -> None:
+        """Note that an endpoint does not hold a version yet."""
+        self.lacking[(endpoint.name, version)] = _now_s() + LACKING_S
+
+    def _holding(self, version: VersionId, now_s: float) -> tuple[Instance, ...]:
+        """Return this entry's endpoints of a version, less those still loading it.
+
+        Endpoints are known by plan, which is ahead of the engines. Without the note
+        every request would try the same endpoint in vain and use up retries.
+        """
+        subset = self.subsets.get(version, ())
+        if not self.lacking:
+            return subset
+        self.lacking = {k: until for k, until in self.lacking.items() if until > now_s}
+        return tuple(e for e in subset if (e.name, version) not in self.lacking)
+
     def _claim_owner(
         self,
         fleet: FleetState,
--- a/acaciacove/platform/weight_store.py
+++ b/acaciacove/platform/weight_store.py
@@ -7,5 +7,5 @@
     """Hands out permits to load weights; too many at once are refused."""
 
     async def acquire(self, weights: str) -> float:
-        """Ask for a load; returns seconds to wait first, 0 when it may start."""
+        """Ask for a load: 0 grants it, else ask again after so many seconds."""
         ...
--- a/acaciacove/sidecar/admission.py
+++ b/acaciacove/sidecar/admission.py
@@ -81,7 +81,8 @@
         version = parse_version_id(ticket.run.version)
         ramp = self.ramps.get(version) if version else None
         if ramp is not None:
-            ramp.finished(ticket.first_piece_s or service_s, completed, now_s)
+            latency_s = ticket.first_piece_s or service_s
+            ramp.finished(latency_s, completed, now_s, ticket.admitted_at_s)
         self._give_places()
 
     def reported(self, load: Load, restarts: int) -> None:
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -6,6 +6,7 @@
 
 from acaciacove.daemon.decision_log import log_event
 from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.version_id import parse_version_id
 from acaciacove.messages.chunk import Chunk
 from acaciacove.messages.end import End
 from acaciacove.messages.head import Head
@@ -47,6 +48,9 @@
         return
     outcome: Refusal | None = None
     completed = False
+    version = parse_version_id(run.version)
+    assert version is not None
+    sidecar.running[version] += 1
     try:
         # What was in force may have changed while the attempt waited in the queue.
         # A withdrawn version would otherwise get work that is chosen afterwards.
@@ -60,6 +64,7 @@
         if completed:
             sidecar.metrics.count_answer(run.version, ticket.tokens)
     finally:
+        sidecar.running[version] -= 1
         sidecar.admission.leave(ticket, completed)
     if outcome is not None:
         await _refuse(run, sidecar, outcome, send)
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -39,6 +39,7 @@
 from acaciacove.platform.http_instance_list import HttpInstanceList
 from acaciacove.platform.http_log import HttpLog
 from acaciacove.platform.http_service import HttpService
+from acaciacove.platform.http_weight_store import HttpWeightStore
 from acaciacove.settings.sidecar_settings import SidecarSettings
 from acaciacove.sidecar.admission import Admission
 from acaciacove.sidecar.ask_peer import ask_claim_owner
@@ -47,10 +48,13 @@
 from acaciacove.sidecar.evidence_report import EvidenceReport
 from acaciacove.sidecar.sidecar_metrics import SidecarMetrics
 from acaciacove.sidecar.sidecar_state import SidecarState
+from acaciacove.sidecar.version_orders import VersionOrders
+from acaciacove.sidecar.watch_engine import watch_engine
 from acaciacove.state.billing_outbox import BillingOutbox
 from acaciacove.state.billing_settings import BillingSettings
 from acaciacove.state.claim_owner import ClaimOwner
 from acaciacove.state.claim_settings import ClaimSettings
+from acaciacove.state.fence_gate import FenceGate
 from acaciacove.wire.connection import Connection
 
 # Before the first answers nothing is known of the engine's speed. A low guess makes
@@ -98,6 +102,7 @@
         sidecar.lifecycle.become_ready()
 
     shared.network.on_evidence = sidecar.evidence.take_answer
+    orders = _version_orders(settings, sidecar)
     probes = probe_routes(sidecar.lifecycle, registry, status)
     async with (
         message_server(sockets.messages, handle),
@@ -107,6 +112,8 @@
             sidecar.evidence.run(shared),
             sidecar.claims.run(lambda: usual_claims(shared)),
             tick_billing(sidecar.billing, sidecar.entry_is_gone),
+            orders.run(),
+            watch_engine(sidecar),
         ),
         http_server(
             Starlette(routes=probes), settings.host, settings.http_port
@@ -136,10 +143,9 @@
     lifecycle = ProcessLifecycle()
     queue = AdmissionQueue(AdmissionSettings(settings.max_queue, token_s=GUESS_TOKEN_S))
     admission = Admission(queue)
-    served = frozenset(settings.versions)
 
     def on_change() -> None:
-        admission.update(shared.holder.state, served)
+        admission.update(shared.holder.state, state.served)
 
     shared = build_shared_state(
         me=_me(settings, peer_port),
@@ -149,7 +155,7 @@
         rng=rng,
         on_change=on_change,
     )
-    return SidecarState(
+    state = SidecarState(
         settings=settings,
         lifecycle=lifecycle,
         shared=shared,
@@ -160,8 +166,19 @@
         evidence=EvidenceReport(RolloutGuard(settings.name)),
         claims=_claim_owner(settings, shared, rng),
         billing=BillingOutbox(settings.name, shared.writer, BillingSettings()),
-        served=served,
+        served=frozenset(settings.versions),
     )
+    return state
+
+
+def _version_orders(settings: SidecarSettings, sidecar: SidecarState) -> VersionOrders:
+    """Put together what gives orders to the engine."""
+    store = None
+    if settings.weight_store_url:
+        store = HttpWeightStore(settings.weight_store_url, open_client())
+    holder = sidecar.holder
+    gate = FenceGate(lambda: holder.state.release_revision)
+    return VersionOrders(sidecar, gate, store, Random(settings.seed or None))
 
 
 def _claim_owner(
--- a/acaciacove/sidecar/sidecar_state.py
+++ b/acaciacove/sidecar/sidecar_state.py
@@ -6,6 +6,7 @@
 
 from acaciacove.daemon.process_lifecycle import ProcessLifecycle
 from acaciacove.daemon.shared_state import SharedState
+from acaciacove.fleet.api_kind import ApiKind
 from acaciacove.fleet.instance_status import InstanceStatus
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.platform.engine import Engine
@@ -37,6 +38,17 @@
     served: frozenset[VersionId]
     in_flight: int = field(default=0)
     connected: Counter[str] = field(factory=Counter)
+    running: Counter[VersionId] = field(factory=Counter)
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether a model engine, and no plain service, stands behind it."""
+        fleet = self.holder.state
+        for version in self.served & fleet.versions.keys():
+            api = fleet.apis.get(fleet.versions[version].api)
+            if api is not None and api.kind is ApiKind.MODEL:
+                return True
+        return False
 
     @property
     def holder(self) -> FleetHolder:
--- /dev/null
+++ b/acaciacove/sidecar/watch_engine.py
@@ -0,0 +1,23 @@
+"""Follows the engine's own word on its load, which lags but tells of restarts."""
+
+import asyncio
+
+from acaciacove.errors import PlatformUnavailableError
+from acaciacove.messages.load import Load
+from acaciacove.sidecar.sidecar_state import SidecarState
+
+LOOK_S = 1.0
+
+
+async def watch_engine(sidecar: SidecarState) -> None:
+    """Ask for the load report again and again; a silent engine keeps its limit."""
+    while True:
+        await asyncio.sleep(LOOK_S)
+        if not sidecar.is_engine:
+            continue
+        try:
+            report = await sidecar.engine.load()
+        except (PlatformUnavailableError, KeyError, TypeError, ValueError):
+            continue
+        load = Load(report.in_flight, report.queued, cold=report.cold)
+        sidecar.admission.reported(load, report.restarts)
--- a/tests/test_path_rollout.py
+++ b/tests/test_path_rollout.py
@@ -1,10 +1,13 @@
 """A version under roll-out on real daemons: judged by ratings and by errors."""
 
+import asyncio
+
 import orjson
 from attrs import evolve
 
 from acaciacove.fleet.version import Version
 from acaciacove.fleet.version_id import VersionId
+from acaciacove.state.exposure_record import ExposureRecord
 from acaciacove.state.release_note import ReleaseNote
 from tests.embedded import SMALL, embedded_fleet, run, until
 
@@ -72,3 +75,50 @@
             assert NEW not in state.state.quarantines
 
     run(test)
+
+
+def test_a_roll_out_loads_the_new_version_and_a_withdrawal_unloads_the_old():
+    # Operators declare a version that no engine holds yet. Sidecars load it on a few
+    # endpoints, later on all; the withdrawn one is unloaded. Callers see no failure.
+    async def test():
+        async with embedded_fleet(models=4, services=0) as fleet:
+            version = Version(NEW, "guide", 0.5, 0.7, 8, 8, replaces=SMALL)
+            fleet.publish(ReleaseNote("note-2", 0, versions=(version,)))
+            engines = fleet.engines.values()
+
+            def holding():
+                return sum(str(NEW) in engine.versions for engine in engines)
+
+            await until(lambda: holding() == 2)
+            for number in range(10):
+                response = await fleet.post(CHAT, question(number))
+                assert response.status_code == 200
+            fleet.publish(ExposureRecord(NEW, 1.0))
+            await until(lambda: holding() == 4)
+            fleet.publish(ReleaseNote("note-3", 1, withdrawn=(SMALL,)))
+            await until(lambda: not any(str(SMALL) in e.versions for e in engines))
+            for number in range(10):
+                response = await fleet.post(CHAT, question(number))
+                assert response.status_code == 200
+                assert response.headers["x-version"] == str(NEW)
+
+    run(test)
+
+
+def test_an_engine_gets_no_order_that_was_overtaken():
+    # An engine ignores fencing numbers. A sidecar that waits for its weights while
+    # the version is withdrawn must not load it after all.
+    async def test():
+        async with embedded_fleet(models=1, services=0, weights=True) as fleet:
+            fleet.weights.next_at_s = asyncio.get_running_loop().time() + 2.0
+            version = Version(NEW, "guide", 0.5, 0.7, 8, 8, replaces=SMALL)
+            fleet.publish(ReleaseNote("note-2", 0, versions=(version,)))
+            await until(lambda: fleet.weights.asked > 0)
+            offset = fleet.publish(ReleaseNote("note-3", 1, withdrawn=(NEW,)))
+            holder = fleet.sidecars["guide-0"].shared.holder
+            await until(lambda: holder.revision == offset)
+            await asyncio.sleep(4.0)
+            assert not fleet.weights.permits
+            assert str(NEW) not in fleet.engines["guide-0"].versions
+
+    run(test)
