Bill a booking that took effect, and check once more before it is made

Change: no record of nothing owed for calls that may not be repeated; the copy is held by the call itself; the gate is asked again after the claim. One billing_id in place of two. Touches entry/bill_request.py and sidecar/claimed_call.py, hold_bill.py and run_attempt.py.

--- a/acaciacove/bench/promise_callers.py
+++ b/acaciacove/bench/promise_callers.py
@@ -12,7 +12,7 @@
 from acaciacove.fleet.version_id import VersionId
 from acaciacove.platform.service_answer import ServiceAnswer
 from acaciacove.refusal import Refusal
-from acaciacove.state.claim_key import bill_id
+from acaciacove.state.billing_price import billing_id
 from acaciacove.state.session_pins import NEW_SESSION
 
 SESSIONS = 12
@@ -123,7 +123,7 @@
         self, request: PromiseRequest, request_id: str, result: ServiceAnswer | Refusal
     ) -> None:
         """Check an answer or a refusal that came back."""
-        bill = bill_id(request.organisation, request.api, request.key, request_id)
+        bill = billing_id(request_id, request.organisation, request.api, request.key)
         counts = self.world.counts
         if isinstance(result, ServiceAnswer):
             self.outcomes["answered"] += 1
--- a/acaciacove/bench/promise_entry.py
+++ b/acaciacove/bench/promise_entry.py
@@ -18,8 +18,9 @@
 from acaciacove.platform.service_answer import ServiceAnswer
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
+from acaciacove.state.billing_price import billing_id
 from acaciacove.state.billing_record import BillingRecord
-from acaciacove.state.claim_key import bill_id, claim_key
+from acaciacove.state.claim_key import claim_key
 from acaciacove.state.rendezvous import partition_of, rank_owners
 from acaciacove.state.session_pins import NEW_SESSION, SessionPins
 
@@ -221,7 +222,7 @@
         asked: list[str],
     ) -> None:
         record = BillingRecord(
-            bill_id(request.organisation, request.api, request.key, request_id),
+            billing_id(request_id, request.organisation, request.api, request.key),
             request.organisation,
             request.api,
             str(version),
--- a/acaciacove/bench/promise_sidecar.py
+++ b/acaciacove/bench/promise_sidecar.py
@@ -22,8 +22,9 @@
 from acaciacove.sidecar.admission import Admission
 from acaciacove.sidecar.gate import GateView, refuse_run
 from acaciacove.sidecar.ticket import Ticket
+from acaciacove.state.billing_price import billing_id
 from acaciacove.state.billing_record import BillingRecord
-from acaciacove.state.claim_key import bill_id, claim_key, request_fingerprint
+from acaciacove.state.claim_key import claim_key, request_fingerprint
 from acaciacove.state.claim_owner import ClaimOwner
 from acaciacove.state.claim_settings import ClaimSettings
 from acaciacove.state.fence_gate import FenceGate
@@ -175,7 +176,9 @@
 
 
 def _bill(run: Run) -> BillingRecord:
-    request_id = bill_id(run.organisation, run.api, run.idempotency_key, run.request_id)
+    request_id = billing_id(
+        run.request_id, run.organisation, run.api, run.idempotency_key
+    )
     return BillingRecord(
         request_id, run.organisation, run.api, run.version, answered=True, cost=1.0
     )
--- a/acaciacove/entry/bill_request.py
+++ b/acaciacove/entry/bill_request.py
@@ -20,9 +20,13 @@
     """Bill a request once, when it has ended; nothing is billed for "not run".
 
     A request that may have run without a whole answer is recorded as costing
-    nothing, which keeps the copies of sidecars from counting.
+    nothing, which keeps the copies of sidecars from counting. A call that may not be
+    repeated is left to its sidecar, which knows whether it took effect: a record of
+    nothing owed would come first, and a booking whose answer a later retry gets
+    would never be billed.
     """
-    if end is None and not progress.may_have_run:
+    unanswered = end is None
+    if unanswered and (request.non_idempotent or not progress.may_have_run):
         return
     record = BillingRecord(
         request_id=billing_id(
--- a/acaciacove/sidecar/claimed_call.py
+++ b/acaciacove/sidecar/claimed_call.py
@@ -9,6 +9,8 @@
 from acaciacove.platform.service_answer import ServiceAnswer
 from acaciacove.platform.service_call import ServiceCall
 from acaciacove.refusal import Refusal
+from acaciacove.sidecar.gate import refuse_run
+from acaciacove.sidecar.hold_bill import hold_bill
 from acaciacove.sidecar.sidecar_state import SidecarState
 from acaciacove.sidecar.ticket import Ticket
 from acaciacove.state.claim_key import claim_key, key_issued_s, request_fingerprint
@@ -16,7 +18,7 @@
 
 
 async def call_once(
-    run: Run, sidecar: SidecarState, ticket: Ticket, call: ServiceCall
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, call: ServiceCall
 ) -> ServiceAnswer | Refusal:
     """Make a call unless its key has been claimed; then answer what became of it.
 
@@ -24,11 +26,25 @@
     is recorded and a retry elsewhere gets the answer.
     """
     loop = asyncio.get_running_loop()
+
+    async def checked_call() -> ServiceAnswer | Refusal:
+        # Claiming takes a trip to the log or, in a process that was paused on the
+        # way, much longer. A withdrawal or a leaving may have come meanwhile.
+        refusal = refuse_run(run, sidecar.gate_view())
+        if refusal is not None:
+            return refusal
+        answer = await sidecar.service.call(call)
+        if isinstance(answer, ServiceAnswer):
+            # The entry may be gone by now, and with it the attempt that asked. The
+            # booking has taken effect all the same, and nobody else would bill it.
+            hold_bill(run, entry, sidecar, ticket, answered=True)
+        return answer
+
     return await sidecar.claims.run_once(
         key=claim_key(run.organisation, run.api, run.idempotency_key),
         fingerprint=request_fingerprint(run.method, run.path, run.body),
         deadline_s=loop.time() + ticket.remaining_s(loop.time()),
-        call=lambda: sidecar.service.call(call),
+        call=checked_call,
         organisation=run.organisation,
         issued_s=key_issued_s(run.idempotency_key),
     )
--- a/acaciacove/sidecar/hold_bill.py
+++ b/acaciacove/sidecar/hold_bill.py
@@ -17,7 +17,11 @@
     """Keep what an attempt cost until the entry has it in the log.
 
     If the entry is lost first, its bill would be lost with it; then the copy counts.
+    Nothing is kept of a call that may not be repeated and has no answer yet: its
+    record is the one of whoever gets the answer.
     """
+    if run.non_idempotent and not answered:
+        return
     version = parse_version_id(run.version)
     known = sidecar.holder.state.versions.get(version) if version else None
     if known is None:
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -52,7 +52,7 @@
         # A withdrawn version would otherwise get work that is chosen afterwards.
         outcome = refuse_run(run, sidecar.gate_view())
         if outcome is None:
-            outcome = await _answer(run, sidecar, ticket, send)
+            outcome = await _answer(run, entry, sidecar, ticket, send)
         completed = outcome is None
         if outcome is None or not outcome.not_run:
             hold_bill(run, entry, sidecar, ticket, completed)
@@ -71,13 +71,13 @@
 
 
 async def _answer(
-    run: Run, sidecar: SidecarState, ticket: Ticket, send: Send
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, send: Send
 ) -> Refusal | None:
     """Ask the endpoint; None once the whole answer was sent."""
     api = sidecar.holder.state.apis[run.api]
     if api.kind is ApiKind.MODEL:
         return await _ask_engine(run, sidecar, ticket, send)
-    return await _ask_service(run, sidecar, ticket, send)
+    return await _ask_service(run, entry, sidecar, ticket, send)
 
 
 async def _ask_engine(
@@ -127,7 +127,7 @@
 
 
 async def _ask_service(
-    run: Run, sidecar: SidecarState, ticket: Ticket, send: Send
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, send: Send
 ) -> Refusal | None:
     """Make one call of the plain service and send its whole answer."""
     api = sidecar.holder.state.apis[run.api]
@@ -144,7 +144,7 @@
     if call.may_repeat:
         answer = await sidecar.service.call(call)
     else:
-        answer = await call_once(run, sidecar, ticket, call)
+        answer = await call_once(run, entry, sidecar, ticket, call)
     if isinstance(answer, Refusal):
         return answer
     await send_answer(run, sidecar, ticket, answer, send)
--- a/acaciacove/state/claim_key.py
+++ b/acaciacove/state/claim_key.py
@@ -15,17 +15,6 @@
     return _digest(organisation, api, idempotency_key)
 
 
-def bill_id(organisation: str, api: str, idempotency_key: str, request_id: str) -> str:
-    """Return the id under which a request is billed.
-
-    A call that may not be repeated runs once for all its retries, each of which
-    has a request id of its own; billed by that, one booking would cost twice.
-    """
-    if not idempotency_key:
-        return request_id
-    return claim_key(organisation, api, idempotency_key)
-
-
 def request_fingerprint(method: str, path: str, body: bytes) -> str:
     """Return what tells a retry from another request under the same key."""
     return _digest(method, path, body.hex())
--- /dev/null
+++ b/tests/test_sidecar_claimed_call.py
@@ -0,0 +1,94 @@
+"""A claimed call is checked once more before it is made, and billed after it."""
+
+import asyncio
+from types import SimpleNamespace
+
+from attrs import evolve
+
+from acaciacove.fleet.api import Api
+from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.fleet_state import FleetState
+from acaciacove.fleet.organisation import Organisation
+from acaciacove.fleet.version import Version
+from acaciacove.fleet.version_id import VersionId
+from acaciacove.messages.run import Run
+from acaciacove.platform.service_answer import ServiceAnswer
+from acaciacove.platform.service_call import ServiceCall
+from acaciacove.reason import Reason
+from acaciacove.sidecar.claimed_call import call_once
+from acaciacove.sidecar.gate import GateView
+from acaciacove.sidecar.ticket import Ticket
+from tests.claim_world import World
+from tests.virtual import run_virtual
+
+SHUTTLE = VersionId("bookings", "1")
+FLEET = FleetState(
+    revision=3,
+    apis={"shuttle": Api("shuttle", ApiKind.SERVICE)},
+    versions={SHUTTLE: Version(SHUTTLE, "shuttle", 1.0)},
+    organisations={"kiosk": Organisation("kiosk", allowed={"bookings": ("*",)})},
+)
+RUN = Run("r1", 1, 3, "kiosk", "shuttle", str(SHUTTLE), idempotency_key="k",
+          non_idempotent=True)  # fmt: skip
+
+
+class Sidecar:
+    """What a claimed call needs of a sidecar, with a service that counts."""
+
+    def __init__(self, world):
+        self.claims = world.start("s1")
+        self.fleet, self.current, self.calls, self.held = FLEET, True, 0, []
+        self.holder = SimpleNamespace(state=FLEET)
+        self.billing = SimpleNamespace(hold=lambda *held: self.held.append(held))
+        self.service = self
+
+    def gate_view(self):
+        served = frozenset({SHUTTLE})
+        return GateView(self.fleet, "s1", "ozark", served, True, self.current)
+
+    async def call(self, call):
+        self.calls += 1
+        await asyncio.sleep(0.1)
+        return ServiceAnswer(201, (), b"seat 4")
+
+
+def book(sidecar):
+    ticket = Ticket(RUN, 0.0, 0.0)
+    call = ServiceCall("r1", "POST", "/", timeout_s=5.0)
+    return asyncio.create_task(call_once(RUN, "entry-1", sidecar, ticket, call))
+
+
+def test_a_withdrawal_that_came_while_the_call_was_claimed_stops_it():
+    # The version is withdrawn, or the process is paused, between the first check
+    # and the answer of the log. The call would be new work for a stopped version.
+    async def main():
+        stopped = evolve(FLEET.versions[SHUTTLE], withdrawn=True)
+        for change in (
+            {"fleet": evolve(FLEET, versions={SHUTTLE: stopped})},
+            {"current": False},
+        ):
+            sidecar = Sidecar(World())
+            booking = book(sidecar)
+            await asyncio.sleep(0.001)
+            vars(sidecar).update(change)
+            refused = await booking
+            assert refused.not_run and sidecar.calls == 0
+            assert refused.reason in (Reason.VERSION_WITHDRAWN, Reason.STALE_REVISION)
+
+    run_virtual(main)
+
+
+def test_a_booking_is_billed_though_its_entry_died_meanwhile():
+    # The entry's connection breaks during the call, and the attempt ends with it.
+    # The seat is taken; without the copy nobody would ever be billed for it.
+    async def main():
+        sidecar = Sidecar(World())
+        booking = book(sidecar)
+        await asyncio.sleep(0.05)
+        booking.cancel()
+        await asyncio.sleep(1.0)
+        assert sidecar.calls == 1
+        ((record, entry, _),) = sidecar.held
+        assert record.answered and entry == "entry-1"
+
+    run_virtual(main)
