Hedge whole answers, and time only the waiting for an endpoint

While reading for it: the deadline's timeout lay round the whole relay loop, so it could strike while a slow caller was being written to, and cut the stream without an error event. Change: an answer slower than 95 in 100 of its class is asked for a second time within the budget, the first whole one counts; attempts given up unfinished do not count against their endpoint; the deadline is watched only while waiting for the endpoint.

--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -19,6 +19,7 @@
 from acaciacove.entry.retry_rule import as_refusal, final_refusal
 from acaciacove.entry.try_endpoint import try_endpoint
 from acaciacove.entry.whole_answer import WholeAnswer
+from acaciacove.entry.whole_attempt import whole_answer
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.version import Version
 from acaciacove.messages.refused import Refused
@@ -38,6 +39,7 @@
     """
     progress = Progress()
     entry.retries.earn()
+    entry.hedges.earn()
     end: AnswerEnd | None = None
     loop = asyncio.get_running_loop()
     started_s = loop.time()
@@ -104,7 +106,7 @@
             async for event in events:
                 yield event
         return
-    whole = await _whole_answer(request, progress, entry, version, endpoint)
+    whole = await whole_answer(request, progress, entry, version, endpoint)
     if isinstance(whole, Refused):
         yield whole
         return
@@ -147,35 +149,6 @@
             yield event
 
 
-async def _whole_answer(
-    request: CallerRequest,
-    progress: Progress,
-    entry: EntryState,
-    version: Version,
-    endpoint: Instance,
-) -> WholeAnswer | Refused:
-    """Hold an answer back until it is whole.
-
-    An attempt that fails half-way can then be repeated elsewhere without a trace of
-    the first one in the caller's answer.
-    """
-    head: AnswerHead | None = None
-    pieces: list[AnswerPiece] = []
-    events = try_endpoint(request, progress, entry, version, endpoint)
-    async with aclosing(events):
-        async for event in events:
-            match event:
-                case AnswerHead():
-                    head = event
-                case AnswerPiece():
-                    pieces.append(event)
-                case AnswerEnd() if head is not None:
-                    return WholeAnswer(head, tuple(pieces), event)
-                case Refused():
-                    return event
-    raise AssertionError("an attempt ends with AnswerEnd or Refused")
-
-
 def _escalates(
     request: CallerRequest,
     progress: Progress,
@@ -205,7 +178,7 @@
     chosen = choose(request, progress, entry)
     if isinstance(chosen, Refusal):
         return None
-    whole = await _whole_answer(request, progress, entry, *chosen)
+    whole = await whole_answer(request, progress, entry, *chosen)
     if isinstance(whole, Refused):
         return None
     learn_from_second(request, entry, first, signal, whole)
--- a/acaciacove/entry/entry_state.py
+++ b/acaciacove/entry/entry_state.py
@@ -9,6 +9,7 @@
 from acaciacove.daemon.process_lifecycle import ProcessLifecycle
 from acaciacove.daemon.shared_state import SharedState
 from acaciacove.decisions.budget import Budget
+from acaciacove.decisions.hedging import HedgeDelays
 from acaciacove.entry.entry_metrics import EntryMetrics
 from acaciacove.entry.learner import Learner
 from acaciacove.entry.rate_answer import AnswerRater
@@ -34,12 +35,14 @@
     metrics: EntryMetrics
     rng: Random
     retries: Budget
+    hedges: Budget
     learner: Learner
     rater: AnswerRater
     billing: BillingOutbox
     pins: SessionPins
     open_link: Callable[[Instance], SidecarLink]
     links: dict[tuple[str, int], SidecarLink] = field(factory=dict)
+    hedge_delays: HedgeDelays = field(factory=HedgeDelays)
     in_flight: int = 0
 
     @property
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -163,6 +163,7 @@
         metrics=EntryMetrics(registry),
         rng=rng,
         retries=Budget(settings.retry_share),
+        hedges=Budget(settings.hedge_share, tokens=0.0),
         learner=Learner(settings.name),
         rater=AnswerRater(
             _rating_service(settings, client), settings.rating_share, rng
--- a/acaciacove/entry/try_endpoint.py
+++ b/acaciacove/entry/try_endpoint.py
@@ -48,50 +48,62 @@
     entry.router.sent(endpoint, request)
     progress.asked.append(endpoint.name)
     load: Load | None = None
-    ok = False
+    # An attempt that is given up unfinished says nothing of its endpoint: the caller
+    # has left, or a second attempt was sooner.
+    ok = True
+    expected_sequence = 0
+    until_s = request.deadline_at_s + DEADLINE_GRACE_S
     try:
-        async with asyncio.timeout(remaining_s + DEADLINE_GRACE_S):
-            expected_sequence = 0
-            while True:
-                event = await attempt.next_event()
-                if _has_gap(event, expected_sequence):
-                    yield _failed(
-                        attempt, Reason.ANSWER_TRUNCATED, "pieces are missing"
+        while True:
+            event = await _next_event(attempt, until_s, expected_sequence)
+            match event:
+                case Head():
+                    yield AnswerHead(
+                        event.status, event.headers, version.id, endpoint.name
                     )
+                case Chunk():
+                    expected_sequence += 1
+                    if request.stream:
+                        progress.delivered_tokens += event.tokens
+                        progress.delivered_bytes += len(event.data)
+                    yield AnswerPiece(event.data)
+                case End():
+                    load = event.load
+                    entry.shared.heard(link.peer)
+                    entry.learn_revision(link, event.revision)
+                    yield _answer_end(progress, version, endpoint, event)
+                    return
+                case Refused():
+                    load = event.load
+                    ok = event.not_run
+                    entry.shared.refused(link.peer, endpoint.name, event)
+                    entry.learn_revision(link, event.revision)
+                    yield event
                     return
-                match event:
-                    case Head():
-                        yield AnswerHead(
-                            event.status, event.headers, version.id, endpoint.name
-                        )
-                    case Chunk():
-                        expected_sequence += 1
-                        if request.stream:
-                            progress.delivered_tokens += event.tokens
-                            progress.delivered_bytes += len(event.data)
-                        yield AnswerPiece(event.data)
-                    case End():
-                        load = event.load
-                        ok = True
-                        entry.shared.heard(link.peer)
-                        entry.learn_revision(link, event.revision)
-                        yield _answer_end(progress, version, endpoint, event)
-                        return
-                    case Refused():
-                        load = event.load
-                        ok = event.not_run
-                        entry.shared.refused(link.peer, endpoint.name, event)
-                        entry.learn_revision(link, event.revision)
-                        yield event
-                        return
-    except TimeoutError:
-        detail = "the deadline passed while the endpoint was working"
-        yield _failed(attempt, Reason.DEADLINE_EXCEEDED, detail)
     finally:
         entry.router.ended(endpoint, request, load, ok)
         link.finish(attempt)
 
 
+async def _next_event(
+    attempt: Attempt, until_s: float, expected_sequence: int
+) -> Head | Chunk | End | Refused:
+    """Wait for the next event; a gap or the deadline is a Refused.
+
+    Only the waiting is timed. A timeout around the whole loop would also strike
+    while a slow caller is being written to, and cut its stream without a word.
+    """
+    try:
+        async with asyncio.timeout_at(until_s):
+            event = await attempt.next_event()
+    except TimeoutError:
+        detail = "the deadline passed while the endpoint was working"
+        return _failed(attempt, Reason.DEADLINE_EXCEEDED, detail)
+    if _has_gap(event, expected_sequence):
+        return _failed(attempt, Reason.ANSWER_TRUNCATED, "pieces are missing")
+    return event
+
+
 def _has_gap(event: Head | Chunk | End | Refused, expected_sequence: int) -> bool:
     """Tell whether pieces are missing before this event.
 
--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -230,3 +230,45 @@
             assert engine.counters.most_in_flight_cold <= 2
 
     run(test)
+
+
+def test_an_unusually_slow_answer_is_asked_for_a_second_time():
+    # One endpoint stalls and says nothing more. The caller should not wait for its
+    # whole deadline while another endpoint could answer at once.
+    async def test():
+        async with embedded_fleet() as fleet:
+            entry = fleet.entries[0].state
+            for number in range(60):
+                body = {**QUESTION, "max_tokens": 4 + number % 2}
+                response = await fleet.post(CHAT, orjson.dumps(body))
+                await response.content()
+            fleet.engines["guide-0"].faults.stalled = -1
+            hedged = 0
+            for _ in range(8):
+                entry.hedges.tokens = 1.0
+                response = await fleet.post(CHAT, orjson.dumps(QUESTION))
+                answer = orjson.loads(await response.content())
+                assert response.status_code == 200, answer
+                text = answer["choices"][0]["message"]["content"]
+                assert text == expected_text(SMALL, QUESTION)
+                hedged += entry.hedges.tokens < 1.0
+            assert hedged > 0
+
+    run(test)
+
+
+def test_a_slow_caller_past_its_deadline_gets_a_named_error():
+    # A caller reads its stream so slowly that its deadline passes while the entry is
+    # writing to it. The stream must end with an error, not just stop.
+    async def test():
+        async with embedded_fleet(models=1) as fleet:
+            engine = fleet.engines["guide-0"]
+            engine.profile = EngineProfile(token_s=0.05)
+            body = orjson.dumps({**QUESTION, "stream": True, "max_tokens": 400})
+            response = await fleet.post(CHAT, body, X_Timeout_S="0.6")
+            raw = await response.content()
+            assert not stream_text(raw)[1]
+            assert b"event: error" in raw
+            assert b"deadline_exceeded" in raw
+
+    run(test)
