--- a/acaciacove/state/spread.py
+++ b/acaciacove/state/spread.py
@@ -22,6 +22,7 @@
 
 NOT_YET_S = -1e9
 CHOICE_TRIES = 4
+USUAL_RECORD_BYTES = 1000
 
 
 class Spread:
@@ -55,7 +56,9 @@
         self._peer_revisions: dict[str, int] = {}
         self._log_read = False
         self.guard = WakeGuard()
-        self._answers = TokenBucket(settings.answers_per_s, settings.answer_burst)
+        self._answers = TokenBucket(
+            settings.answer_bytes_per_s, settings.answer_burst_bytes
+        )
 
     @property
     def ready(self) -> bool:
@@ -145,9 +148,14 @@
         The first to read a release would otherwise send it to whoever meets it,
         several times its share of the cost. Who gets no answer asks another peer.
         """
-        if not self._answers.take(now_s):
+        if self._answers.refill(now_s) <= 0.0:
             return []
-        return [Outgoing(sender, self._holder.records_for(pull))]
+        records = self._holder.records_for(pull)
+        size = len(records.snapshot) + sum(len(r.payload) for r in records.records)
+        # A large release counts as a usual one. By its full size the first readers
+        # would be silent for minutes, and it would reach the others one by one.
+        self._answers.spend(now_s, min(size, USUAL_RECORD_BYTES))
+        return [Outgoing(sender, records)]
 
     def _on_records(
         self, sender: str, message: Records, now_s: float
--- a/acaciacove/state/spread_settings.py
+++ b/acaciacove/state/spread_settings.py
@@ -12,7 +12,8 @@
     ``eager_again_s`` later. ``far_share`` of the peers
     are chosen from other availability zones and regions on purpose. A pull that
     is not answered within ``pull_timeout_s`` is sent again to somebody else.
-    A process answers ``answers_per_s`` pulls a second, ``answer_burst`` at once.
+    A process answers pulls with ``answer_bytes_per_s``, ``answer_burst_bytes`` at
+    once; a large release counts as 1,000 bytes.
     """
 
     interval_s: float = 0.4
@@ -21,5 +22,5 @@
     far_share: float = 0.3
     pull_timeout_s: float = 0.4
     start_peers: int = 2
-    answers_per_s: float = 1.0
-    answer_burst: float = 3.0
+    answer_bytes_per_s: float = 1000.0
+    answer_burst_bytes: float = 3000.0
