Refuse claims at once while the log is known to be down

Cause: in a trial of a 60 s outage bookings held the few places of a cold endpoint for the whole claim wait each; 255 of 281 ended at their deadline in the queue. Change: while the log is down one claim at a time waits, the others are refused. Conclusion: an outage is told at once, and truly.

--- a/acaciacove/state/claim_log.py
+++ b/acaciacove/state/claim_log.py
@@ -30,6 +30,7 @@
 from acaciacove.state.claim_settings import ClaimSettings
 from acaciacove.state.claim_table import ClaimTable
 from acaciacove.state.held_claim import HeldClaim
+from acaciacove.state.log_status import LogStatus
 from acaciacove.state.log_tail import LogTail
 from acaciacove.state.log_writer import LogWriter
 from acaciacove.state.outcome import Outcome
@@ -55,6 +56,7 @@
         self._random = random
         self._partitions: dict[int, ClaimPartition] = {}
         self._unsent: deque[ClaimRecord] = deque()
+        self._settling = 0
         writer.listen(self._appended)
 
     def table(self, key: str) -> ClaimTable:
@@ -68,8 +70,21 @@
     async def settle(self, claim: Claim, until_s: float) -> Refusal | None:
         """Append a claim and read up to it; a refusal when that takes too long.
 
-        A refused claim is released, should it be in the log all the same.
+        A refused claim is released, should it be in the log all the same. While the
+        log is down one claim at a time finds out whether it is back. Were all of
+        them to wait, they would hold their places at the endpoint for seconds each,
+        and calls that need no claim would queue behind them.
         """
+        down = self._writer.health.status is LogStatus.DOWN
+        if down and self._settling > 0:
+            return claim_unavailable("the log is down")
+        self._settling += 1
+        try:
+            return await self._settle(claim, until_s)
+        finally:
+            self._settling -= 1
+
+    async def _settle(self, claim: Claim, until_s: float) -> Refusal | None:
         stream = claims_stream(self._number(claim.key))
         item = encode_claim_record(claim)
         try:
--- a/tests/test_state_claims.py
+++ b/tests/test_state_claims.py
@@ -164,6 +164,31 @@
     run_virtual(main)
 
 
+def test_bookings_are_refused_at_once_while_the_log_is_known_to_be_down():
+    # Each would hold a place at the endpoint for seconds, and price look-ups that
+    # need no claim would wait behind bookings that cannot be made.
+    async def main():
+        world = World()
+        world.start("s1")
+        world.log.down = True
+        await world.book("s1", "first")
+        loop, waits = asyncio.get_running_loop(), []
+
+        async def one(number):
+            started_s = loop.time()
+            refused = await world.book("s1", f"k{number}")
+            assert refused.reason is Reason.CLAIM_UNAVAILABLE and refused.not_run
+            waits.append(loop.time() - started_s)
+
+        await asyncio.gather(*(one(n) for n in range(20)))
+        assert sorted(waits)[-2] == 0.0
+        world.log.down = False
+        await asyncio.sleep(10)
+        assert (await world.book("s1", "last")).status == 201
+
+    run_virtual(main)
+
+
 def test_a_retry_gets_the_same_answer_after_its_owner_has_gone():
     # The caller's connection broke after the booking was made, and the endpoint
     # was replaced before the caller tried again.
