Choose among versions that operators have left an endpoint

With every zone of the cheap version out, callers were refused as availability_zone_out although the dear version stood ready in another zone: the choice of a version did not know what is out. Unpinned requests now choose among versions with an open endpoint; pinned ones keep theirs. The new behave scenario was red before (7 of 8 passed in operator.feature) and is green now; 61 tests of paths and pages pass.

--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -92,9 +92,23 @@
             pinned=pinned,
             session=request.session,
             shares=exposures(fleet),
-            serving=self.subsets.keys(),
+            serving=self.subsets.keys() if pinned else self._open_versions(fleet),
         )
 
+    def _open_versions(self, fleet: FleetState) -> set[VersionId]:
+        """List the versions with an endpoint that operators have not taken out.
+
+        A cheap version whose zones are all out would otherwise be chosen still, and
+        its callers refused, although a dearer one stands ready. If all are out, all
+        are listed, so that the refusal names the reason.
+        """
+        open_versions = {
+            version
+            for version, subset in self.subsets.items()
+            if any(_is_open(instance, fleet) for instance in subset)
+        }
+        return open_versions or set(self.subsets)
+
     def _refuse_named(
         self, fleet: FleetState, request: CallerRequest, named: VersionId
     ) -> Refusal | None:
@@ -209,5 +223,13 @@
     }
 
 
+def _is_open(instance: Instance, fleet: FleetState) -> bool:
+    """Tell whether operators let an instance get work."""
+    return (
+        instance.availability_zone not in fleet.availability_zones_out
+        and instance.name not in fleet.instances_out
+    )
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/features/operator.feature
+++ b/features/operator.feature
@@ -12,6 +12,12 @@
     When the operator runs "zone in ozark"
     Then the command has ended with SUCCESS
 
+  Scenario: Another version answers while every zone of the cheap one is out
+    When the operator runs "zone out ozark"
+    And the operator runs "zone out cumberland"
+    And 10 questions are asked of "guide"
+    Then only "guide-large@1" has answered
+
   Scenario: An instance that is out gets no new work
     When the operator runs "instance out bookings-1"
     And 8 shuttles are booked
