--- a/features/steps/steps.py
+++ b/features/steps/steps.py
@@ -147,7 +147,8 @@
 
 @then('shuttle "{reference}" is booked {count:d} times')
 def is_booked(context, reference, count):
-    assert context.fleet.effects(reference) == count
+    found = context.fleet.effects(reference)
+    assert found == count, (found, context.answers[-1])
 
 
 @then("{count:d} bookings have taken effect")
