--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -6,6 +6,7 @@
 
 from acaciacove.daemon.decision_log import log_event
 from acaciacove.fleet.api_kind import ApiKind
+from acaciacove.fleet.version_id import parse_version_id
 from acaciacove.messages.chunk import Chunk
 from acaciacove.messages.end import End
 from acaciacove.messages.head import Head
@@ -47,12 +48,15 @@
         return
     outcome: Refusal | None = None
     completed = False
+    version = parse_version_id(run.version)
+    assert version is not None
+    sidecar.running[version] += 1
     try:
         # What was in force may have changed while the attempt waited in the queue.
         # A withdrawn version would otherwise get work that is chosen afterwards.
         outcome = refuse_run(run, sidecar.gate_view())
         if outcome is None:
-            outcome = await _answer(run, sidecar, ticket, send)
+            outcome = await _answer(run, entry, sidecar, ticket, send)
         completed = outcome is None
         if outcome is None or not outcome.not_run:
             hold_bill(run, entry, sidecar, ticket, completed)
@@ -60,6 +64,7 @@
         if completed:
             sidecar.metrics.count_answer(run.version, ticket.tokens)
     finally:
+        sidecar.running[version] -= 1
         sidecar.admission.leave(ticket, completed)
     if outcome is not None:
         await _refuse(run, sidecar, outcome, send)
@@ -71,13 +76,13 @@
 
 
 async def _answer(
-    run: Run, sidecar: SidecarState, ticket: Ticket, send: Send
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, send: Send
 ) -> Refusal | None:
     """Ask the endpoint; None once the whole answer was sent."""
     api = sidecar.holder.state.apis[run.api]
     if api.kind is ApiKind.MODEL:
         return await _ask_engine(run, sidecar, ticket, send)
-    return await _ask_service(run, sidecar, ticket, send)
+    return await _ask_service(run, entry, sidecar, ticket, send)
 
 
 async def _ask_engine(
@@ -127,7 +132,7 @@
 
 
 async def _ask_service(
-    run: Run, sidecar: SidecarState, ticket: Ticket, send: Send
+    run: Run, entry: str, sidecar: SidecarState, ticket: Ticket, send: Send
 ) -> Refusal | None:
     """Make one call of the plain service and send its whole answer."""
     api = sidecar.holder.state.apis[run.api]
@@ -144,7 +149,7 @@
     if call.may_repeat:
         answer = await sidecar.service.call(call)
     else:
-        answer = await call_once(run, sidecar, ticket, call)
+        answer = await call_once(run, entry, sidecar, ticket, call)
     if isinstance(answer, Refusal):
         return answer
     await send_answer(run, sidecar, ticket, answer, send)
