--- a/acaciacove/bench/promise_sidecar.py
+++ b/acaciacove/bench/promise_sidecar.py
@@ -20,6 +20,7 @@
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 from acaciacove.sidecar.admission import Admission
+from acaciacove.sidecar.attempt_outcome import AttemptOutcome
 from acaciacove.sidecar.gate import GateView, refuse_run
 from acaciacove.sidecar.ticket import Ticket
 from acaciacove.state.billing_price import billing_id
@@ -101,12 +102,15 @@
         return await self._run(run, ticket)
 
     async def _run(self, run: Run, ticket: Ticket) -> ServiceAnswer | Refusal:
-        completed = False
+        outcome = AttemptOutcome.UNTOLD
         try:
             result = self._refuse(run) or await self._once(run)
-            completed = isinstance(result, ServiceAnswer)
+            if isinstance(result, ServiceAnswer):
+                outcome = AttemptOutcome.COMPLETED
+            elif not result.not_run:
+                outcome = AttemptOutcome.FAILED
         finally:
-            self.admission.leave(ticket, completed)
+            self.admission.leave(ticket, outcome)
         return result
 
     async def _once(self, run: Run) -> ServiceAnswer | Refusal:
--- a/acaciacove/decisions/ramp.py
+++ b/acaciacove/decisions/ramp.py
@@ -103,7 +103,8 @@
     def _usual_s(self, unknown_s: float) -> float:
         """Return the usual latency, or the given one while too little is known."""
         known = self._samples >= MIN_BASELINE_SAMPLES
-        return self._baseline_s if known else unknown_s
+        usual_s = self._baseline_s if known else unknown_s
+        return max(usual_s, self.settings.least_usual_s)
 
     def _learn(self, latency_s: float) -> None:
         weight = max(BASELINE_SMOOTHING, 1.0 / (self._samples + 1))
--- a/acaciacove/sidecar/admission.py
+++ b/acaciacove/sidecar/admission.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from acaciacove.decisions.admission import AdmissionQueue
+from acaciacove.decisions.concurrency_limit import ConcurrencyLimit
 from acaciacove.decisions.ramp import Ramp
 from acaciacove.decisions.waiting_item import WaitingItem
 from acaciacove.fleet.fleet_state import FleetState
@@ -12,11 +13,14 @@
 from acaciacove.messages.load import Load
 from acaciacove.messages.run import Run
 from acaciacove.refusal import Refusal
+from acaciacove.sidecar.attempt_outcome import AttemptOutcome
 from acaciacove.sidecar.ticket import Ticket
 
 RECHECK_S = 0.05
 SMOOTHING = 0.1
 DEFAULT_WEIGHT = 1.0
+NO_LIMIT = 1e6
+WATCH_S = 0.1
 
 
 @define(eq=False)
@@ -28,10 +32,12 @@
 
     queue: AdmissionQueue
     ramps: dict[VersionId, Ramp] = field(factory=dict)
+    adaptive: ConcurrencyLimit = field(factory=lambda: ConcurrencyLimit(NO_LIMIT))
     service_s: float = 0.0
     queue_delay_s: float = 0.0
     _waiting: dict[str, asyncio.Future[Refusal | None]] = field(factory=dict)
     _items: dict[str, WaitingItem] = field(factory=dict)
+    _running: set[Ticket] = field(factory=set)
     _recheck: asyncio.TimerHandle | None = None
 
     def update(self, fleet: FleetState, served: frozenset[VersionId]) -> None:
@@ -67,23 +73,59 @@
             return refusal
         admitted_at_s = _now_s()
         self._learn_delay(admitted_at_s - arrived_at_s)
-        return Ticket(run, arrived_at_s, admitted_at_s)
+        ticket = Ticket(run, arrived_at_s, admitted_at_s)
+        self._running.add(ticket)
+        return ticket
 
-    def leave(self, ticket: Ticket, completed: bool) -> None:
+    def leave(self, ticket: Ticket, outcome: AttemptOutcome) -> None:
         """Give a place back, and learn how the endpoint bore the attempt."""
         now_s = _now_s()
+        completed = outcome is AttemptOutcome.COMPLETED
+        self._running.discard(ticket)
         item = self._items.pop(_item_id(ticket.run))
-        used_tokens = ticket.tokens if ticket.tokens else None
-        self.queue.finish(item, now_s, completed, used_tokens)
+        self.queue.finish(item, now_s, completed, ticket.tokens or None)
+        if outcome is not AttemptOutcome.UNTOLD:
+            self._learn_from(ticket, completed, now_s)
+        self._give_places()
+
+    def watch(self) -> None:
+        """Look at the tokens that are due, and let limits that have grown take hold.
+
+        An engine that thrashes may take minutes to complete anything. When even its
+        freshest token is old, that tells within a fraction of a second.
+        """
+        now_s = _now_s()
+        begun = [t.last_piece_at_s for t in self._running if t.last_piece_at_s > 0]
+        for ramp in self.ramps.values():
+            if begun:
+                ramp.observed_gap(now_s - max(begun), now_s)
+        if self._is_cold():
+            self.adaptive.restarted(self._bears())
+        self._give_places()
+
+    def _learn_from(self, ticket: Ticket, completed: bool, now_s: float) -> None:
+        """Let ramp and adaptive limit learn from one attempt."""
         service_s = now_s - ticket.admitted_at_s
         if completed:
             self.service_s += SMOOTHING * (service_s - self.service_s)
         version = parse_version_id(ticket.run.version)
         ramp = self.ramps.get(version) if version else None
-        if ramp is not None:
-            latency_s = ticket.first_piece_s or service_s
-            ramp.finished(latency_s, completed, now_s, ticket.admitted_at_s)
-        self._give_places()
+        if ramp is None:
+            return
+        was_warm = ramp.warm
+        token_s = ticket.token_s(now_s)
+        ramp.finished(token_s, completed, now_s, ticket.admitted_at_s)
+        if was_warm and ramp.warm:
+            self.adaptive.finished(
+                token_s, ticket.admitted_at_s, completed, now_s, self._bears()
+            )
+
+    def _is_cold(self) -> bool:
+        return any(not ramp.warm for ramp in self.ramps.values())
+
+    def _bears(self) -> int:
+        """Return what the endpoint bears when warm."""
+        return min((r.version.warm_bears for r in self.ramps.values()), default=0)
 
     def reported(self, load: Load, restarts: int) -> None:
         """Take in the endpoint's own word on its load and restarts."""
@@ -96,7 +138,7 @@
             in_flight=len(self.queue.running),
             queued=self.queue.queued,
             limit=self._limit(),
-            cold=any(not ramp.warm for ramp in self.ramps.values()),
+            cold=self._is_cold(),
             queue_delay_s=self.queue_delay_s,
             service_s=self.service_s,
         )
@@ -105,10 +147,12 @@
         """Return how many attempts may run: what the coldest version bears.
 
         Versions share one engine. Adding their limits up would let a cold one fall
-        over under the load that was meant for a warm one.
+        over under the load that was meant for a warm one. The adaptive limit bounds
+        what a warm endpoint gets that bears less than was declared.
         """
         now_s = _now_s()
-        return min((ramp.limit(now_s) for ramp in self.ramps.values()), default=0)
+        by_ramps = min((ramp.limit(now_s) for ramp in self.ramps.values()), default=0)
+        return min(by_ramps, max(1, int(self.adaptive.limit)))
 
     def _give_places(self) -> None:
         """Let in whoever is next, and refuse whoever cannot be served in time."""
@@ -146,6 +190,13 @@
         self.queue_delay_s += SMOOTHING * (delay_s - self.queue_delay_s)
 
 
+async def watch_admission(admission: Admission) -> None:
+    """Look at the running attempts again and again."""
+    while True:
+        await asyncio.sleep(WATCH_S)
+        admission.watch()
+
+
 def _waiting_item(run: Run, weight: float, now_s: float) -> WaitingItem:
     return WaitingItem(
         request_id=_item_id(run),
--- a/acaciacove/sidecar/claimed_call.py
+++ b/acaciacove/sidecar/claimed_call.py
@@ -33,7 +33,7 @@
         refusal = refuse_run(run, sidecar.gate_view())
         if refusal is not None:
             return refusal
-        answer = await sidecar.service.call(call)
+        answer = await call_timed(sidecar, ticket, call)
         if isinstance(answer, ServiceAnswer):
             # The entry may be gone by now, and with it the attempt that asked. The
             # booking has taken effect all the same, and nobody else would bill it.
@@ -50,6 +50,19 @@
     )
 
 
+async def call_timed(
+    sidecar: SidecarState, ticket: Ticket, call: ServiceCall
+) -> ServiceAnswer | Refusal:
+    """Make a call and note how long the service itself took."""
+    loop = asyncio.get_running_loop()
+    ticket.asked = True
+    started_s = loop.time()
+    try:
+        return await sidecar.service.call(call)
+    finally:
+        ticket.asked_s = loop.time() - started_s
+
+
 def usual_claims(shared: SharedState) -> Iterable[int]:
     """List the claim partitions of which this sidecar is the usual owner."""
     if not _serves_claims(shared):
--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -20,8 +20,9 @@
 from acaciacove.platform.service_answer import ServiceAnswer
 from acaciacove.platform.service_call import ServiceCall
 from acaciacove.refusal import Refusal
+from acaciacove.sidecar.attempt_outcome import AttemptOutcome
 from acaciacove.sidecar.catch_up import catch_up
-from acaciacove.sidecar.claimed_call import call_once
+from acaciacove.sidecar.claimed_call import call_once, call_timed
 from acaciacove.sidecar.gate import refuse_run
 from acaciacove.sidecar.hold_bill import hold_bill
 from acaciacove.sidecar.sidecar_state import SidecarState
@@ -65,11 +66,22 @@
             sidecar.metrics.count_answer(run.version, ticket.tokens)
     finally:
         sidecar.running[version] -= 1
-        sidecar.admission.leave(ticket, completed)
+        sidecar.admission.leave(ticket, _told(ticket, outcome, completed))
     if outcome is not None:
         await _refuse(run, sidecar, outcome, send)
 
 
+def _told(ticket: Ticket, outcome: Refusal | None, completed: bool) -> AttemptOutcome:
+    """Return what an attempt tells of its endpoint."""
+    if not ticket.asked:
+        return AttemptOutcome.UNTOLD
+    if completed:
+        return AttemptOutcome.COMPLETED
+    if outcome is None or outcome.not_run:
+        return AttemptOutcome.UNTOLD
+    return AttemptOutcome.FAILED
+
+
 def _weight(run: Run, sidecar: SidecarState) -> float:
     """Return the organisation's share; the gate has checked that it is known."""
     return sidecar.holder.state.organisations[run.organisation].weight
@@ -91,6 +103,7 @@
     """Relay an engine's answer as it is generated."""
     loop = asyncio.get_running_loop()
     chunks = 0
+    ticket.asked = True
     call = _engine_call(run, ticket.remaining_s(loop.time()))
     async with aclosing(sidecar.engine.generate(call)) as events:
         async for event in events:
@@ -101,8 +114,10 @@
                     )
                     await send(head)
                 case EnginePiece():
+                    ticket.last_piece_at_s = loop.time()
                     if chunks == 0:
-                        ticket.first_piece_s = loop.time() - ticket.admitted_at_s
+                        passed_s = ticket.last_piece_at_s - ticket.admitted_at_s
+                        ticket.first_piece_s = passed_s
                     ticket.tokens += event.tokens
                     chunk = Chunk(
                         run.request_id, run.attempt, chunks, event.data, event.tokens
@@ -147,7 +162,7 @@
         timeout_s=ticket.remaining_s(asyncio.get_running_loop().time()),
     )
     if call.may_repeat:
-        answer = await sidecar.service.call(call)
+        answer = await call_timed(sidecar, ticket, call)
     else:
         answer = await call_once(run, entry, sidecar, ticket, call)
     if isinstance(answer, Refusal):
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -41,7 +41,7 @@
 from acaciacove.platform.http_service import HttpService
 from acaciacove.platform.http_weight_store import HttpWeightStore
 from acaciacove.settings.sidecar_settings import SidecarSettings
-from acaciacove.sidecar.admission import Admission
+from acaciacove.sidecar.admission import Admission, watch_admission
 from acaciacove.sidecar.ask_peer import ask_claim_owner
 from acaciacove.sidecar.claimed_call import usual_claims
 from acaciacove.sidecar.entry_session import EntrySession, Send
@@ -114,6 +114,7 @@
             tick_billing(sidecar.billing, sidecar.entry_is_gone),
             orders.run(),
             watch_engine(sidecar),
+            watch_admission(sidecar.admission),
         ),
         http_server(
             Starlette(routes=probes), settings.host, settings.http_port
