--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -99,9 +99,25 @@
             pinned=pinned,
             session=request.session,
             shares=exposures(fleet),
-            serving=self._served(),
+            serving=self._served() if pinned else self._open_versions(fleet),
         )
 
+    def _open_versions(self, fleet: FleetState) -> set[VersionId]:
+        """List the versions with an endpoint that operators have not taken out.
+
+        A cheap version whose zones are all out would otherwise be chosen still, and
+        its callers refused, although a dearer one stands ready. If all are out, all
+        are listed, so that the refusal names the reason.
+        """
+        served = self._served()
+        now_s = _now_s()
+        open_versions = {
+            version
+            for version in served
+            if any(_is_open(i, fleet) for i in self._holding(version, now_s))
+        }
+        return open_versions or served
+
     def _refuse_named(
         self, fleet: FleetState, request: CallerRequest, named: VersionId
     ) -> Refusal | None:
@@ -237,5 +253,13 @@
     }
 
 
+def _is_open(instance: Instance, fleet: FleetState) -> bool:
+    """Tell whether operators let an instance get work."""
+    return (
+        instance.availability_zone not in fleet.availability_zones_out
+        and instance.name not in fleet.instances_out
+    )
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
