Send the head of an answer along with its first piece; test bad input at the door

Cause: each answer took a write and a wake-up of the entry for its head alone. Bad input was tested at the parser, not at a running entry. Change: the sidecar keeps the head until the first piece; 9 tests of oversized, slow, unknown and malformed requests against a real entry.

--- a/acaciacove/sidecar/run_attempt.py
+++ b/acaciacove/sidecar/run_attempt.py
@@ -33,6 +33,7 @@
 INTERACTIVE_PRIORITY = 0
 BATCH_PRIORITY = 10
 MAX_CHUNK_BYTES = 2**20
+OK = 200
 
 
 async def run_attempt(run: Run, entry: str, sidecar: SidecarState, send: Send) -> None:
@@ -103,19 +104,19 @@
     """Relay an engine's answer as it is generated."""
     loop = asyncio.get_running_loop()
     chunks = 0
+    head = EngineHead(OK)
     ticket.asked = True
     call = _engine_call(run, ticket.remaining_s(loop.time()))
     async with aclosing(sidecar.engine.generate(call)) as events:
         async for event in events:
             match event:
                 case EngineHead():
-                    head = Head(
-                        run.request_id, run.attempt, event.status, event.headers
-                    )
-                    await send(head)
+                    # Sent along with the first piece: a write and a wake-up less.
+                    head = event
                 case EnginePiece():
                     ticket.last_piece_at_s = loop.time()
                     if chunks == 0:
+                        await send(_head(run, head))
                         passed_s = ticket.last_piece_at_s - ticket.admitted_at_s
                         ticket.first_piece_s = passed_s
                     ticket.tokens += event.tokens
@@ -125,6 +126,8 @@
                     await send(chunk)
                     chunks += 1
                 case EngineFinish():
+                    if chunks == 0:
+                        await send(_head(run, head))
                     ticket.tokens = max(ticket.tokens, event.completion_tokens)
                     ticket.prompt_tokens = event.prompt_tokens
                     await send(_end(run, sidecar, ticket, chunks, event))
@@ -134,6 +137,10 @@
     raise AssertionError("an engine's events end with a finish or a refusal")
 
 
+def _head(run: Run, head: EngineHead) -> Head:
+    return Head(run.request_id, run.attempt, head.status, head.headers)
+
+
 def _engine_call(run: Run, timeout_s: float) -> EngineCall:
     return EngineCall(
         request_id=run.request_id,
--- /dev/null
+++ b/tests/test_path_bad_input.py
@@ -0,0 +1,77 @@
+"""Bad input at the door of a real entry: one clear typed error each."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from tests.embedded import embedded_fleet, run
+
+CHAT = "/v1/chat/completions"
+QUESTION = {"model": "guide", "messages": [{"role": "user", "content": "Any creeks?"}]}
+
+
+async def told(response):
+    problem = orjson.loads(await response.content())
+    assert response.headers["content-type"] == "application/problem+json"
+    assert problem["not_run"] is True
+    return response.status_code, problem["reason"], problem["detail"]
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "status", "reason"),
+    [
+        (CHAT, b"{", {}, 400, "malformed_request"),
+        (CHAT, b"x" * 1_000_001, {}, 413, "too_large"),
+        (CHAT, orjson.dumps(QUESTION), {"X_Big": "y" * 20_000}, 413, "too_large"),
+        (
+            CHAT,
+            orjson.dumps(QUESTION),
+            {"Authorization": "Bearer no"},
+            401,
+            "bad_token",
+        ),
+        (
+            CHAT,
+            orjson.dumps(QUESTION),
+            {"X_Timeout_S": "soon"},
+            400,
+            "malformed_request",
+        ),
+        (CHAT, orjson.dumps({**QUESTION, "model": "x"}), {}, 404, "unknown_api"),
+        ("/services/nothing/x", b"", {}, 404, "unknown_api"),
+        ("/services/rides/shuttles", b"{}", {}, 400, "key_required"),
+    ],
+)
+def test_what_cannot_be_served_is_refused_by_name(path, body, headers, status, reason):
+    async def test():
+        async with embedded_fleet() as fleet:
+            response = await fleet.post(path, body, **headers)
+            got = await told(response)
+            assert got[:2] == (status, reason)
+            assert got[2]
+            assert all(e.counters.started == 0 for e in fleet.engines.values())
+            assert all(s.calls == 0 for s in fleet.services.values())
+
+    run(test)
+
+
+def test_a_body_slower_than_its_deadline_is_refused():
+    # A caller announces a body and sends it byte by byte. It must not hold a place
+    # in the entry for longer than the deadline that it set itself.
+    async def test():
+        async with embedded_fleet(models=1, services=0) as fleet:
+            port = fleet.entries[0].http_port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(
+                f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nX-Timeout-S: 0.2\r\n"
+                "Authorization: Bearer guides-token\r\n"
+                "Content-Length: 1000\r\n\r\n{".encode()
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = await reader.read(4096)
+            writer.close()
+            assert head.startswith(b"HTTP/1.1 504")
+            assert orjson.loads(body)["reason"] == "deadline_exceeded"
+
+    run(test)
