--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -431,8 +431,9 @@
     help="""
         Runs one bench.
 
-        cascade, fairness, zone_move and balance run the decisions on drawn load,
-        ours beside baselines on the same arrivals, and print one table.
+        cascade, bad_version, balance, cold_start, fairness, zone_move, overload and
+        mix run the decisions on drawn load, ours beside baselines on the same
+        arrivals, and print one table.
 
         overhead starts a small fleet of processes on loopback and compares calls
         through entry and sidecar with calls of the engine itself.
--- a/acaciacove/sidecar/entry_session.py
+++ b/acaciacove/sidecar/entry_session.py
@@ -17,6 +17,8 @@
 OtherMessageHandler = Callable[[str, Message, Send], Awaitable[None]]
 
 REPORT_S = 1.0
+REPORT_BYTES = 110.0
+REPORTED_BYTES_PER_S = 200.0
 
 
 class EntrySession:
@@ -61,13 +63,17 @@
             self._note_loss()
 
     async def _report_load(self) -> None:
-        """Tell an entry the load each second, as an answer would.
+        """Tell an entry the load now and then, as an answer would.
 
         An entry that has sent nothing lately would otherwise choose by old word. It
-        also is the sign of life that saves the entry from probing.
+        also is the sign of life that saves the entry from probing. With few entries
+        the word comes each second; with many it comes less often, so that a sidecar
+        spends the same on all of them, and answers carry the load anyway.
         """
         while True:
-            await asyncio.sleep(REPORT_S)
+            entries = sum(1 for count in self._sidecar.connected.values() if count > 0)
+            pause_s = entries * REPORT_BYTES / REPORTED_BYTES_PER_S
+            await asyncio.sleep(max(REPORT_S, pause_s))
             if self._is_entry:
                 await self.outbox.put(self._sidecar.admission.load())
 
--- a/acaciacove/sidecar/running_sidecar.py
+++ b/acaciacove/sidecar/running_sidecar.py
@@ -113,7 +113,7 @@
         shared.running(sockets.datagrams),
         background(
             become_ready(),
-            sidecar.evidence.run(shared),
+            sidecar.evidence.run(shared, lambda: sidecar.served),
             sidecar.claims.run(lambda: usual_claims(shared)),
             tick_billing(sidecar.billing, sidecar.entry_is_gone),
             orders.run(),
