--- a/acaciacove/entry/dispatch.py
+++ b/acaciacove/entry/dispatch.py
@@ -27,7 +27,6 @@
 from acaciacove.refusal import Refusal
 
 MAX_ATTEMPTS = 8
-RETRY_LATER_S = 1.0
 
 
 async def dispatch(
