--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -470,8 +470,10 @@
         Flag("rounds", "Rounds of promises, a hundred requests each.", "COUNT"),
         Flag(
             "break_promise",
-            "Mechanism that promises does without, such as claims. Empty: none.",
+            "Mechanism that promises does without, such as claims; --break for short. "
+            "Empty: none.",
             "NAME",
+            short="break",
         ),
         JSON,
     ),
--- a/acaciacove/cli/flag.py
+++ b/acaciacove/cli/flag.py
@@ -11,12 +11,14 @@
 
     Type, default and check come from the settings field of the same name.
     ``metavar`` stands for the value in help; ``secret`` values are never shown.
+    ``short`` is a second, shorter name.
     """
 
     name: str
     help: str
     metavar: str = ""
     secret: bool = False
+    short: str | None = None
 
     @property
     def variable(self) -> str:
--- a/acaciacove/cli/read_settings.py
+++ b/acaciacove/cli/read_settings.py
@@ -120,7 +120,9 @@
     for flag in command.flags:
         is_boolean = settings_fields[flag.name].type is bool
         parser = _TextOfBoolean() if is_boolean else ArgumentParser[str]()
-        defined = AbslFlag(parser, None, flag.name, None, flag.help, boolean=is_boolean)
+        defined = AbslFlag(
+            parser, None, flag.name, None, flag.help, flag.short, boolean=is_boolean
+        )
         DEFINE_flag(defined, flag_values=flag_values)
     return flag_values
 
--- a/acaciacove/standins/log_app.py
+++ b/acaciacove/standins/log_app.py
@@ -80,10 +80,12 @@
         async with asyncio.timeout(wait_s):
             while stream.next_offset <= offset and not leaving.done():
                 grown = asyncio.create_task(stream.grown.wait())
-                await asyncio.wait(
-                    {grown, leaving}, return_when=asyncio.FIRST_COMPLETED
-                )
-                grown.cancel()
+                try:
+                    await asyncio.wait(
+                        {grown, leaving}, return_when=asyncio.FIRST_COMPLETED
+                    )
+                finally:
+                    grown.cancel()
     except TimeoutError:
         return
     finally:
--- a/tests/test_cli_bench.py
+++ b/tests/test_cli_bench.py
@@ -65,7 +65,7 @@
     [("", ExitStatus.SUCCESS), ("claims", ExitStatus.CHECK_FAILED)],
 )
 def test_a_broken_promise_ends_a_run_with_a_failed_check(broken, expected):
-    args = ("--rounds=2", f"--break_promise={broken}", "--json")
+    args = ("--rounds=2", f"--break={broken}", "--json")
     status, out, _ = run("bench", "promises", *args)
     report = orjson.loads(out.splitlines()[-1])
     assert status is expected
