Tell a call that ran out of time as such, also when its connection shows as lost

Cause: test_a_timeout_after_sending_leaves_the_outcome_unknown failed once in a full run: the connection, closed because the time was up, was noticed as lost before the cancellation was. Ruled out: a wrong not_run; it was false in both cases. Change: after the limit has expired, the reason is the deadline, for services and engines.

--- a/acaciacove/platform/http_engine.py
+++ b/acaciacove/platform/http_engine.py
@@ -50,13 +50,15 @@
     async def generate(self, call: EngineCall) -> AsyncGenerator[EngineEvent, None]:
         """Run a call: a head, pieces, and a finish or a refusal at the end."""
         sending = Sending()
-        deadline_s = asyncio.get_running_loop().time() + call.timeout_s
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + call.timeout_s
         try:
             async with aclosing(self._events(call, sending, deadline_s)) as events:
                 async for event in events:
                     yield event
         except EXCHANGE_ERRORS as error:
-            yield refusal_of(error, sending)
+            is_late = loop.time() >= deadline_s
+            yield refusal_of(TimeoutError() if is_late else error, sending)
 
     async def order(self, order: EngineOrder) -> Refusal | None:
         """Give an order; None when done, STALE_FENCE when the engine refused it."""
--- a/acaciacove/platform/http_service.py
+++ b/acaciacove/platform/http_service.py
@@ -39,11 +39,14 @@
     async def call(self, call: ServiceCall) -> ServiceAnswer | Refusal:
         """Make one call, and send it once if it may not be repeated."""
         sending = Sending()
+        limit = asyncio.timeout(call.timeout_s)
         try:
-            async with asyncio.timeout(call.timeout_s):
+            async with limit:
                 answer = await self._exchange(call, sending)
         except EXCHANGE_ERRORS as error:
-            return refusal_of(error, sending)
+            # A connection that is closed because the time is up may show as lost.
+            # The caller would then read a wrong reason for an unknown outcome.
+            return refusal_of(TimeoutError() if limit.expired() else error, sending)
         if call.echo_wanted and _echoed_id(answer) != call.request_id:
             return Refusal(
                 Reason.ANSWER_MISMATCH,
--- a/tests/test_platform_http_client.py
+++ b/tests/test_platform_http_client.py
@@ -177,3 +177,24 @@
             return answer.status_code, server.connections
 
     assert asyncio.run(run()) == (200, 2)
+
+
+class ClosedByItsLimit:
+    """Says that the connection is lost when the time is up, as the client may."""
+
+    async def request(self, *args, **kwargs):
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            raise ConnectionDisconnected from None
+
+
+def test_a_connection_closed_by_the_deadline_is_told_as_the_deadline():
+    # On a busy machine the client notices that its connection was closed before it
+    # notices that it was cancelled. The caller read "connection lost" of a call that
+    # had run out of time.
+    client = ClosedByItsLimit()
+    service = HttpService("http://127.0.0.1:1", client, client)
+    call = ServiceCall("r-1", "POST", "/shuttles", timeout_s=0.05)
+    outcome = asyncio.run(service.call(call))
+    assert outcome.reason is Reason.DEADLINE_EXCEEDED
