Say in one place what share a version under roll-out gets

Cause: reading the whole change, the router and the roll-out guard each had the rule of exposures written out, and two names were dead (open_attempts, INTERACTIVE). Change: decisions/exposures.py holds the rule; router, guard and bench call it. No behaviour changes. Conclusion: one rule, one place.

--- a/acaciacove/bench/rollout_play.py
+++ b/acaciacove/bench/rollout_play.py
@@ -10,6 +10,7 @@
 from acaciacove.bench.rollout_truth import OLD_MEAN, Truth, draw_score
 from acaciacove.decisions.choice_settings import ChoiceSettings
 from acaciacove.decisions.evidence_kind import EvidenceKind
+from acaciacove.decisions.exposures import exposures
 from acaciacove.decisions.guard_action import GuardAction
 from acaciacove.decisions.plan_cache import PlanCache
 from acaciacove.decisions.quality_estimates import QualityEstimates
@@ -104,7 +105,7 @@
     def _request(self, rng: Random, numbers: Generator, plans: PlanCache) -> None:
         entry = rng.randrange(len(self.guards))
         fleet = self.fleets[entry]
-        shares = self.guards[entry].shares(fleet)
+        shares = exposures(fleet)
         if not self.settings.guarded:
             shares = dict.fromkeys(shares, self.settings.fixed_share)
         chosen = choose_version(
--- a/acaciacove/decisions/rollout_guard.py
+++ b/acaciacove/decisions/rollout_guard.py
@@ -11,6 +11,7 @@
     evidence_below,
     score_bucket,
 )
+from acaciacove.decisions.exposures import FULL_SHARE, exposure
 from acaciacove.decisions.guard_action import GuardAction
 from acaciacove.decisions.guard_settings import GuardSettings
 from acaciacove.decisions.guard_verdict import GuardVerdict
@@ -20,7 +21,6 @@
 from acaciacove.fleet.version import Version
 from acaciacove.fleet.version_id import VersionId
 
-FULL_SHARE = 1.0
 BASELINE = "baseline"
 ALL_BUCKETS = "all"
 _NO_SCORES = [0.0] * (BUCKETS + 1)
@@ -68,21 +68,13 @@
             self._counts.add(total)
             self._count(_name(BASELINE, fleet, version, kind, bucket))
 
-    def shares(self, fleet: FleetState) -> dict[VersionId, float]:
-        """Return the exposure in force of every version under roll-out."""
-        return {
-            v.id: _share(fleet, v)
-            for v in fleet.versions.values()
-            if v.replaces is not None and v.replaces in fleet.versions
-        }
-
     def verdict(self, fleet: FleetState, version: Version) -> GuardVerdict:
         """Weigh all evidence on a version; the caller records what is not KEEP.
 
         Until it has the full share, a version is compared with the one it replaces,
         then with its own early scores, so that a slow decline is seen as well.
         """
-        share = _share(fleet, version)
+        share = exposure(fleet, version)
         reference = version.id
         if version.replaces is not None and share < FULL_SHARE:
             reference = version.replaces
@@ -212,13 +204,6 @@
         return self._rows.get(prefix, _NO_SCORES)
 
 
-def _share(fleet: FleetState, version: Version) -> float:
-    """Return the share in force; without a living predecessor it is all."""
-    if version.replaces is None or version.replaces not in fleet.versions:
-        return FULL_SHARE
-    return fleet.exposures.get(version.id, version.first_share)
-
-
 def _name(
     window: str, fleet: FleetState, version: VersionId, kind: EvidenceKind, bucket: str
 ) -> CellName:
--- a/acaciacove/entry/header_names.py
+++ b/acaciacove/entry/header_names.py
@@ -12,7 +12,6 @@
 COST = "x-cost"
 
 BATCH = "batch"
-INTERACTIVE = "interactive"
 
 # Headers that belong to one connection or to this system, not to the endpoint.
 NOT_FORWARDED = frozenset(
--- a/acaciacove/entry/router.py
+++ b/acaciacove/entry/router.py
@@ -8,6 +8,7 @@
 from acaciacove.decisions.endpoint_choice import choose_endpoint
 from acaciacove.decisions.endpoint_decision import EndpointDecision
 from acaciacove.decisions.endpoint_view import EndpointView
+from acaciacove.decisions.exposures import exposures
 from acaciacove.decisions.plan_cache import PlanCache
 from acaciacove.decisions.quality_estimates import QualityEstimates
 from acaciacove.decisions.subset import choose_subset
@@ -250,15 +251,6 @@
     return usual_owner(key, (endpoint.name for endpoint in subset)) or ""
 
 
-def exposures(fleet: FleetState) -> dict[VersionId, float]:
-    """Return the share of every version under roll-out, as the log has it."""
-    return {
-        v.id: fleet.exposures.get(v.id, v.first_share)
-        for v in fleet.versions.values()
-        if v.replaces is not None and v.replaces in fleet.versions
-    }
-
-
 def _is_open(instance: Instance, fleet: FleetState) -> bool:
     """Tell whether operators let an instance get work."""
     return (
--- a/acaciacove/entry/sidecar_link.py
+++ b/acaciacove/entry/sidecar_link.py
@@ -47,11 +47,6 @@
         self._opening = asyncio.Lock()
         self._reader: asyncio.Task[None] | None = None
 
-    @property
-    def open_attempts(self) -> int:
-        """Return how many attempts wait for an answer on this connection."""
-        return len(self._attempts)
-
     async def start(self, run: Run) -> Attempt | Refused:
         """Send an attempt; a Refused says that it never left this process."""
         try:
