--- a/acaciacove/daemon/shared_state.py
+++ b/acaciacove/daemon/shared_state.py
@@ -8,7 +8,7 @@
 from time import time_ns
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 
 from acaciacove.adapters.http_instance_list import HttpInstanceList
 from acaciacove.adapters.http_log import HttpLog
@@ -44,7 +44,8 @@
 class SharedState:
     """Release stream, membership and log of one process.
 
-    ``on_change`` of ``build_shared_state`` is called after each new revision and
+    ``listed`` is set once the instance list has been read. ``on_change`` of
+    ``build_shared_state`` is called after each new revision and
     each change of who is usable.
     """
 
@@ -59,6 +60,7 @@
     listing: HttpInstanceList
     snapshots: SnapshotSchedule
     health: LogHealth
+    listed: asyncio.Event = field(factory=asyncio.Event)
 
     @asynccontextmanager
     async def running(self, datagrams: socket) -> AsyncIterator[None]:
@@ -113,7 +115,17 @@
         while not self.spread.ready or self.holder.state.release_revision < 0:
             await asyncio.sleep(READY_CHECK_S)
 
+    async def knows_endpoints(self) -> None:
+        """Wait until the instance list has been read once.
+
+        The log may be read to its end before the list arrives. An entry that took
+        callers then would know every release and no endpoint: it would refuse them
+        with "no endpoint" while the whole fleet stands ready.
+        """
+        await self.listed.wait()
+
     def _on_list(self, listed: list[Instance]) -> None:
+        self.listed.set()
         self.membership.on_list(listed, asyncio.get_running_loop().time())
 
     async def _note_caught_up(self) -> None:
--- a/acaciacove/entry/running_entry.py
+++ b/acaciacove/entry/running_entry.py
@@ -44,6 +44,7 @@
 from acaciacove.entry.open_links import open_links
 from acaciacove.entry.rate_answer import AnswerRater
 from acaciacove.entry.router import Router
+from acaciacove.entry.with_starting import with_starting
 from acaciacove.fleet.instance import Instance
 from acaciacove.fleet.role import Role
 from acaciacove.settings.entry_settings import EntrySettings
@@ -91,6 +92,7 @@
 
     async def become_ready() -> None:
         await shared.ready()
+        await shared.knows_endpoints()
         entry.lifecycle.become_ready()
 
     shared.network.on_evidence = lambda evidence: take_evidence(entry, evidence)
@@ -150,7 +152,9 @@
     )
 
     def on_change() -> None:
-        router.update(shared.membership.usable(), shared.holder.state)
+        membership = shared.membership
+        known = with_starting(membership.usable(), membership.starting())
+        router.update(known, shared.holder.state)
         shared.membership.watch(router.views)
 
     shared = build_shared_state(
--- a/acaciacove/state/membership.py
+++ b/acaciacove/state/membership.py
@@ -41,6 +41,14 @@
         """List the instances that may get new work."""
         return [m.instance for m in self._members.values() if _is_usable(m)]
 
+    def starting(self) -> list[Instance]:
+        """List the instances whose last word was that they are not ready yet."""
+        return [
+            m.instance
+            for m in self._members.values()
+            if m.state == InstanceStatus.STARTING.value
+        ]
+
     def peers(self) -> list[Instance]:
         """List the instances that digests may be sent to."""
         return [
@@ -240,7 +248,10 @@
     def _wants_probe(self, member: Member, now_s: float) -> bool:
         if now_s - member.probed_s < self._settings.retry_s / 2:
             return False
-        if member.state == InstanceStatus.GONE:
+        if member.state in (InstanceStatus.GONE, InstanceStatus.STARTING):
+            # Nobody is told when an instance becomes ready. Without a probe it
+            # would get work only with the next list, which is minutes away in a
+            # large fleet.
             return now_s - member.probed_s >= self._settings.retry_s
         if not member.watched and member.missing_since_s is None:
             return False
--- a/tests/test_path_spread.py
+++ b/tests/test_path_spread.py
@@ -1,8 +1,12 @@
 """Daemons that learn from each other: log outages, lagging lists, lost instances."""
 
+import asyncio
+from contextlib import AsyncExitStack
+
 import orjson
 
 from acaciacove.adapters.log_entry import LogEntry
+from acaciacove.daemon.shared_state import READY_CHECK_S
 from acaciacove.fleet.instance_status import InstanceStatus
 from acaciacove.state.record_codec import encode_record
 from acaciacove.state.release_note import ReleaseNote
@@ -12,6 +16,9 @@
     {"model": "guide", "messages": [{"role": "user", "content": "Any creeks?"}]}
 )
 CHAT = "/v1/chat/completions"
+BOOK = "/services/rides/shuttles"
+# Rounds of its own check that an entry is given to become ready too early.
+READY_CHECKS = 4
 
 
 def holders(fleet):
@@ -79,6 +86,45 @@
     run(test)
 
 
+def test_an_entry_that_has_read_no_instance_list_takes_no_callers():
+    # The log answers a starting entry, and the instance list does not. The entry
+    # knows every release and not one endpoint. Its callers read "no endpoint" and
+    # lose a booking while the whole fleet stands ready.
+    async def test():
+        async with embedded_fleet() as fleet, AsyncExitStack() as stack:
+            fleet.listing.faults.outage = True
+            started = asyncio.create_task(add_entry(fleet, stack, "entry-1"))
+            await until(lambda: len(fleet.entries) == 2)
+            late = fleet.entries[1]
+            await until(lambda: late.shared.spread.ready)
+            await asyncio.sleep(READY_CHECKS * READY_CHECK_S)
+            assert not late.state.lifecycle.accepts_callers
+            fleet.listing.faults.outage = False
+            await started
+            response = await fleet.post(BOOK, b"{}", entry=1, Idempotency_Key="k-1")
+            assert response.status_code == 200
+
+    run(test)
+
+
+def test_endpoints_that_were_starting_a_moment_ago_are_asked():
+    # A whole fleet starts. Every endpoint of an API tells an entry that it is
+    # starting, becomes ready a moment later, and has no reason to speak again for a
+    # second. The entry refuses bookings with "no endpoint" while all stand ready.
+    async def test():
+        async with embedded_fleet() as fleet:
+            membership = fleet.entries[0].shared.membership
+            for name in fleet.services:
+                incarnation = fleet.sidecars[name].shared.me.incarnation
+                now_s = asyncio.get_running_loop().time()
+                membership.heard(name, incarnation + 1, now_s, InstanceStatus.STARTING)
+            assert not {i.name for i in membership.usable()} & set(fleet.services)
+            response = await fleet.post(BOOK, b"{}", Idempotency_Key="k-1")
+            assert response.status_code == 200, await response.content()
+
+    run(test)
+
+
 def test_an_endpoint_that_is_lost_gets_no_more_work_though_the_list_shows_it():
     # An endpoint's instance vanishes and the platform's list goes on showing it.
     # Callers are answered by others; the lost one is not tried again and again.
--- a/tests/test_state_membership.py
+++ b/tests/test_state_membership.py
@@ -194,3 +194,16 @@
                 assert names(membership) == set()
         for used in membership._members.values():
             assert used.state != "live" or used.incarnation not in left
+
+
+def test_an_instance_that_said_it_was_starting_is_asked_again_within_a_second():
+    # An instance tells its peers that it is starting and becomes ready right after.
+    # It has nobody to tell, and in a large fleet the next list is minutes away: its
+    # share of the work would go to the others all that time.
+    membership = known(instance("e1"))
+    membership.heard("e1", 2, 1.0, InstanceStatus.STARTING)
+    assert names(membership) == set()
+    assert [i.name for i in membership.to_probe(2.0)] == ["e1"]
+    assert membership.to_probe(2.1) == []
+    membership.heard("e1", 2, 2.2, LIVE)
+    assert names(membership) == {"e1"}
