--- a/acaciacove/daemon/message_server.py
+++ b/acaciacove/daemon/message_server.py
@@ -11,8 +11,10 @@
 
 
 @asynccontextmanager
-async def message_server(listener: socket, handle: Handler) -> AsyncIterator[None]:
-    """Accept connections on a listening socket while the block runs.
+async def message_server(
+    listener: socket | tuple[str, int], handle: Handler
+) -> AsyncIterator[None]:
+    """Accept connections on a listening socket or an address while the block runs.
 
     Connections that are open at the end are closed, and the socket with them.
     """
@@ -33,7 +35,10 @@
         finally:
             sessions.discard(session)
 
-    server = await asyncio.start_server(accept, sock=listener)
+    if isinstance(listener, socket):
+        server = await asyncio.start_server(accept, sock=listener)
+    else:
+        server = await asyncio.start_server(accept, *listener)
     try:
         yield
     finally:
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -23,7 +23,7 @@
 class FollowedStream:
     """What a follower does with its stream.
 
-    ``wait_s`` is how long the log may hold a read that finds nothing,
+    ``wait_s`` tells how long the log may hold a read that finds nothing,
     ``pause_s`` how long the follower rests between reads, so that many small
     records come in one answer. ``on_page`` gets (page, whether it is the newest
     of each key, boot time at which the page was complete); ``on_failure`` is told
@@ -31,7 +31,7 @@
     """
 
     stream: LogStream
-    wait_s: float
+    wait_s: Callable[[], float]
     pause_s: float
     on_page: Callable[[LogPage, bool, float], None]
     on_failure: Callable[[], None]
@@ -50,7 +50,7 @@
     failures = 0
     while True:
         try:
-            await _read_once(followed, metadata, clock_s, random)
+            is_told = await _read_once(followed, metadata, clock_s, random)
         except OffsetExpiredError:
             followed.next_offset = -1
             continue
@@ -68,7 +68,8 @@
                 Event.LOG_REGAINED, stream=followed.stream.value, failures=failures
             )
             failures = 0
-        await asyncio.sleep(followed.pause_s)
+        if not is_told:
+            await asyncio.sleep(followed.pause_s)
 
 
 async def _read_once(
@@ -76,23 +77,25 @@
     metadata: MetadataLog,
     clock_s: Callable[[], float],
     random: Random,
-) -> None:
+) -> bool:
+    """Read a page and hand it on; tells whether another gateway told it."""
     asked_boot_s = clock_s()
     if followed.next_offset < 0:
         page = await metadata.newest(followed.stream)
         followed.on_page(page, True, asked_boot_s)
     else:
-        wait_s = followed.next_wait_s or followed.wait_s
+        wait_s = followed.next_wait_s or followed.wait_s()
         page = await metadata.read(followed.stream, followed.next_offset, wait_s)
         complete_boot_s = _complete_since(page, asked_boot_s, wait_s, clock_s())
         followed.on_page(page, False, complete_boot_s)
     # One record ends the waits of all gateways at once. Reads that go on in step
     # would all be as old when the log goes away; drawn apart, one of them is
     # fresh, and the others learn it from their peers.
-    followed.next_wait_s = random.uniform(SHORTEST_WAIT, 1.0) * followed.wait_s
-    if not page.records:
-        followed.next_wait_s = followed.wait_s
+    followed.next_wait_s = 0.0
+    if page.records:
+        followed.next_wait_s = random.uniform(SHORTEST_WAIT, 1.0) * followed.wait_s()
     followed.next_offset = page.next_offset
+    return page.is_told
 
 
 def _complete_since(
@@ -102,8 +105,10 @@
 
     A read that comes back empty was held for its whole wait: the log looked once
     more at its end. One that comes back earlier proves only what held when it was
-    asked.
+    asked. A page that another gateway told says it itself.
     """
+    if page.complete_after_s is not None:
+        return asked_boot_s + page.complete_after_s
     if page.records or now_boot_s < asked_boot_s + wait_s:
         return asked_boot_s
     return asked_boot_s + wait_s
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -13,6 +13,9 @@
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.dialect import Dialect
+from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS, StreamTail
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
 from acaciacove.settings.gateway_settings import GatewaySettings
@@ -22,11 +25,16 @@
 RETRY_MARGIN = 0.9
 
 
+def _told_tails() -> dict[LogStream, StreamTail]:
+    return {stream: StreamTail() for stream in TOLD_STREAMS}
+
+
 @define(eq=False)
 class Gateway:
     """Beliefs, limits and states of one process.
 
-    ``peers`` names the other gateways that are or may be alive.
+    ``peers`` names the other gateways that are or may be alive, ``members`` tells
+    where they are, and ``tails`` hold what is told to them.
     """
 
     settings: GatewaySettings
@@ -39,8 +47,11 @@
     random: Random = field(factory=Random)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     paces: dict[str, PaceMeter] = field(factory=dict)
+    larger_paces: dict[str, PaceMeter] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     peers: frozenset[str] = frozenset()
+    members: dict[str, Peer] = field(factory=dict)
+    tails: dict[LogStream, StreamTail] = field(factory=_told_tails)
     leaving: bool = False
     sessions: SessionVersions = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
@@ -76,6 +87,10 @@
         """Return how fast a service's larger models answer at present."""
         return self.paces.setdefault(service, PaceMeter())
 
+    def larger_pace(self, service: str) -> PaceMeter:
+        """Return how long larger models take to a first piece, from their sending."""
+        return self.larger_paces.setdefault(service, PaceMeter())
+
     def budget(self, service: str) -> RetryBudget:
         """Return the repeats that may be sent to a service."""
         if service not in self.budgets:
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -17,6 +17,8 @@
     CALLER_REFUSED = "caller_refused"
     LOG_LOST = "log_lost"
     LOG_REGAINED = "log_regained"
+    LOG_SOURCE = "log_source"
+    READER_PUT_OFF = "reader_put_off"
     RECORD_UNREADABLE = "record_unreadable"
     DECISION_KNOWN = "decision_known"
     DECISION_REMOVED = "decision_removed"
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -23,6 +23,11 @@
     )
     EJECTIONS = ("ejections_total", "times that an endpoint was left out", ())
     LOG_CALLS = ("log_calls_total", "calls to the platform's log", ("call", "result"))
+    LOG_QUESTIONS = (
+        "log_questions_total",
+        "questions to other gateways for the log's records",
+        ("result",),
+    )
     PEER_MESSAGES = ("peer_messages_total", "reports of gateways", ("direction",))
     PEER_BYTES = ("peer_bytes_total", "bytes of gateways' reports", ("direction",))
     FIRST_PIECE = (
--- a/acaciacove/gateway/peers/member_record.py
+++ b/acaciacove/gateway/peers/member_record.py
@@ -13,17 +13,29 @@
     instance: str
     host: str
     port: int
+    availability_zone: str
 
 
 def write_member(member: MemberRecord) -> bytes:
     """Return the bytes of a record."""
-    return orjson.dumps({"host": member.host, "port": member.port})
+    return orjson.dumps(
+        {
+            "host": member.host,
+            "port": member.port,
+            "availability_zone": member.availability_zone,
+        }
+    )
 
 
 def read_member(key: str, value: bytes) -> MemberRecord:
     """Read a record; raises MalformedMessageError."""
     try:
         document = orjson.loads(value)
-        return MemberRecord(key, str(document["host"]), int(document["port"]))
+        return MemberRecord(
+            instance=key,
+            host=str(document["host"]),
+            port=int(document["port"]),
+            availability_zone=str(document["availability_zone"]),
+        )
     except (ValueError, KeyError, TypeError) as error:
         raise MalformedMessageError(f"{key}: {error!r}") from error
--- a/acaciacove/gateway/peers/peer.py
+++ b/acaciacove/gateway/peers/peer.py
@@ -13,6 +13,7 @@
     instance: str
     host: str
     port: int
+    availability_zone: str
     known_s: float
     incarnation: int = 0
     heard_s: float = -1e9
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -117,7 +117,12 @@
 
     async def _join(self) -> None:
         settings = self._gateway.settings
-        member = MemberRecord(settings.name, settings.host, settings.peer_port)
+        member = MemberRecord(
+            instance=settings.name,
+            host=settings.host,
+            port=settings.peer_port,
+            availability_zone=settings.availability_zone,
+        )
         while True:
             try:
                 await self._metadata.append(
@@ -139,18 +144,24 @@
         known = self._peers.get(member.instance)
         if known is None or (known.host, known.port) != (member.host, member.port):
             self._peers[member.instance] = Peer(
-                member.instance, member.host, member.port, now_s
+                instance=member.instance,
+                host=member.host,
+                port=member.port,
+                availability_zone=member.availability_zone,
+                known_s=now_s,
             )
             self._send(self._peers[member.instance], reply_wanted=True)
             self._gateway.log.write(Event.PEER_KNOWN, peer=member.instance)
         self._update_membership(now_s)
 
     def _update_membership(self, now_s: float) -> None:
-        self._gateway.peers = frozenset(
-            peer.instance
+        members = [
+            peer
             for peer in self._peers.values()
             if now_s - peer.known_s < MEMBER_LIFE_S
-        )
+        ]
+        self._gateway.peers = frozenset(peer.instance for peer in members)
+        self._gateway.members = {peer.instance: peer for peer in members}
 
     #
     # Reports
@@ -200,6 +211,7 @@
             reply_wanted=reply_wanted,
             rollouts=tuple(p.view(now_s) for p in gateway.rollouts.values()),
             cells=tuple(cells),
+            availability_zone=settings.availability_zone,
         )
 
     def _take(self, data: bytes) -> None:
@@ -227,7 +239,13 @@
         host, _, port = report.address.rpartition(":")
         known = self._peers.get(report.instance)
         if known is None or (known.host, known.port) != (host, int(port)):
-            known = Peer(report.instance, host, int(port), now_s)
+            known = Peer(
+                instance=report.instance,
+                host=host,
+                port=int(port),
+                availability_zone=report.availability_zone,
+                known_s=now_s,
+            )
             self._peers[report.instance] = known
             self._gateway.log.write(Event.PEER_KNOWN, peer=report.instance)
             self._update_membership(now_s)
--- /dev/null
+++ b/acaciacove/gateway/relay/__init__.py
@@ -0,0 +1,1 @@
+"""A few gateways read the log; the others ask them."""
--- /dev/null
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -0,0 +1,146 @@
+"""The platform's log, read through other gateways where they can tell."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from attrs import define, field
+
+from acaciacove.errors import PlatformUnavailableError
+from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.gateway_metrics import GatewayMetrics
+from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.metadata_log import MetadataLog
+from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.relay.reading_order import reading_group, whom_to_ask
+from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS
+
+if TYPE_CHECKING:
+    from acaciacove.gateway.relay.reader_link import ReaderLink
+
+# How long a gateway that could not be reached is not asked; one that is dead for
+# good costs each asker a connection attempt in this time.
+UNREACHED_PAUSE_S = 3.0
+# The same for one that is there and has lost the log, which may end at any moment.
+STALE_PAUSE_S = 0.4
+# Between own tries while the log turns this gateway away and others can be asked:
+# refused calls are paid for, and readers, who try twice a second, tell the others.
+TURNED_AWAY_PAUSE_S = 2.0
+THE_LOG = "log"
+
+Members = Callable[[], dict[str, Peer]]
+
+
+@define(eq=False)
+class RelayedLog:
+    """Asks other gateways before the log, which limits and charges for its calls.
+
+    ``members`` are the other gateways by name. Appends, the newest of
+    each key and all other streams go to the log itself.
+    """
+
+    name: str
+    availability_zone: str
+    metadata: MetadataLog
+    members: Members
+    clock_s: Callable[[], float]
+    log: EventLog
+    metrics: GatewayMetrics
+    _links: dict[tuple[str, LogStream], "ReaderLink"] = field(factory=dict)
+    _not_before_s: dict[str, float] = field(factory=dict)
+    _sources: dict[LogStream, str] = field(factory=dict)
+    _refused_s: float = float("-inf")
+
+    async def newest(self, stream: LogStream) -> LogPage:
+        """Return the newest record of each key."""
+        return await self.metadata.newest(stream)
+
+    async def append(
+        self, stream: LogStream, key: str, value: bytes, at: int | None
+    ) -> int:
+        """Append one record."""
+        return await self.metadata.append(stream, key, value, at)
+
+    async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
+        """Return records from an offset on, told by a gateway or by the log."""
+        if stream in TOLD_STREAMS:
+            for name in self._whom_to_ask():
+                page = await self._ask(name, stream, offset, wait_s)
+                if page is not None:
+                    self._note_source(stream, name)
+                    return page
+        return await self._read_log(stream, offset, wait_s)
+
+    def _whom_to_ask(self) -> list[str]:
+        now_s = self.clock_s()
+        may_read = now_s - self._refused_s >= TURNED_AWAY_PAUSE_S
+        return [
+            name
+            for name in whom_to_ask(self.name, self._group(), may_read)
+            if now_s >= self._not_before_s.get(name, 0.0)
+        ]
+
+    def _group(self) -> set[str]:
+        zones = {name: peer.availability_zone for name, peer in self.members().items()}
+        return reading_group(self.name, zones | {self.name: self.availability_zone})
+
+    async def _ask(
+        self, name: str, stream: LogStream, offset: int, wait_s: float
+    ) -> LogPage | None:
+        link = self._link(name, stream)
+        try:
+            page = await link.ask(stream.value, offset, wait_s)
+        except (OSError, TimeoutError) as error:
+            self._put_off(name, UNREACHED_PAUSE_S, "unreached", repr(error))
+            return None
+        if page is None:
+            self._put_off(name, STALE_PAUSE_S, "stale", "its knowledge is too old")
+            return None
+        self.metrics.count(Metric.LOG_QUESTIONS, "told")
+        return page
+
+    def _put_off(self, name: str, pause_s: float, result: str, detail: str) -> None:
+        self._not_before_s[name] = self.clock_s() + pause_s
+        self.metrics.count(Metric.LOG_QUESTIONS, result)
+        self.log.write(Event.READER_PUT_OFF, peer=name, result=result, detail=detail)
+
+    def _link(self, name: str, stream: LogStream) -> "ReaderLink":
+        # The links' codec takes a tenth of a second to load, which a start's first
+        # callers would wait for. There is nobody to ask before peers are known, and
+        # those are found with the same codec.
+        from acaciacove.gateway.relay.reader_link import ReaderLink
+
+        member = self.members()[name]
+        address = (member.host, member.port)
+        link = self._links.get((name, stream))
+        if link is None or link.address != address:
+            if link is not None:
+                link.close()
+            link = self._links[(name, stream)] = ReaderLink(*address, self.clock_s)
+        return link
+
+    async def _read_log(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
+        if stream in TOLD_STREAMS and self._is_put_off():
+            raise PlatformUnavailableError("the log turned the last call away")
+        try:
+            page = await self.metadata.read(stream, offset, wait_s)
+        except PlatformUnavailableError:
+            self._refused_s = self.clock_s()
+            raise
+        if stream in TOLD_STREAMS:
+            self._note_source(stream, THE_LOG)
+        return page
+
+    def _is_put_off(self) -> bool:
+        """Tell whether own tries rest, as somebody else looks for the log's return."""
+        if self.clock_s() - self._refused_s >= TURNED_AWAY_PAUSE_S:
+            return False
+        return bool(whom_to_ask(self.name, self._group(), may_read=True))
+
+    def _note_source(self, stream: LogStream, source: str) -> None:
+        if self._sources.get(stream) == source:
+            return
+        self._sources[stream] = source
+        self.log.write(Event.LOG_SOURCE, stream=stream.value, source=source)
--- /dev/null
+++ b/acaciacove/gateway/relay/tell_records.py
@@ -0,0 +1,86 @@
+"""Answers other gateways that ask for records of the log."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from acaciacove.gateway.log_record import LogRecord
+from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.relay.stream_tail import StreamTail
+from acaciacove.messages.log_ask import LogAsk
+from acaciacove.messages.log_told import LogTold
+from acaciacove.messages.told_record import ToldRecord
+from acaciacove.wire.connection import Connection
+
+# Knowledge older than this is not told: the asker does better to look itself. A
+# reader that others follow renews its knowledge each second; with the question's
+# hold an asker then notices within 1.9 s that its reader has lost the log, within
+# the 2 s in which the users' decisions must be in force.
+OLDEST_TOLD_S = 1.4
+# Knowledge that has no more than this left to be told is not told: an answer with
+# nothing in it, held for no time, would only bring the same question again.
+LEAST_LEFT_S = 0.01
+
+Tails = Mapping[LogStream, StreamTail]
+
+
+async def tell_records(
+    connection: Connection, tails: Tails, clock_s: Callable[[], float]
+) -> None:
+    """Answer the questions of one connection until it closes."""
+    try:
+        while isinstance(ask := await connection.receive(), LogAsk):
+            tail = _tail_of(tails, ask.stream)
+            if tail is None:
+                return
+            await connection.send(await answer(ask, tail, clock_s))
+    except ConnectionError:
+        # The asker is gone; nobody waits for the answer.
+        return
+    finally:
+        connection.close()
+
+
+def _tail_of(tails: Tails, name: str) -> StreamTail | None:
+    """Return the tail of a stream; None for one that is not told."""
+    return next((t for stream, t in tails.items() if stream.value == name), None)
+
+
+async def answer(
+    ask: LogAsk, tail: StreamTail, clock_s: Callable[[], float]
+) -> LogTold:
+    """Hold a question while there is nothing new, then say what is known."""
+    asked_boot_s = clock_s()
+    tail.asked_boot_s = asked_boot_s
+    left_s = OLDEST_TOLD_S - (asked_boot_s - tail.complete_boot_s)
+    is_fresh = left_s > LEAST_LEFT_S
+    if is_fresh and tail.next_offset <= ask.offset:
+        # Nothing may be held for longer than it can still be told.
+        await _news(tail, min(ask.wait_s, left_s))
+    now_boot_s = clock_s()
+    failed_age_s = now_boot_s - tail.failed_boot_s
+    known = is_fresh and tail.covers(ask.offset)
+    return LogTold(
+        known=known,
+        next_offset=tail.next_offset,
+        held_s=now_boot_s - asked_boot_s,
+        age_s=now_boot_s - tail.complete_boot_s,
+        failed_age_s=failed_age_s if failed_age_s < float("inf") else None,
+        records=tuple(map(_told, tail.since(ask.offset))) if known else (),
+    )
+
+
+async def _news(tail: StreamTail, wait_s: float) -> None:
+    try:
+        async with asyncio.timeout(wait_s):
+            await tail.changed.wait()
+    except TimeoutError:
+        return
+
+
+def _told(record: LogRecord) -> ToldRecord:
+    return ToldRecord(
+        key=record.key,
+        value=record.value or b"",
+        offset=record.offset,
+        removed=record.value is None,
+    )
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -28,6 +28,7 @@
 from acaciacove.gateway.outcome_duty import OutcomeDuty
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
 from acaciacove.gateway.record_codec import RecordCodec
+from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.serve_request import serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
 
@@ -41,6 +42,11 @@
 # news of a leaving endpoint by a tenth of the time that is promised for it.
 ENDPOINT_WAIT_S = 1.5
 ENDPOINT_PAUSE_S = 0.2
+# While other gateways ask this one, its reads are held for less: what it tells is
+# then at most this old, and an asker notices in time when it has lost the log. A
+# question this long ago says that nobody asks any more.
+ASKED_WAIT_S = 1.0
+ASKED_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
 METRICS_PATH = "/metrics"
 LISTEN_BACKLOG = 1024
@@ -57,17 +63,15 @@
 LEAVE_STEP_S = 0.05
 
 
-async def talk_to_peers(gateway: Gateway, metadata: MetadataLog) -> None:
-    """Report to other gateways until cancelled.
+async def load_and_talk(gateway: Gateway, metadata: MetadataLog) -> None:
+    """Talk to other gateways until cancelled.
 
     Their codec is slow to load and nothing that a request needs at once, so it is
     not imported with this module.
     """
-    from acaciacove.gateway.peers.peer_network import PeerNetwork
+    from acaciacove.gateway.peers.talk_to_peers import talk_to_peers
 
-    peers = PeerNetwork(gateway, metadata)
-    await peers.open()
-    await peers.run()
+    await talk_to_peers(gateway, metadata)
 
 
 @define(eq=False)
@@ -81,7 +85,7 @@
     log: EventLog
     front_socket: socket.socket | None = None
     clock_s: Callable[[], float] = boot_time_s
-    open_peers: Callable[[Gateway, MetadataLog], Awaitable[None]] = talk_to_peers
+    open_peers: Callable[[Gateway, MetadataLog], Awaitable[None]] = load_and_talk
     gateway: Gateway = field(init=False)
     operator: OperatorReader = field(init=False)
     endpoints: EndpointReader = field(init=False)
@@ -91,10 +95,22 @@
         """Make the state that the tasks share."""
         beliefs = Beliefs(self.clock_s)
         self.gateway = Gateway(self.settings, self.dialect, beliefs, self.log)
-        self.metadata = CountedLog(self.metadata, self.gateway.metrics)
+        self.metadata = self._relayed(CountedLog(self.metadata, self.gateway.metrics))
         self.operator = OperatorReader(beliefs, self.codec, self.log)
         self.endpoints = EndpointReader(beliefs, self.codec, self.log)
 
+    def _relayed(self, metadata: MetadataLog) -> RelayedLog:
+        gateway = self.gateway
+        return RelayedLog(
+            name=self.settings.name,
+            availability_zone=self.settings.availability_zone,
+            metadata=metadata,
+            members=lambda: gateway.members,
+            clock_s=self.clock_s,
+            log=self.log,
+            metrics=gateway.metrics,
+        )
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then let callers go."""
         self.log.write(Event.STARTED, zone=self.settings.availability_zone)
@@ -204,17 +220,17 @@
         streams = (
             FollowedStream(
                 LogStream.OPERATOR,
-                DECISION_WAIT_S,
+                lambda: self._wait_s(LogStream.OPERATOR, DECISION_WAIT_S),
                 0.0,
                 self._on_decisions,
-                self._note_outage,
+                lambda: self._note_failure(LogStream.OPERATOR),
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
-                ENDPOINT_WAIT_S,
+                lambda: self._wait_s(LogStream.ENDPOINTS, ENDPOINT_WAIT_S),
                 ENDPOINT_PAUSE_S,
                 self._on_endpoints,
-                self._note_outage,
+                lambda: self._note_failure(LogStream.ENDPOINTS),
             ),
         )
         random = self.gateway.random
@@ -223,9 +239,17 @@
             for stream in streams
         ]
 
+    def _wait_s(self, stream: LogStream, alone_s: float) -> float:
+        """Return how long a read may be held: less while other gateways ask."""
+        asked_s = self.gateway.tails[stream].asked_boot_s
+        if self.clock_s() - asked_s < ASKED_MEMORY_S:
+            return min(alone_s, ASKED_WAIT_S)
+        return alone_s
+
     def _on_decisions(
         self, page: LogPage, is_newest: bool, complete_boot_s: float
     ) -> None:
+        self.gateway.tails[LogStream.OPERATOR].take(page, is_newest, complete_boot_s)
         if is_newest:
             self.operator.apply_newest(page.records)
         else:
@@ -237,6 +261,11 @@
         self, page: LogPage, is_newest: bool, complete_boot_s: float
     ) -> None:
         beliefs = self.gateway.beliefs
+        self.gateway.tails[LogStream.ENDPOINTS].take(page, is_newest, complete_boot_s)
+        if page.failed_age_s is not None:
+            # Removals that come with an outage are kept open, also where only the
+            # gateway that tells them has met the outage.
+            self._note_outage(page.failed_age_s)
         was_known = beliefs.endpoints_known
         if is_newest:
             self.endpoints.apply_newest(page.records)
@@ -247,8 +276,13 @@
         if not was_known:
             self.log.write(Event.READY, endpoints=len(beliefs.endpoints))
 
-    def _note_outage(self) -> None:
-        self.endpoints.outage_s = asyncio.get_running_loop().time()
+    def _note_failure(self, stream: LogStream) -> None:
+        self.gateway.tails[stream].failed_boot_s = self.clock_s()
+        self._note_outage(0.0)
+
+    def _note_outage(self, age_s: float) -> None:
+        outage_s = asyncio.get_running_loop().time() - age_s
+        self.endpoints.outage_s = max(self.endpoints.outage_s, outage_s)
 
     async def _trim(self) -> None:
         while True:
--- a/acaciacove/messages/gateway_report.py
+++ b/acaciacove/messages/gateway_report.py
@@ -27,3 +27,4 @@
     reply_wanted: bool
     rollouts: tuple[RolloutView, ...]
     cells: tuple[VersionCell, ...]
+    availability_zone: str
--- a/acaciacove/messages/message.py
+++ b/acaciacove/messages/message.py
@@ -12,6 +12,8 @@
 from acaciacove.messages.head import Head
 from acaciacove.messages.hello import Hello
 from acaciacove.messages.load import Load
+from acaciacove.messages.log_ask import LogAsk
+from acaciacove.messages.log_told import LogTold
 from acaciacove.messages.pull import Pull
 from acaciacove.messages.records import Records
 from acaciacove.messages.refused import Refused
@@ -34,4 +36,6 @@
     | Billed
     | Evidence
     | GatewayReport
+    | LogAsk
+    | LogTold
 )
--- a/acaciacove/standins/datagram_network.py
+++ b/acaciacove/standins/datagram_network.py
@@ -8,7 +8,7 @@
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.peers.datagrams import Datagrams, Take
-from acaciacove.gateway.peers.peer_network import PeerNetwork
+from acaciacove.gateway.peers.talk_to_peers import talk_to_peers
 
 TRAVEL_S = 0.001
 
@@ -43,9 +43,7 @@
 
     async def talk(self, gateway: Gateway, metadata: MetadataLog) -> None:
         """Run the reports of one gateway over this network."""
-        peers = PeerNetwork(gateway, metadata, self.open)
-        await peers.open()
-        await peers.run()
+        await talk_to_peers(gateway, metadata, self.open)
 
 
 @define(eq=False)
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -183,6 +183,29 @@
   replyWanted @7 :Bool;
   rollouts @8 :List(RolloutView);
   cells @9 :List(VersionCell);
+  availabilityZone @10 :Text;
+}
+
+struct ToldRecord {
+  key @0 :Text;
+  value @1 :Data;
+  offset @2 :Int64;
+  removed @3 :Bool;
+}
+
+struct LogAsk {
+  stream @0 :Text;
+  offset @1 :Int64;
+  waitS @2 :Float64;
+}
+
+struct LogTold {
+  known @0 :Bool;
+  nextOffset @1 :Int64;
+  heldS @2 :Float64;
+  ageS @3 :Float64;
+  failedAgeS @4 :Float64;
+  records @5 :List(ToldRecord);
 }
 
 struct Frame {
@@ -203,5 +226,7 @@
     billed @13 :Billed;
     evidence @14 :Evidence;
     gatewayReport @15 :GatewayReport;
+    logAsk @16 :LogAsk;
+    logTold @17 :LogTold;
   }
 }
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -53,6 +53,7 @@
             ),
             max_size=4,
         ).map(tuple),
+        availability_zone=WORDS,
     )
 )
 @settings(max_examples=50, derandomize=True)
@@ -87,11 +88,13 @@
 
 def test_a_peers_word_is_not_taken_for_decisions_that_it_knows_and_we_do_not():
     """A key is taken away while the log turns one machine away. Its peers know a
-    newer decision; their word that they are up to date says nothing of ours.
+    newer decision, and it cannot ask them for it; their word that they are up to
+    date says nothing of ours.
     """
 
     async def story(fleet):
         await asyncio.sleep(2.0)
+        fleet.gateways["gateway-0"].metadata.members = dict
         fleet.store.down = "busy"
         fleet.store.refused_callers = frozenset({"gateway-0"})
         await asyncio.sleep(0.2)
@@ -129,6 +132,7 @@
             reply_wanted=False,
             rollouts=(),
             cells=(),
+            availability_zone="a",
         )
         fleet.store.down = "silent"
         before = beliefs.confirmed_boot_s
--- /dev/null
+++ b/tests/test_gateway_relay.py
@@ -0,0 +1,304 @@
+"""A few gateways read the log; the others ask them, and notice when they are lost."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_record import LogRecord
+from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.relay.reader_link import ReaderLink
+from acaciacove.gateway.relay.reading_order import (
+    SUBSTITUTES,
+    reader_count,
+    reading_group,
+    reading_order,
+    whom_to_ask,
+)
+from acaciacove.gateway.relay.stream_tail import KEPT_RECORDS, StreamTail
+from acaciacove.gateway.relay.tell_records import OLDEST_TOLD_S, answer
+from acaciacove.messages.log_ask import LogAsk
+from acaciacove.messages.log_told import LogTold
+from acaciacove.messages.told_record import ToldRecord
+from acaciacove.standins.gateway_fleet import ENDPOINTS, PEER_PORT
+from acaciacove.wire.codec import decode, encode
+from tests.gateway_world import call, catalogue, report, run_fleet
+from tests.virtual import run_virtual
+
+GATEWAYS = 5
+NAMES = st.sets(st.text("abcdef", min_size=1, max_size=6), min_size=1, max_size=60)
+OFFSETS = st.integers(0, 2**40)
+SECONDS = st.floats(0, 1e6, allow_nan=False)
+
+
+def reader_of(fleet):
+    return reading_order(fleet.gateways)[0]
+
+
+def others(fleet):
+    return [name for name in fleet.gateways if name != reader_of(fleet)]
+
+
+def versions(fleet, names):
+    return [fleet.gateways[n].gateway.beliefs.catalogue.version for n in names]
+
+
+@given(
+    st.builds(
+        LogTold,
+        known=st.booleans(),
+        next_offset=OFFSETS,
+        held_s=SECONDS,
+        age_s=SECONDS,
+        failed_age_s=st.none() | SECONDS,
+        records=st.lists(
+            st.builds(
+                ToldRecord, st.text(max_size=8), st.binary(), OFFSETS, st.booleans()
+            ),
+            max_size=3,
+        ).map(tuple),
+    )
+)
+@settings(max_examples=50, derandomize=True)
+def test_an_answer_is_read_as_it_was_written(told):
+    assert decode(encode(told)) == told
+
+
+@given(NAMES)
+@settings(max_examples=200, derandomize=True)
+def test_questions_lead_to_a_gateway_that_reads(names):
+    """Gateways that ask each other in a circle would all believe that somebody looks
+    at the log. Each asks only such as come before it in one order, and the first
+    ones of that order ask nobody.
+    """
+    order = reading_order(names)
+    readers = order[: reader_count(len(names))]
+    for name in names:
+        asked = whom_to_ask(name, names - {name}, may_read=True)
+        assert name not in asked
+        if name in readers:
+            assert asked == []
+            continue
+        assert asked[0] in readers
+        assert len(asked) <= len(readers) + SUBSTITUTES
+        for other in asked:
+            assert other in readers or order.index(other) < order.index(name)
+
+
+@given(st.dictionaries(st.text("abcdef", min_size=1), st.sampled_from("abcd")))
+@settings(max_examples=100, derandomize=True)
+def test_groups_of_readers_are_alike_for_all_their_members(zone_of):
+    groups = [reading_group(name, zone_of) for name in zone_of]
+    for name, group in zip(zone_of, groups, strict=True):
+        assert name in group
+        assert all(other == group or not other & group for other in groups)
+    zones = set(zone_of.values())
+    assert len({frozenset(group) for group in groups}) <= len(zones)
+
+
+@given(NAMES)
+@settings(max_examples=100, derandomize=True)
+def test_a_reader_that_the_log_turns_away_asks_the_others(names):
+    order = reading_order(names)
+    asked = whom_to_ask(order[0], names, may_read=False)
+    assert order[0] not in asked
+    assert bool(asked) is (len(names) > 1)
+
+
+@given(
+    st.lists(st.integers(1, 90), max_size=12),
+    st.integers(0, 40),
+    st.integers(0, 900),
+)
+@settings(max_examples=100, derandomize=True)
+def test_a_tail_tells_all_records_from_an_offset_or_nothing(pages, start, asked):
+    """A record that is left out is a withdrawn key that goes on working, or a zone
+    that still gets requests. Whoever lacks some is told so and reads the log.
+    """
+
+    async def story():
+        tail = StreamTail()
+        tail.take(LogPage((), start), True, 0.0)
+        end = start
+        for count in pages:
+            records = tuple(
+                LogRecord("k", b"v", offset) for offset in range(end, end + count)
+            )
+            end += count
+            tail.take(LogPage(records, end), False, 0.0)
+        if not tail.covers(asked):
+            kept = min(end - start, KEPT_RECORDS)
+            assert asked > end or asked < end - kept
+            return
+        told = [record.offset for record in tail.since(asked)]
+        assert told == list(range(asked, end))
+
+    run_virtual(story)
+
+
+def test_only_few_gateways_call_the_log():
+    """Calls to the log are limited over all gateways, and paid for. Five that follow
+    two streams each made 6.7 calls a second; one reader and its followers make two.
+    """
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        before = fleet.store.reads
+        await asyncio.sleep(30.0)
+        return fleet.store.reads - before
+
+    calls = run_fleet(story, gateways=GATEWAYS)
+    # Two streams each second, and each gateway's look at the list of members.
+    assert calls <= 2 * 30 + 2 * GATEWAYS + 2
+
+
+def test_gateways_that_do_not_read_have_a_decision_at_once():
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        fleet.publish(catalogue(version=2))
+        await asyncio.sleep(0.1)
+        assert versions(fleet, others(fleet)) == [2] * (GATEWAYS - 1)
+
+    run_fleet(story, gateways=GATEWAYS)
+
+
+def test_decisions_are_in_force_in_time_though_the_reader_has_lost_the_log():
+    """The log turns the reader away, or the reader's connections go silent. It still
+    answers its peers, who must not take its silence for the log's: a decision of
+    that moment has to be in force within two seconds.
+    """
+    for how in ("busy", "reset", "silent"):
+
+        async def story(fleet, how=how):
+            await asyncio.sleep(2.0)
+            fleet.store.refused_callers = frozenset({reader_of(fleet)})
+            fleet.store.down = how
+            fleet.publish(catalogue(version=2))
+            await asyncio.sleep(2.0)
+            assert versions(fleet, others(fleet)) == [2] * (GATEWAYS - 1)
+            # The reader learns it as well, from one of its peers.
+            await asyncio.sleep(2.0)
+            assert versions(fleet, [reader_of(fleet)]) == [2]
+
+        run_fleet(story, gateways=GATEWAYS)
+
+
+def test_decisions_are_in_force_in_time_though_the_reader_has_died():
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        left = others(fleet)
+        fleet._tasks[reader_of(fleet)].cancel()
+        await asyncio.sleep(0.01)
+        fleet.publish(catalogue(version=2))
+        await asyncio.sleep(1.0)
+        assert versions(fleet, left) == [2] * (GATEWAYS - 1)
+
+    run_fleet(story, gateways=GATEWAYS)
+
+
+def test_gateways_that_have_lost_the_log_do_not_assure_each_other():
+    """The log turns all away and a key is taken away meanwhile. Each gateway hears
+    from the others every half second; none of it may make a key look valid.
+    """
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        fleet.store.down = "busy"
+        fleet.publish(catalogue(version=2, keys=("other",)))
+        published_s = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() - published_s < 8.0:
+            answer = await call("/look/1", "r", method="GET")
+            if answer.status == 200:
+                assert answer.at_s - published_s < 5.0
+            await asyncio.sleep(0.2)
+        assert answer.status == 503
+
+    run_fleet(story, gateways=3)
+
+
+def test_entries_that_lapse_with_the_log_are_no_departures_for_any_gateway():
+    """The log is away and endpoints' entries lapse with it. Removals reach most
+    gateways by the reader's word; taken as departures they would leave callers
+    without an endpoint.
+    """
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        fleet.store.down = "busy"
+        await asyncio.sleep(4.0)
+        for name in ("app-0", "app-1"):
+            fleet.store.append(ENDPOINTS, name, b"")
+        fleet.store.down = None
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            for running in fleet.gateways.values():
+                assert {"app-0", "app-1"} <= set(running.gateway.beliefs.endpoints)
+        for number, name in enumerate(("app-0", "app-1")):
+            fleet.register(report(name, "app", 10 + number))
+        await asyncio.sleep(3.0)
+        for running in fleet.gateways.values():
+            assert {"app-0", "app-1"} <= set(running.gateway.beliefs.endpoints)
+
+    run_fleet(story, gateways=GATEWAYS)
+
+
+def test_a_removal_that_a_teller_met_beside_an_outage_is_kept_open():
+    """Only the reader has met the outage; its followers' questions were held while
+    it lasted. What it tells them then is as doubtful as what it has read itself.
+    """
+
+    async def story(fleet):
+        await asyncio.sleep(1.0)
+        running = fleet.gateways["gateway-0"]
+        end = running.gateway.tails[LogStream.ENDPOINTS].next_offset
+        for name, failed_age_s in (("app-1", 30.0), ("app-0", 0.2)):
+            removal = LogRecord(name, None, end)
+            end += 1
+            page = LogPage((removal,), end, 0.0, failed_age_s)
+            running._on_endpoints(page, False, fleet.boot_time_s())
+        assert "app-0" in running.gateway.beliefs.endpoints
+        assert "app-1" not in running.gateway.beliefs.endpoints
+
+    run_fleet(story)
+
+
+def test_an_answer_that_waited_in_a_suspended_machine_is_as_old_as_its_question():
+    """The machine is suspended with an answer in its socket. Counted from when it is
+    read, the answer would make beliefs of before the pause look fresh, and a key
+    that was taken away meanwhile would be honoured.
+    """
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        reader = fleet.gateways[reader_of(fleet)]
+        link = ReaderLink(reader.settings.host, PEER_PORT, fleet.boot_time_s)
+        offset = reader.gateway.beliefs.operator_revision + 1
+        asked_boot_s = fleet.boot_time_s()
+        question = asyncio.create_task(link.ask("operator", offset, 0.2))
+        await asyncio.sleep(0.1)
+        fleet.suspended_s += 30.0
+        page = await question
+        assert page is None or page.complete_after_s <= 0.3
+        assert page is None or asked_boot_s + page.complete_after_s < (
+            fleet.boot_time_s() - 29.0
+        )
+        link.close()
+
+    run_fleet(story, gateways=2)
+
+
+def test_a_teller_says_nothing_once_its_own_look_is_too_old():
+    async def story():
+        now_s = asyncio.get_running_loop().time
+        tail = StreamTail()
+        tail.take(LogPage((), 7), True, now_s())
+        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s)
+        assert told.known and told.records == () and told.held_s >= 0.5
+        # What others tell does not count as an own look.
+        tail.take(LogPage((), 7, complete_after_s=0.0), False, now_s())
+        await asyncio.sleep(OLDEST_TOLD_S)
+        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s)
+        assert not told.known
+
+    run_virtual(story)
