--- a/acaciacove/gateway/log_page.py
+++ b/acaciacove/gateway/log_page.py
@@ -10,15 +10,13 @@
     """Records in offset order, and the offset to read on from.
 
     A page that another gateway told says how fresh it is: nothing but its records
-    had been written ``complete_after_s`` after the question (negative: before it),
-    and the teller's own last call failed ``failed_age_s`` ago. Pages of the log
-    itself have neither.
+    had been written ``complete_after_s`` after the question (negative: before it).
+    Pages of the log itself do not have it.
     """
 
     records: tuple[LogRecord, ...]
     next_offset: int
     complete_after_s: float | None = None
-    failed_age_s: float | None = None
 
     @property
     def is_told(self) -> bool:
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -72,5 +72,4 @@
         records=records,
         next_offset=told.next_offset,
         complete_after_s=held_s - max(0.0, told.age_s),
-        failed_age_s=told.failed_age_s,
     )
--- a/acaciacove/gateway/relay/stream_tail.py
+++ b/acaciacove/gateway/relay/stream_tail.py
@@ -26,14 +26,12 @@
 
     Times are of the clock that goes on while the machine is suspended:
     ``complete_boot_s`` is when, by an own look, nothing else had been written,
-    ``failed_boot_s`` when a call last failed, ``asked_boot_s`` when another gateway
-    last asked.
+    ``asked_boot_s`` when another gateway last asked.
     """
 
     first_offset: int = -1
     next_offset: int = -1
     complete_boot_s: float = float("-inf")
-    failed_boot_s: float = float("-inf")
     asked_boot_s: float = float("-inf")
     changed: asyncio.Event = field(factory=asyncio.Event)
     _records: deque[LogRecord] = field(factory=deque)
--- a/acaciacove/gateway/relay/tell_records.py
+++ b/acaciacove/gateway/relay/tell_records.py
@@ -57,14 +57,12 @@
         # Nothing may be held for longer than it can still be told.
         await _news(tail, min(ask.wait_s, left_s))
     now_boot_s = clock_s()
-    failed_age_s = now_boot_s - tail.failed_boot_s
     known = is_fresh and tail.covers(ask.offset)
     return LogTold(
         known=known,
         next_offset=tail.next_offset,
         held_s=now_boot_s - asked_boot_s,
         age_s=now_boot_s - tail.complete_boot_s,
-        failed_age_s=failed_age_s if failed_age_s < float("inf") else None,
         records=tuple(map(_told, tail.since(ask.offset))) if known else (),
     )
 
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -223,14 +223,14 @@
                 lambda: self._wait_s(LogStream.OPERATOR, DECISION_WAIT_S),
                 0.0,
                 self._on_decisions,
-                lambda: self._note_failure(LogStream.OPERATOR),
+                self._note_outage,
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
                 lambda: self._wait_s(LogStream.ENDPOINTS, ENDPOINT_WAIT_S),
                 ENDPOINT_PAUSE_S,
                 self._on_endpoints,
-                lambda: self._note_failure(LogStream.ENDPOINTS),
+                self._note_outage,
             ),
         )
         random = self.gateway.random
@@ -262,10 +262,6 @@
     ) -> None:
         beliefs = self.gateway.beliefs
         self.gateway.tails[LogStream.ENDPOINTS].take(page, is_newest, complete_boot_s)
-        if page.failed_age_s is not None:
-            # Removals that come with an outage are kept open, also where only the
-            # gateway that tells them has met the outage.
-            self._note_outage(page.failed_age_s)
         was_known = beliefs.endpoints_known
         if is_newest:
             self.endpoints.apply_newest(page.records)
@@ -276,13 +272,14 @@
         if not was_known:
             self.log.write(Event.READY, endpoints=len(beliefs.endpoints))
 
-    def _note_failure(self, stream: LogStream) -> None:
-        self.gateway.tails[stream].failed_boot_s = self.clock_s()
-        self._note_outage(0.0)
+    def _note_outage(self) -> None:
+        """Note an own failure; another gateway's says nothing of the log.
 
-    def _note_outage(self, age_s: float) -> None:
-        outage_s = asyncio.get_running_loop().time() - age_s
-        self.endpoints.outage_s = max(self.endpoints.outage_s, outage_s)
+        The log may turn away the reader alone. Taken over from it, its outage would
+        keep departures open that are certain, and leaving endpoints would get
+        requests for two seconds more.
+        """
+        self.endpoints.outage_s = asyncio.get_running_loop().time()
 
     async def _trim(self) -> None:
         while True:
--- a/acaciacove/messages/log_told.py
+++ b/acaciacove/messages/log_told.py
@@ -10,14 +10,12 @@
     """Records from the asked offset on, and how fresh that knowledge is.
 
     ``known`` is false when the teller cannot answer: it lacks the offset, or its
-    knowledge is too old. ``held_s`` is how long it held the question, ``age_s``
-    how long before this answer it knew that nothing else had been written, and
-    ``failed_age_s`` how long ago its own last call to the log failed (None: never).
+    knowledge is too old. ``held_s`` is how long it held the question, and ``age_s``
+    how long before this answer it knew that nothing else had been written.
     """
 
     known: bool
     next_offset: int
     held_s: float
     age_s: float
-    failed_age_s: float | None
     records: tuple[ToldRecord, ...]
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -204,8 +204,7 @@
   nextOffset @1 :Int64;
   heldS @2 :Float64;
   ageS @3 :Float64;
-  failedAgeS @4 :Float64;
-  records @5 :List(ToldRecord);
+  records @4 :List(ToldRecord);
 }
 
 struct Frame {
