Judge new versions by sequential tests of failures and lateness; take no cold part before members are known

Answers that callers gave up on counted for nothing. Ruled out: peers' reports, freezes.

Until the members have been read, a gateway now sends cold endpoints nothing and takes part in the other bounds as one of 64.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -21,7 +21,6 @@
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
-from acaciacove.gateway.rollout.rollout_progress import kind_cell
 from acaciacove.gateway.work import Work
 
 # Connections within a region are made in a few milliseconds; one that takes this
@@ -177,7 +176,7 @@
     if not head.is_success or not head.signed or head.encoded:
         return await _failure(gateway, work, exchange, head)
     if may_enlarge and _is_unsure(gateway, work, head, now_s):
-        _note_answer(gateway, work, state, False, now_s - exchange.began_s)
+        _note_answer(gateway, exchange, False, now_s - exchange.began_s)
         gateway.metrics.count(Metric.CASCADE, _size_of(work), "no")
         return AttemptOutcome.UNSURE
     if work.route.repetition is Repetition.STREAMING:
@@ -199,26 +198,15 @@
 
 
 def _note_answer(
-    gateway: Gateway,
-    work: Work,
-    state: EndpointState,
-    failed: bool,
-    first_piece_s: float | None,
+    gateway: Gateway, exchange: Exchange, failed: bool, first_piece_s: float | None
 ) -> None:
     """Count an answer for the endpoint's health and for a roll-out's evidence."""
+    state = exchange.state
     if failed:
         _note_failure(gateway, state, AttemptOutcome.FAILED, "failure answer")
     else:
         state.health.count_success()
-    progress = gateway.rollouts.get(work.service.name)
-    if progress is not None:
-        progress.count(
-            is_target=state.endpoint.version == progress.order.target,
-            kind=kind_cell(work.route.name, work.model),
-            endpoint=state.endpoint.instance,
-            failed=failed,
-            first_piece_s=first_piece_s,
-        )
+    exchange.count_evidence(failed, first_piece_s)
 
 
 async def _failure(
@@ -227,7 +215,7 @@
     """Keep a complete failure of an endpoint; it may become the final answer."""
     is_fault = head.status >= SERVER_ERROR or head.is_success
     if is_fault:
-        _note_answer(gateway, work, exchange.state, True, None)
+        _note_answer(gateway, exchange, True, None)
     body = await exchange.read_whole(WHOLE_ANSWER_BYTES)
     if body is None or head.is_success:
         return AttemptOutcome.LOST
@@ -247,7 +235,7 @@
     now_s = asyncio.get_running_loop().time()
     if body is None:
         raise BadAnswerError("the answer is larger than this gateway passes on")
-    _note_answer(gateway, work, exchange.state, False, now_s - exchange.began_s)
+    _note_answer(gateway, exchange, False, now_s - exchange.began_s)
     work.first_piece_s = now_s
     exchange.close()
     front.start(head.status, head.reason, list(head.headers))
@@ -282,7 +270,7 @@
         if not work.events_delivered:
             now_s = asyncio.get_running_loop().time()
             work.first_piece_s = now_s
-            _note_answer(gateway, work, exchange.state, False, now_s - exchange.began_s)
+            _note_answer(gateway, exchange, False, now_s - exchange.began_s)
             _note_pace(gateway, work, now_s)
             _start_stream(front, head)
             work.events_delivered = True
--- a/acaciacove/gateway/choose_endpoint.py
+++ b/acaciacove/gateway/choose_endpoint.py
@@ -82,6 +82,9 @@
     may_be_cold = now_s - state.health.broken_s < BROKEN_DOUBT_S
     if not is_cold and not may_be_cold:
         return None
+    if not gateway.members_known:
+        # Whose part is how large cannot be worked out yet; others may send theirs.
+        return 0
     settings = gateway.settings
     promised = service.cold_rate_per_s * settings.cold_overage + settings.cold_extra
     limit = min(promised * COLD_MARGIN, service.cold_rate_per_s * COLD_STEADY)
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -12,6 +12,7 @@
 from acaciacove.gateway.http.endpoint_connection import EndpointConnection
 from acaciacove.gateway.http.errors import BadAnswerError, ConnectionLostError
 from acaciacove.gateway.http.forward_hints import ForwardHints
+from acaciacove.gateway.rollout.rollout_progress import RolloutProgress, kind_cell
 from acaciacove.gateway.work import Work
 
 # Answers to earlier requests that are passed over on one connection before it is
@@ -23,8 +24,9 @@
 class Exchange:
     """One request on its way at an endpoint.
 
-    ``connection`` is None before one is made. ``sent`` is set with the first
-    byte: from then on the endpoint may run the request. ``complete`` is set
+    ``rollout`` is the roll-out that its answer is evidence for, and ``awaited`` its
+    number there. ``connection`` is None before one is made. ``sent`` is set with the
+    first byte: from then on the endpoint may run the request. ``complete`` is set
     when the whole answer has been read.
     """
 
@@ -35,6 +37,8 @@
     sent: bool = False
     complete: bool = False
     began_s: float = 0.0
+    rollout: RolloutProgress | None = None
+    awaited: int = 0
 
     async def open(self, timeout_s: float) -> None:
         """Take a connection; raises ConnectFailedError."""
@@ -61,11 +65,28 @@
             length = str(len(request.body)).encode()
             headers.append((b"content-length", length))
         self.sent = True
+        self._await_evidence(now_s)
         self.connection.send_request(
             h11.Request(method=request.method, target=request.target, headers=headers),
             request.body,
         )
 
+    def _await_evidence(self, now_s: float) -> None:
+        work, endpoint = self.work, self.state.endpoint
+        self.rollout = self.gateway.rollouts.get(work.service.name)
+        if self.rollout is not None:
+            self.awaited = self.rollout.await_answer(
+                is_target=endpoint.version == self.rollout.order.target,
+                kind=kind_cell(work.route.name, work.model),
+                endpoint=endpoint.instance,
+                now_s=now_s,
+            )
+
+    def count_evidence(self, failed: bool, first_piece_s: float | None) -> None:
+        """Count the answer as evidence on the version of a roll-out."""
+        if self.rollout is not None:
+            self.rollout.take_answer(self.awaited, failed, first_piece_s)
+
     async def read_head(self) -> AnswerHead:
         """Return the head of the answer to this request.
 
@@ -119,6 +140,9 @@
 
     def close(self) -> None:
         """Give the connection back, or end it with whatever runs on it."""
+        if self.rollout is not None:
+            now_s = asyncio.get_running_loop().time()
+            self.rollout.forget(self.awaited, now_s)
         if self.connection is not None:
             self.state.pool.give_back(self.connection, self.complete)
             self.connection = None
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -23,6 +23,10 @@
 # Of the repeats that are promised over all gateways, the share that is planned
 # with; requests are counted by callers' clocks, not by this process's.
 RETRY_MARGIN = 0.9
+# How many gateways are taken to share the promised bounds until the members have been
+# read. After a loss of all processes each would otherwise keep to the bounds alone,
+# and together they would break them in the first tenth of a second.
+ASSUMED_GATEWAYS = 64
 
 
 def _told_tails() -> dict[LogStream, StreamTail]:
@@ -33,8 +37,8 @@
 class Gateway:
     """Beliefs, limits and states of one process.
 
-    ``peers`` names the other gateways that are or may be alive, ``members`` tells
-    where they are, and ``tails`` hold what is told to them.
+    ``members`` are the other gateways that are or may be alive, and ``tails`` hold
+    what is told to them. ``members_known`` is set once their list has been read.
     """
 
     settings: GatewaySettings
@@ -48,8 +52,8 @@
     budgets: dict[str, RetryBudget] = field(factory=dict)
     paces: dict[str, PaceMeter] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
-    peers: frozenset[str] = frozenset()
     members: dict[str, Peer] = field(factory=dict)
+    members_known: bool = False
     tails: dict[LogStream, StreamTail] = field(factory=_told_tails)
     leaving: bool = False
     sessions: SessionVersions = field(init=False)
@@ -77,10 +81,16 @@
             RETRY_MARGIN * self.settings.retry_extra,
         )
 
+    @property
+    def peers(self) -> frozenset[str]:
+        """Names of the other gateways that are or may be alive."""
+        return frozenset(self.members)
+
     @property
     def gateway_count(self) -> int:
         """How many gateways share the promised bounds."""
-        return len(self.peers | {self.settings.name})
+        known = len(self.peers | {self.settings.name})
+        return known if self.members_known else max(known, ASSUMED_GATEWAYS)
 
     def pace(self, service: str) -> PaceMeter:
         """Return how fast a service's larger models answer at present."""
--- a/acaciacove/gateway/outcome_duty.py
+++ b/acaciacove/gateway/outcome_duty.py
@@ -15,10 +15,12 @@
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import LogMovedError, MetadataLog
 from acaciacove.gateway.record_codec import RecordCodec
+from acaciacove.gateway.rollout.evidence import total
 from acaciacove.gateway.rollout.rollout_phase import RolloutPhase
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_state import RolloutState
 from acaciacove.gateway.rollout.rollout_steps import may_complete, step
+from acaciacove.gateway.rollout.version_capacity import VersionCapacity
 
 STEP_EVERY_S = 0.1
 # Outcomes that others recorded are read this often while an order is open, and
@@ -26,7 +28,7 @@
 READ_EVERY_S = 5.0
 # Gateways record in turn, this long after each other, so that mostly one call is
 # made; the condition of the append settles races.
-TURN_S = 0.5
+TURN_S = 0.2
 RETRY_S = 0.4
 
 
@@ -127,18 +129,25 @@
 
     def _step(self, progress: RolloutProgress) -> None:
         phase = progress.phase
-        order = progress.order
-        endpoints = sum(
-            e.service == order.service and e.version == order.target
-            for e in self._gateway.beliefs.endpoints.values()
-        )
         now_s = asyncio.get_running_loop().time()
-        step(progress, self._gateway.rollout_settings, endpoints, now_s)
+        capacity = self._capacity(progress.order)
+        step(progress, self._gateway.rollout_settings, capacity, now_s)
         if progress.phase is not phase:
             self._log_phase(progress, now_s)
 
+    def _capacity(self, order: RolloutOrder) -> VersionCapacity:
+        beliefs = self._gateway.beliefs
+        usable = [
+            endpoint.version == order.target
+            for endpoint in beliefs.endpoints.values()
+            if endpoint.service == order.service
+            and not endpoint.leaving
+            and endpoint.availability_zone not in beliefs.zones_out
+        ]
+        return VersionCapacity(target=sum(usable), old=len(usable) - sum(usable))
+
     def _log_phase(self, progress: RolloutProgress, now_s: float) -> None:
-        new, old = progress.cells(True).values(), progress.cells(False).values()
+        new, old = total(progress.cells(True)), total(progress.cells(False))
         self._gateway.log.write(
             Event.ROLLOUT_PHASE,
             service=progress.order.service,
@@ -147,10 +156,15 @@
             age_s=round(now_s - progress.began_s, 2),
             sent_target=progress.sent_target,
             sent_all=progress.sent_all,
-            new_answers=sum(c.answers for c in new),
-            new_failures=sum(c.failures for c in new),
-            old_answers=sum(c.answers for c in old),
-            old_failures=sum(c.failures for c in old),
+            judged_bad=progress.judged_bad,
+            new_answers=new.answers,
+            new_failures=new.failures,
+            new_judged=new.judged,
+            new_late=new.late,
+            old_answers=old.answers,
+            old_failures=old.failures,
+            old_judged=old.judged,
+            old_late=old.late,
             peers=len(progress.peer_views),
         )
 
@@ -159,7 +173,9 @@
         if progress.phase is RolloutPhase.STOPPED:
             return RolloutState.ROLLED_BACK
         now_s = asyncio.get_running_loop().time()
-        if may_complete(progress, self._gateway.rollout_settings, now_s):
+        capacity = self._capacity(progress.order)
+        settings = self._gateway.rollout_settings
+        if may_complete(progress, settings, capacity, now_s):
             return RolloutState.COMPLETED
         known = self._gateway.beliefs.outcomes.get(progress.order.service)
         if known is None or known.target != progress.order.target:
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -114,6 +114,7 @@
             for record in page.records:
                 if record.value is not None:
                     self._learn(record.key, record.value)
+            self._gateway.members_known = True
             await asyncio.sleep(READ_MEMBERS_EVERY_S)
 
     async def _join(self) -> None:
@@ -161,7 +162,6 @@
             for peer in self._peers.values()
             if now_s - peer.known_s < MEMBER_LIFE_S
         ]
-        self._gateway.peers = frozenset(peer.instance for peer in members)
         self._gateway.members = {peer.instance: peer for peer in members}
 
     #
--- /dev/null
+++ b/acaciacove/gateway/rollout/awaited_answer.py
@@ -0,0 +1,17 @@
+"""A request on its way while a roll-out is judged."""
+
+from attrs import define
+
+
+@define(eq=False)
+class AwaitedAnswer:
+    """Its version, kind and endpoint, and since when its first piece is awaited.
+
+    ``is_late`` is set once it has been counted as late.
+    """
+
+    is_target: bool
+    kind: str
+    endpoint: str
+    since_s: float
+    is_late: bool = False
--- a/acaciacove/gateway/rollout/cell_counts.py
+++ b/acaciacove/gateway/rollout/cell_counts.py
@@ -4,15 +4,24 @@
 
 from attrs import define
 
+SHORTEST_TIME_S = 0.001
+
 
 @define
 class CellCounts:
-    """Answers, failures among them, and times to the first piece."""
+    """Answers, failures among them, and how soon their first pieces came.
+
+    ``timed`` and ``log_time_sum`` hold times to the first piece. ``judged`` counts
+    requests that were compared with what is usual for their kind, ``late`` those of
+    them that took much longer, whether or not an answer came in the end.
+    """
 
     answers: int = 0
     failures: int = 0
     timed: int = 0
     log_time_sum: float = 0.0
+    judged: int = 0
+    late: int = 0
 
     def add(self, failed: bool, first_piece_s: float | None) -> None:
         """Count one answer."""
@@ -20,7 +29,12 @@
         self.failures += failed
         if first_piece_s is not None and not failed:
             self.timed += 1
-            self.log_time_sum += math.log(max(first_piece_s, 0.001))
+            self.log_time_sum += math.log(max(first_piece_s, SHORTEST_TIME_S))
+
+    def add_judged(self, is_late: bool) -> None:
+        """Count one request that was compared with the usual time."""
+        self.judged += 1
+        self.late += is_late
 
     def merge(self, other: "CellCounts") -> None:
         """Add the counts of another gateway."""
@@ -28,8 +42,24 @@
         self.failures += other.failures
         self.timed += other.timed
         self.log_time_sum += other.log_time_sum
+        self.judged += other.judged
+        self.late += other.late
+
+    def since(self, earlier: "CellCounts") -> "CellCounts":
+        """Return what was counted after ``earlier``; never below nothing.
+
+        Counts of a peer that has restarted begin anew, and would seem to have fallen.
+        """
+        return CellCounts(
+            answers=max(0, self.answers - earlier.answers),
+            failures=max(0, self.failures - earlier.failures),
+            timed=max(0, self.timed - earlier.timed),
+            log_time_sum=self.log_time_sum - earlier.log_time_sum,
+            judged=max(0, self.judged - earlier.judged),
+            late=max(0, self.late - earlier.late),
+        )
 
     @property
-    def mean_log_time(self) -> float:
-        """Mean logarithm of the time to the first piece."""
-        return self.log_time_sum / self.timed if self.timed else 0.0
+    def typical_s(self) -> float:
+        """Geometric mean of the times to the first piece, in seconds."""
+        return math.exp(self.log_time_sum / self.timed) if self.timed else 0.0
--- a/acaciacove/gateway/rollout/rollout_phase.py
+++ b/acaciacove/gateway/rollout/rollout_phase.py
@@ -4,9 +4,8 @@
 
 
 class RolloutPhase(Enum):
-    """From a small share to all requests, or back to none."""
+    """From a bounded share to all requests, or back to none."""
 
     TRIAL = "trial"
-    RAMP = "ramp"
     ALL = "all"
     STOPPED = "stopped"
--- a/acaciacove/gateway/rollout/rollout_settings.py
+++ b/acaciacove/gateway/rollout/rollout_settings.py
@@ -30,16 +30,17 @@
     sessions_from: float = 0.52
     # Share of requests without a session that try the new version from the start.
     trial_share: float = 0.1
-    # Share of sessions that try it once they may: exposure that was not used in the
-    # first half lasts for some three seconds of this and of the ramp below.
-    session_trial_share: float = 0.25
-    ramp_share: float = 0.4
-    # How long the ramp lasts before all are moved: a version that fails under load
-    # shows it in these seconds.
-    ramp_s: float = 2.0
-    # When the roll-out is recorded as completed, also with requests of the old
-    # version still under way, which are then lost.
-    complete_by: float = 0.85
+    # Share of sessions that try it once they may. The exposure bounds how many do in
+    # all; a large share gathers them early, and leaves time to judge and to move.
+    session_trial_share: float = 0.5
+    # The new version must have this share of the old one's usable endpoints before it
+    # takes over: completed with fewer, the service would lose its capacity for good.
+    least_capacity: float = 0.75
+    # When the roll-out is recorded as completed also with requests of the old version
+    # still under way, which are then lost.
+    complete_by: float = 0.90
+    # When a version that is not proven sound by then is taken back.
+    decide_by: float = 1.0
     # Nothing is recorded before this many seconds without a request on the old
     # version anywhere, which covers reports that are on their way.
     quiet_s: float = 0.6
--- a/acaciacove/gateway/rollout/rollout_steps.py
+++ b/acaciacove/gateway/rollout/rollout_steps.py
@@ -1,10 +1,11 @@
 """When a roll-out moves from one phase to the next."""
 
-from acaciacove.gateway.rollout.judge import judge
+from acaciacove.gateway.rollout.judge import judge, judge_moved
 from acaciacove.gateway.rollout.rollout_phase import RolloutPhase
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
 from acaciacove.gateway.rollout.verdict import Verdict
+from acaciacove.gateway.rollout.version_capacity import VersionCapacity
 
 # A peer's report older than this says nothing of its requests under way.
 PEER_VIEW_LIFE_S = 3.0
@@ -13,33 +14,50 @@
 def step(
     progress: RolloutProgress,
     settings: RolloutSettings,
-    target_endpoints: int,
+    capacity: VersionCapacity,
     now_s: float,
 ) -> None:
-    """Judge the evidence and move on where it allows."""
+    """Judge the evidence and move on where it allows.
+
+    A version is judged until its outcome is recorded, and what is not proven when the
+    operator's time is over goes back: operators asked for a sound version in time.
+    """
     if progress.phase is RolloutPhase.STOPPED:
         return
-    verdict = judge(
-        progress.cells(True),
-        progress.cells(False),
-        progress.failing_endpoints(),
-        target_endpoints,
-    )
+    progress.note_overdue(now_s)
+    verdict = _judge(progress)
     if verdict is Verdict.BAD or _peer_judged_bad(progress):
         progress.judged_bad = True
         _enter(progress, RolloutPhase.STOPPED, now_s)
         return
-    elapsed = (now_s - progress.began_s) / progress.order.duration_s
-    if progress.phase is RolloutPhase.TRIAL:
-        if verdict is Verdict.GOOD and elapsed >= settings.sessions_from:
-            _enter(progress, RolloutPhase.RAMP, now_s)
+    elapsed = _elapsed(progress, now_s)
+    if elapsed >= settings.decide_by:
+        _enter(progress, RolloutPhase.STOPPED, now_s)
     elif (
-        progress.phase is RolloutPhase.RAMP
-        and now_s - progress.phase_since_s >= settings.ramp_s
+        progress.phase is RolloutPhase.TRIAL
+        and verdict is Verdict.GOOD
+        and elapsed >= settings.sessions_from
+        and has_capacity(capacity, settings)
     ):
+        progress.mark_moved()
         _enter(progress, RolloutPhase.ALL, now_s)
 
 
+def has_capacity(capacity: VersionCapacity, settings: RolloutSettings) -> bool:
+    """Tell whether the new version could bear what the old one bears."""
+    return capacity.target >= settings.least_capacity * capacity.old
+
+
+def _judge(progress: RolloutProgress) -> Verdict:
+    if progress.phase is RolloutPhase.ALL:
+        return judge_moved(progress.evidence_since_moved())
+    return judge(progress.evidence())
+
+
+def _elapsed(progress: RolloutProgress, now_s: float) -> float:
+    return (now_s - progress.began_s) / progress.order.duration_s
+
+
 def _enter(progress: RolloutProgress, phase: RolloutPhase, now_s: float) -> None:
     progress.phase = phase
     progress.phase_since_s = now_s
@@ -50,19 +68,26 @@
 
 
 def may_complete(
-    progress: RolloutProgress, settings: RolloutSettings, now_s: float
+    progress: RolloutProgress,
+    settings: RolloutSettings,
+    capacity: VersionCapacity,
+    now_s: float,
 ) -> bool:
     """Tell whether the old version may be stopped.
 
-    Stopping it cuts the requests that it still works on, so completion waits
+    It cannot be started again, so the new version must have held under all of the
+    load. Stopping it cuts the requests that it still works on, so completion waits
     until none is left here or at a peer, or until time runs out.
     """
     if progress.phase is not RolloutPhase.ALL:
         return False
     if now_s - progress.phase_since_s < settings.quiet_s:
         return False
-    elapsed = (now_s - progress.began_s) / progress.order.duration_s
-    if elapsed >= settings.complete_by:
+    if not has_capacity(capacity, settings):
+        return False
+    if judge_moved(progress.evidence_since_moved()) is not Verdict.GOOD:
+        return False
+    if _elapsed(progress, now_s) >= settings.complete_by:
         return True
     busy_peers = any(
         view.old_in_flight
@@ -105,9 +130,6 @@
         return 1.0
     if progress.phase is RolloutPhase.STOPPED:
         return 0.0
-    elapsed = (now_s - progress.began_s) / progress.order.duration_s
-    if elapsed < settings.sessions_from:
+    if _elapsed(progress, now_s) < settings.sessions_from:
         return 0.0 if has_session else settings.trial_share
-    if progress.phase is RolloutPhase.RAMP:
-        return settings.ramp_share
     return settings.session_trial_share
--- a/acaciacove/messages/version_cell.py
+++ b/acaciacove/messages/version_cell.py
@@ -9,7 +9,8 @@
 
     ``revision`` is the order's log offset, ``is_target`` tells the new version
     from the old ones. ``name`` is a route with a model size, or an endpoint.
-    ``log_time_sum`` adds the natural logarithms of ``timed`` times in seconds.
+    ``log_time_sum`` adds the natural logarithms of ``timed`` times in seconds;
+    ``late`` of ``judged`` requests took much longer than is usual for their kind.
     """
 
     service: str
@@ -20,3 +21,5 @@
     failures: int
     timed: int
     log_time_sum: float
+    judged: int = 0
+    late: int = 0
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -162,6 +162,8 @@
   failures @5 :UInt32;
   timed @6 :UInt32;
   logTimeSum @7 :Float64;
+  judged @8 :UInt32;
+  late @9 :UInt32;
 }
 
 struct RolloutView {
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -8,17 +8,20 @@
 from pytest import raises
 
 from acaciacove.errors import MalformedMessageError
+from acaciacove.gateway.choose_endpoint import cold_part
+from acaciacove.gateway.gateway import ASSUMED_GATEWAYS
 from acaciacove.gateway.peers.member_record import (
     MemberRecord,
     read_member,
     write_member,
 )
+from acaciacove.gateway.work import Work
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.rollout_view import RolloutView
 from acaciacove.messages.version_cell import VersionCell
 from acaciacove.standins.gateway_fleet import PEER_PORT
 from acaciacove.wire.codec import decode, encode
-from tests.gateway_world import call, catalogue, run_fleet
+from tests.gateway_world import call, catalogue, report, run_fleet
 
 OFFSETS = st.integers(0, 2**40)
 SECONDS = st.floats(0, 1e6, allow_nan=False)
@@ -184,3 +187,36 @@
         assert fleet.gateways["gateway-0"].gateway.gateway_count == 3
 
     run_fleet(story, gateways=3)
+
+
+def test_a_gateway_that_knows_no_members_yet_spares_cold_endpoints():
+    """All gateways are killed and start again at the same moment, beside an endpoint in
+    its cold start. Until each knows the others, none can tell which part of its rate is
+    its own: taken whole by each, the endpoint gets five times what it bears and falls
+    over.
+    """
+
+    async def story(fleet):
+        await fleet.add_endpoint(
+            report("cold", "model", 80, slots=64, cold_remaining_s=2.0)
+        )
+        await asyncio.sleep(0.5)
+        gateway = fleet.gateways["gateway-0"].gateway
+        endpoint = gateway.beliefs.endpoints["cold"]
+        work = Work(
+            request=None,
+            route=gateway.beliefs.catalogue.routes[2],
+            service=gateway.beliefs.catalogue.services["model"],
+            organisation=None,
+            session=None,
+            until_s=1e9,
+            model=None,
+        )
+        now_s = asyncio.get_running_loop().time()
+        state = gateway.states.of(endpoint)
+        assert cold_part(gateway, work, state, now_s) > 0
+        gateway.members_known = False
+        assert cold_part(gateway, work, state, now_s) == 0
+        assert gateway.gateway_count == ASSUMED_GATEWAYS
+
+    run_fleet(story, gateways=2)
