Let an endpoint go that was heard after an outage

Its heartbeat had been read in between. Removals are kept open only of endpoints that were not heard since.

Also: endpoints are chosen by the predicted time to the first piece.

Reading pace is learnt by model, waits by endpoint, overdue requests tell of a queue before they are answered.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -11,6 +11,7 @@
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.errors import (
     BadAnswerError,
@@ -126,9 +127,6 @@
             progress.sent_target += 1
     if work.session is not None:
         gateway.sessions.put(service, work.session, state.endpoint.version, now_s)
-    if work.request.hints.prompt is not None:
-        ids = [part for part, _ in work.request.hints.prompt.parts]
-        state.remember_parts(work.model, ids)
 
 
 def _note_failure(
@@ -170,6 +168,9 @@
     assert exchange.connection is not None
     if head.idle_timeout_s is not None:
         exchange.connection.idle_timeout_s = head.idle_timeout_s
+    work.heads.append(_head_seen(exchange, head, now_s))
+    if head.is_success:
+        exchange.note_first_piece(now_s)
     if head.not_run:
         await exchange.read_whole(WHOLE_ANSWER_BYTES)
         return AttemptOutcome.NOT_RUN
@@ -184,6 +185,17 @@
     return await _whole(gateway, work, exchange, head, front)
 
 
+def _head_seen(exchange: Exchange, head: AnswerHead, now_s: float) -> HeadSeen:
+    return HeadSeen(
+        endpoint=exchange.state.endpoint.instance,
+        model=exchange.work.model,
+        status=head.status,
+        confidence=head.confidence,
+        took_s=now_s - exchange.began_s,
+        predicted_s=exchange.predicted_s,
+    )
+
+
 def _head_wait_s(work: Work, may_follow: bool) -> float | None:
     """Bound the silence of an endpoint when another could still serve."""
     if not may_follow or not work.route.may_repeat:
--- a/acaciacove/gateway/choice/choice_settings.py
+++ b/acaciacove/gateway/choice/choice_settings.py
@@ -10,16 +10,19 @@
     Each is a trade between waits, so only their ratios matter.
     """
 
-    # Reading 40 tokens of a prompt costs a millisecond: engines of the users read
-    # 57 and 94 with nothing else to do, and less beside other requests.
-    prompt_tokens_per_ms: float = 40.0
+    # What a second of reading weighs beside a second of waiting: it delays whoever comes
+    # behind.
+    reading_weight: float = 2.0
+    # What reading 1,000 tokens costs beside its time: they take the place of prompts
+    # that the endpoint holds, whatever the model that reads them.
+    memory_ms_per_1k: float = 60.0
     # One more request in an endpoint's batch slows all of them by about 2.5% and
     # delays them by its own prompt; 30 ms is what one added to a first token.
     request_ms: float = 25.0
     # What a request to another zone costs beside its millisecond of travel: bytes
     # between zones are paid for. At 20 ms a calm day moved 15 MB between zones
     # and at 60 ms 12 MB with the same answers; at 400 ms shares in time fell.
-    other_zone_ms: float = 80.0
+    other_zone_ms: float = 200.0
     # The share of a shared part's reading that is expected to be spared at the
     # endpoint that all gateways prefer for it, though this one has not sent it.
     home_share: float = 0.6
--- a/acaciacove/gateway/choice/weigh_endpoint.py
+++ b/acaciacove/gateway/choice/weigh_endpoint.py
@@ -1,4 +1,4 @@
-"""The cost of sending a request to one endpoint."""
+"""What one endpoint would have to read for a request."""
 
 from hashlib import blake2b
 
@@ -7,14 +7,14 @@
 from acaciacove.gateway.endpoint_state import EndpointState
 
 
-def prompt_cost_ms(
+def unread_tokens(
     state: EndpointState,
     prompt: Prompt,
     model: str | None,
     is_home: bool,
     settings: ChoiceSettings,
 ) -> float:
-    """Return the time of reading what the endpoint does not hold.
+    """Return the tokens of a prompt that the endpoint does not hold.
 
     A part counts as held only when all parts before it are.
     """
@@ -26,7 +26,7 @@
             unread += tokens * (1.0 - settings.home_share if is_home else 1.0)
     if prompt.parts:
         unread += prompt.parts[-1][1]
-    return unread / settings.prompt_tokens_per_ms
+    return unread
 
 
 def home_of(key: str, model: str | None, instances: list[str]) -> str | None:
--- a/acaciacove/gateway/choose_endpoint.py
+++ b/acaciacove/gateway/choose_endpoint.py
@@ -1,9 +1,10 @@
 """Chooses the endpoint for one attempt."""
 
+from acaciacove.decisions.endpoint_backlog import usual_wait_s
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.choice.cold_limiter import own_part
 from acaciacove.gateway.choice.endpoint_load import usual_others
-from acaciacove.gateway.choice.weigh_endpoint import home_of, prompt_cost_ms
+from acaciacove.gateway.choice.weigh_endpoint import home_of, unread_tokens
 from acaciacove.gateway.choose_version import admissible
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
@@ -118,19 +119,49 @@
 def _best_for_prompt(
     gateway: Gateway, work: Work, states: list[EndpointState], now_s: float
 ) -> EndpointState:
-    prompt = work.request.hints.prompt
-    assert prompt is not None
-    key = prompt.shared_key or ""
-    home = home_of(key, work.model, [s.endpoint.instance for s in states])
+    """Return the endpoint whose first piece is expected soonest, other things equal."""
     choice = gateway.choice
     usual = usual_others((state.load for state in states), now_s)
+    wait_s = usual_wait_s((state.backlog for state in states), now_s)
+    home = home_of_prompt(work, states)
 
-    def cost(state: EndpointState) -> float:
-        is_home = state.endpoint.instance == home
+    def cost_s(state: EndpointState) -> float:
         near = state.endpoint.availability_zone == gateway.settings.availability_zone
         load = state.load.estimate(now_s, usual) + _suspicion(gateway, state, now_s)
-        reading_ms = prompt_cost_ms(state, prompt, work.model, is_home, choice)
+        reading_s = reading_time_s(gateway, work, state, home)
         zone_ms = 0.0 if near else choice.other_zone_ms
-        return reading_ms + zone_ms + load * choice.request_ms
+        return (
+            state.backlog.wait_s(now_s, wait_s)
+            + reading_s
+            + (zone_ms + load * choice.request_ms) / MS
+        )
+
+    return min(states, key=cost_s)
+
+
+MS = 1000.0
+
+
+def home_of_prompt(work: Work, states: list[EndpointState]) -> str | None:
+    """Return the endpoint that all gateways prefer for the request's shared part."""
+    prompt = work.request.hints.prompt
+    key = (prompt.shared_key or "") if prompt else ""
+    return home_of(key, work.model, [s.endpoint.instance for s in states])
+
+
+def reading_time_s(
+    gateway: Gateway, work: Work, state: EndpointState, home: str | None
+) -> float:
+    """Return what reading the prompt there costs, without a queue."""
+    prompt = work.request.hints.prompt
+    if prompt is None:
+        return 0.0
+    choice = gateway.choice
+    is_home = state.endpoint.instance == home
+    tokens = unread_tokens(state, prompt, work.model, is_home, choice)
+    pace = gateway.reading_pace(work.service.name, work.model)
+    memory_s = tokens * choice.memory_ms_per_1k / MS / TOKENS_PER_1K
+    return choice.reading_weight * pace.predict_s(tokens) + memory_s
+
 
-    return min(states, key=cost)
+TOKENS_PER_1K = 1000.0
--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -34,6 +34,7 @@
     outage_s: float = -1e9
     _offsets: dict[str, int] = field(factory=dict)
     _lapsed: dict[str, float] = field(factory=dict)
+    _heard_s: dict[str, float] = field(factory=dict)
 
     def apply_newest(self, records: tuple[LogRecord, ...]) -> None:
         """Take the newest of each key; keys that are missing were removed."""
@@ -67,6 +68,7 @@
     def _take(self, report: EndpointReport) -> None:
         now_s = asyncio.get_running_loop().time()
         self._lapsed.pop(report.instance, None)
+        self._heard_s[report.instance] = now_s
         before = self.beliefs.endpoints.get(report.instance)
         endpoint = Endpoint(
             instance=report.instance,
@@ -102,12 +104,23 @@
         now_s = asyncio.get_running_loop().time()
         if instance not in self.beliefs.endpoints or instance in self._lapsed:
             return
-        if now_s - self.outage_s < OUTAGE_MEMORY_S:
+        if self._may_have_lapsed(instance, now_s):
             self._lapsed[instance] = now_s + LAPSE_GRACE_S
             self.log.write(Event.ENDPOINT_LAPSED, endpoint=instance)
             return
         self._drop(instance)
 
+    def _may_have_lapsed(self, instance: str, now_s: float) -> bool:
+        """Tell whether an entry may have gone with an outage, and not by its endpoint.
+
+        An endpoint whose heartbeat was read after the last failed call had an entry
+        then: what removes it later is its departure. Taken for a lapse, it would get
+        requests for two seconds after it has left.
+        """
+        if now_s - self.outage_s >= OUTAGE_MEMORY_S:
+            return False
+        return self._heard_s.get(instance, -1e9) <= self.outage_s
+
     def expire(self) -> None:
         """Drop entries that lapsed with an outage and have not come back."""
         now_s = asyncio.get_running_loop().time()
@@ -120,4 +133,5 @@
 
     def _drop(self, instance: str) -> None:
         self.beliefs.endpoints.pop(instance, None)
+        self._heard_s.pop(instance, None)
         self.log.write(Event.ENDPOINT_GONE, endpoint=instance)
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.endpoint_backlog import EndpointBacklog
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.choice.cold_limiter import ColdLimiter
 from acaciacove.gateway.choice.endpoint_health import EndpointHealth
@@ -17,11 +18,12 @@
 
 @define(eq=False)
 class EndpointState:
-    """Connections, load, health and probable cache of an endpoint."""
+    """Connections, load, queue, health and probable cache of an endpoint."""
 
     endpoint: Endpoint
     pool: ConnectionPool
     load: EndpointLoad = field(factory=EndpointLoad)
+    backlog: EndpointBacklog = field(factory=EndpointBacklog)
     health: EndpointHealth = field(factory=EndpointHealth)
     cold: ColdLimiter = field(factory=ColdLimiter)
     parts: OrderedDict[tuple[str | None, str], None] = field(factory=OrderedDict)
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -6,6 +6,7 @@
 import h11
 from attrs import define
 
+from acaciacove.gateway.choice.weigh_endpoint import unread_tokens
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.answer_head import AnswerHead
@@ -24,10 +25,11 @@
 class Exchange:
     """One request on its way at an endpoint.
 
-    ``rollout`` is the roll-out that its answer is evidence for, and ``awaited`` its
-    number there. ``connection`` is None before one is made. ``sent`` is set with the
-    first byte: from then on the endpoint may run the request. ``complete`` is set
-    when the whole answer has been read.
+    ``unread_tokens`` is what the endpoint has to read of the prompt, ``piece_number``
+    names its first piece in the endpoint's queue. ``rollout`` is the roll-out that its
+    answer is evidence for, and ``awaited`` its number there. ``connection`` is None
+    before one is made. ``sent`` is set with the first byte: from then on the endpoint
+    may run the request. ``complete`` is set when the whole answer has been read.
     """
 
     gateway: Gateway
@@ -37,6 +39,9 @@
     sent: bool = False
     complete: bool = False
     began_s: float = 0.0
+    unread_tokens: float = 0.0
+    piece_number: int = 0
+    predicted_s: float = 0.0
     rollout: RolloutProgress | None = None
     awaited: int = 0
 
@@ -65,12 +70,37 @@
             length = str(len(request.body)).encode()
             headers.append((b"content-length", length))
         self.sent = True
+        self._await_first_piece(now_s)
         self._await_evidence(now_s)
         self.connection.send_request(
             h11.Request(method=request.method, target=request.target, headers=headers),
             request.body,
         )
 
+    def _await_first_piece(self, now_s: float) -> None:
+        """Note the request in the endpoint's queue, with what it has to read."""
+        prompt = self.work.request.hints.prompt
+        if prompt is None:
+            return
+        gateway, work, state = self.gateway, self.work, self.state
+        choice = gateway.choice
+        self.unread_tokens = unread_tokens(state, prompt, work.model, False, choice)
+        pace = gateway.reading_pace(work.service.name, work.model)
+        self.piece_number = gateway.next_number()
+        work_s = pace.predict_s(self.unread_tokens)
+        self.predicted_s = state.backlog.wait_s(now_s, 0.0) + work_s
+        state.backlog.send(self.piece_number, work_s, now_s)
+        ids = [part for part, _ in prompt.parts]
+        state.remember_parts(work.model, ids)
+
+    def note_first_piece(self, now_s: float) -> None:
+        """Learn from the head of an answer how busy the endpoint is, and how fast."""
+        took_s = self.state.backlog.answer(self.piece_number, now_s)
+        if took_s is not None:
+            work = self.work
+            pace = self.gateway.reading_pace(work.service.name, work.model)
+            pace.learn(self.unread_tokens, took_s)
+
     def _await_evidence(self, now_s: float) -> None:
         work, endpoint = self.work, self.state.endpoint
         self.rollout = self.gateway.rollouts.get(work.service.name)
@@ -140,8 +170,9 @@
 
     def close(self) -> None:
         """Give the connection back, or end it with whatever runs on it."""
+        now_s = asyncio.get_running_loop().time()
+        self.state.backlog.drop(self.piece_number, now_s)
         if self.rollout is not None:
-            now_s = asyncio.get_running_loop().time()
             self.rollout.forget(self.awaited, now_s)
         if self.connection is not None:
             self.state.pool.give_back(self.connection, self.complete)
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.reading_pace import ReadingPace
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
 from acaciacove.gateway.choice.pace_meter import PaceMeter
@@ -51,11 +52,13 @@
     random: Random = field(factory=Random)
     budgets: dict[str, RetryBudget] = field(factory=dict)
     paces: dict[str, PaceMeter] = field(factory=dict)
+    reading: dict[tuple[str, str | None], ReadingPace] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
     members_known: bool = False
     tails: dict[LogStream, StreamTail] = field(factory=_told_tails)
     leaving: bool = False
+    _last_number: int = 0
     sessions: SessionVersions = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
 
@@ -92,10 +95,19 @@
         known = len(self.peers | {self.settings.name})
         return known if self.members_known else max(known, ASSUMED_GATEWAYS)
 
+    def next_number(self) -> int:
+        """Return a number that no other exchange of this process has."""
+        self._last_number += 1
+        return self._last_number
+
     def pace(self, service: str) -> PaceMeter:
         """Return how fast a service's larger models answer at present."""
         return self.paces.setdefault(service, PaceMeter())
 
+    def reading_pace(self, service: str, model: str | None) -> ReadingPace:
+        """Return how fast a model of a service reads prompts."""
+        return self.reading.setdefault((service, model), ReadingPace())
+
     def budget(self, service: str) -> RetryBudget:
         """Return the repeats that may be sent to a service."""
         if service not in self.budgets:
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -7,6 +7,7 @@
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.choose_endpoint import choose_endpoint
 from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.front_connection import FrontConnection
@@ -167,6 +168,12 @@
     return head.status
 
 
+def _head_line(head: HeadSeen) -> list[object]:
+    """Return model, confidence, seconds taken and seconds predicted."""
+    taken, predicted = round(head.took_s, 3), round(head.predicted_s, 3)
+    return [head.endpoint, head.model, head.confidence, taken, predicted]
+
+
 def _log_refused(
     gateway: Gateway, request: CallerRequest, refusal: Refusal, status: int
 ) -> None:
@@ -206,6 +213,7 @@
     request = work.request
     first_s = work.first_piece_s
     kind = work.route.repetition.value
+    prompt = request.hints.prompt
     gateway.metrics.count(Metric.REQUESTS, kind, str(status))
     total_s = now_s - request.arrived_s
     gateway.metrics.count(Metric.WHOLE, kind, amount=total_s)
@@ -223,6 +231,9 @@
         status=status,
         model=work.model,
         trail=work.trail,
+        heads=[_head_line(head) for head in work.heads],
+        input_tokens=prompt.input_tokens if prompt else None,
+        target_s=work.route.latency_target_s,
         tries=work.tries,
         first_piece_s=round(first_s - request.arrived_s, 4) if first_s else None,
         total_s=round(total_s, 4),
--- a/acaciacove/gateway/work.py
+++ b/acaciacove/gateway/work.py
@@ -5,6 +5,7 @@
 from acaciacove.gateway.catalogue.organisation import Organisation
 from acaciacove.gateway.catalogue.route import Route
 from acaciacove.gateway.catalogue.service import Service
+from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.caller_request import CallerRequest
 
@@ -16,6 +17,7 @@
     ``until_s`` is when its answer must be complete. ``sent`` counts endpoints
     that were handed the request. ``may_have_run`` is set once an endpoint may
     have begun it. ``kept_failure`` is the last complete failure of an endpoint.
+    ``heads`` are those of answers that came, in order.
     """
 
     request: CallerRequest
@@ -34,6 +36,7 @@
     events_delivered: bool = False
     first_piece_s: float | None = None
     trail: list[str] = field(factory=list)
+    heads: list[HeadSeen] = field(factory=list)
 
     @property
     def priority(self) -> int:
