Choose models by expected worth, cost and lateness, from what answers show

Hypothesis: the cascade's constants (threshold 58, pace 0.45, fall 60) fit two deployments; what they stand for can be learnt. The next model is asked while what it adds is worth its price, its lateness and the delay of others (search with costs); the middle model is tried for one escalation in seven until six pairs are known.

The threshold that falls, its meter and their tests went; the load that they answered is tested in test_decisions_models (fewer answers dropped in a crowd).

--- a/acaciacove/decisions/reading_pace.py
+++ b/acaciacove/decisions/reading_pace.py
@@ -12,8 +12,8 @@
 # are remembered, so that a service that grows slower is followed within seconds.
 MEMORY = 0.98
 # Waiting makes answers late and never early. An answer that took longer than was
-# expected counts this much of one that was faster, which leaves most waiting out.
-SLOWER_WEIGHT = 0.3
+# expected counts this much of one that was faster, which leaves waiting out.
+SLOWER_WEIGHT = 0.1
 # The least time of a request, so that no prediction is nothing.
 LEAST_BASE_S = 0.005
 
--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -6,8 +6,8 @@
 
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.catalogue.repetition import Repetition
-from acaciacove.gateway.choice.confidence_threshold import confidence_threshold
 from acaciacove.gateway.choose_endpoint import cold_part
+from acaciacove.gateway.choose_model import choose_next_model, learn_confidence
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.gateway import Gateway
@@ -118,6 +118,7 @@
     work.tried.add(state.endpoint.instance)
     work.trail.append(f"{state.endpoint.instance}@{state.endpoint.version}")
     service = work.service.name
+    gateway.note_sent(service, now_s)
     if cold_part(gateway, work, state, now_s) is not None:
         state.cold.count(now_s)
     progress = gateway.rollouts.get(service)
@@ -176,7 +177,10 @@
         return AttemptOutcome.NOT_RUN
     if not head.is_success or not head.signed or head.encoded:
         return await _failure(gateway, work, exchange, head)
-    if may_enlarge and _is_unsure(gateway, work, head, now_s):
+    told = learn_confidence(gateway, work, state, head)
+    if told is not None and may_enlarge:
+        work.next_model = choose_next_model(gateway, work, told, now_s)
+    if work.next_model is not None:
         _note_answer(gateway, exchange, False, now_s - exchange.began_s)
         gateway.metrics.count(Metric.CASCADE, _size_of(work), "no")
         return AttemptOutcome.UNSURE
@@ -203,12 +207,6 @@
     return max(HEAD_WAIT_LEAST_S, HEAD_WAIT_TARGETS * work.route.latency_target_s)
 
 
-def _is_unsure(gateway: Gateway, work: Work, head: AnswerHead, now_s: float) -> bool:
-    pace = gateway.pace(work.service.name).mean(now_s)
-    threshold = confidence_threshold(pace, gateway.choice)
-    return head.confidence is not None and head.confidence < threshold
-
-
 def _note_answer(
     gateway: Gateway, exchange: Exchange, failed: bool, first_piece_s: float | None
 ) -> None:
@@ -283,7 +281,7 @@
             now_s = asyncio.get_running_loop().time()
             work.first_piece_s = now_s
             _note_answer(gateway, exchange, False, now_s - exchange.began_s)
-            _note_pace(gateway, work, now_s)
+            _note_size(gateway, work)
             _start_stream(front, head)
             work.events_delivered = True
         await front.write(whole)
@@ -297,15 +295,10 @@
     return AttemptOutcome.DELIVERED
 
 
-def _note_pace(gateway: Gateway, work: Work, now_s: float) -> None:
-    """Note how long a larger model's first piece took since the request came."""
-    sizes = work.route.model_sizes
-    if sizes:
+def _note_size(gateway: Gateway, work: Work) -> None:
+    """Count an answer of a model size that its caller gets."""
+    if work.route.model_sizes:
         gateway.metrics.count(Metric.CASCADE, _size_of(work), "yes")
-    if sizes and work.model != sizes[0]:
-        took_s = now_s - work.request.arrived_s
-        share = took_s / work.route.latency_target_s
-        gateway.pace(work.service.name).add(share, now_s)
 
 
 def _size_of(work: Work) -> str:
--- a/acaciacove/gateway/choice/choice_settings.py
+++ b/acaciacove/gateway/choice/choice_settings.py
@@ -10,8 +10,8 @@
     Each is a trade between waits, so only their ratios matter.
     """
 
-    # What a second of reading weighs beside a second of waiting: it delays whoever comes
-    # behind.
+    # What a second of reading weighs beside a second of waiting: it delays whoever
+    # comes behind.
     reading_weight: float = 2.0
     # What reading 1,000 tokens costs beside its time: they take the place of prompts
     # that the endpoint holds, whatever the model that reads them.
@@ -31,15 +31,3 @@
     # An endpoint of which a connection has just broken counts as this many
     # requests more: enough to pass it over while others are about as busy.
     suspect_requests: float = 8.0
-    # Confidence below which a small model's answer is dropped for a larger one. Of
-    # 35, 45, 50, 55, 58, 60, 65 and 75, this gave callers most for what the models
-    # cost on calm days; at 35 eight in a hundred answers were too poor, at 75 the
-    # larger model had a quarter more to do.
-    confidence_threshold: float = 58.0
-    # The least threshold: where even a third of the larger model's work is too much,
-    # every answer of the smaller one is delivered.
-    least_threshold: float = 0.0
-    # First pieces of the larger model take this share of their latency target on
-    # calm days; from there on the threshold falls, by this much for a whole target.
-    calm_pace: float = 0.45
-    threshold_fall: float = 60.0
--- /dev/null
+++ b/acaciacove/gateway/choose_model.py
@@ -0,0 +1,177 @@
+"""Which model is asked for a request: the first one, and a larger one after it."""
+
+from math import sqrt
+
+from attrs import evolve
+
+from acaciacove.decisions.confidence_beliefs import HIGHEST, LOWEST, ConfidenceBeliefs
+from acaciacove.decisions.endpoint_backlog import usual_wait_s
+from acaciacove.decisions.model_plan import (
+    ModelOption,
+    Moment,
+    first_model,
+    next_model,
+)
+from acaciacove.gateway.catalogue.service import Service
+from acaciacove.gateway.endpoint_state import EndpointState
+from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.http.answer_head import AnswerHead
+from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.work import Work
+
+# How many times the dearest model's price its good answers are taken to be worth.
+PRICE_MULTIPLE = 5.0
+# Of a prompt's shared parts, what is taken to be unread at the endpoint that will be
+# chosen for it.
+UNREAD_SHARE = 0.3
+# A larger model of which little is known is asked in place of the best one this often,
+# until this many pairs of answers have shown how good it is, and seldom from then on.
+UNKNOWN_PAIRS = 6
+EXPLORED_SHARE = 0.15
+EXPLORED_LATER = 0.01
+
+
+def choose_first_model(gateway: Gateway, work: Work, now_s: float) -> str:
+    """Return the model that a request is sent to first.
+
+    Queues are left out of this choice. To save a wait, a busy service would be asked
+    for its largest model at once, also for what the smallest answers well, and would
+    get the busier.
+    """
+    options = [
+        evolve(option, piece_s=option.work_s)
+        for option in _options(gateway, work, now_s, work.route.model_sizes)
+    ]
+    may_go_on = work.route.may_repeat and work.route.max_attempts > 1
+    beliefs = gateway.confidences(work.service.name)
+    moment = Moment(now_s - work.request.arrived_s, work.route.latency_target_s)
+    return first_model(options, beliefs, moment, may_go_on)
+
+
+def choose_next_model(
+    gateway: Gateway, work: Work, confidence: float, now_s: float
+) -> str | None:
+    """Return the model to ask after an answer, or None where the answer is to stay."""
+    sizes = work.route.model_sizes
+    asked = work.model
+    if asked not in sizes or asked == sizes[-1]:
+        return None
+    assert asked is not None
+    larger = sizes[sizes.index(asked) + 1 :]
+    options = _options(gateway, work, now_s, larger)
+    beliefs = gateway.confidences(work.service.name)
+    for option in options:
+        beliefs.offset(asked, option.name, option.is_largest)
+    chosen = next_model(
+        asked,
+        confidence,
+        options,
+        beliefs,
+        _moment(gateway, work, now_s),
+        may_go_on_twice=work.sent + 2 <= work.route.max_attempts,
+    )
+    if chosen is None:
+        return None
+    return _explored(gateway, beliefs, asked, larger) or chosen
+
+
+def _explored(
+    gateway: Gateway, beliefs: ConfidenceBeliefs, asked: str, larger: tuple[str, ...]
+) -> str | None:
+    """Return a model that is asked to learn of it, most often none."""
+    for name in larger[:-1]:
+        is_known = beliefs.offset(asked, name).pairs >= UNKNOWN_PAIRS
+        share = EXPLORED_LATER if is_known else EXPLORED_SHARE
+        if gateway.random.random() < share:
+            return name
+    return None
+
+
+def learn_confidence(
+    gateway: Gateway, work: Work, state: EndpointState, head: AnswerHead
+) -> float | None:
+    """Learn from the opinion that came with a head; returns it if it can be used."""
+    told = head.confidence
+    sizes = work.route.model_sizes
+    if told is None or work.model not in sizes:
+        return None
+    if not LOWEST <= told <= HIGHEST:
+        gateway.log.write(
+            Event.CONFIDENCE_UNREADABLE,
+            endpoint=state.endpoint.instance,
+            confidence=told,
+        )
+        return None
+    assert work.model is not None
+    beliefs = gateway.confidences(work.service.name)
+    if not work.told:
+        beliefs.learn_answer(work.model, work.model == sizes[-1], told)
+    for model, earlier in work.told.items():
+        if sizes.index(model) < sizes.index(work.model):
+            beliefs.learn_pair(model, earlier, work.model, told)
+    work.told[work.model] = told
+    return told
+
+
+def _answer_value(gateway: Gateway, service: Service) -> float:
+    """Return what a good answer is worth for 1,000 tokens, in the prices' unit.
+
+    Two estimates, each of them rough: the operator's setting, and the catalogue, since
+    nobody offers a model that costs about what its answers are worth. Their geometric
+    mean is never far off where one of them is.
+    """
+    told = gateway.settings.answer_value_per_1k_tokens
+    dearest = max(service.model_costs.values(), default=0.0)
+    if dearest <= 0.0:
+        return told
+    return sqrt(told * PRICE_MULTIPLE * dearest)
+
+
+def _moment(gateway: Gateway, work: Work, now_s: float) -> Moment:
+    states = _states(gateway, work)
+    wait_s = usual_wait_s((state.backlog for state in states), now_s)
+    sent_per_s = gateway.sent_per_s(work.service.name, now_s) * gateway.gateway_count
+    return Moment(
+        elapsed_s=now_s - work.request.arrived_s,
+        target_s=work.route.latency_target_s,
+        delayed_per_s=sent_per_s / max(1, len(states)) * wait_s,
+    )
+
+
+def _states(gateway: Gateway, work: Work) -> list[EndpointState]:
+    return [
+        gateway.states.of(endpoint)
+        for endpoint in gateway.beliefs.endpoints.values()
+        if endpoint.service == work.service.name and not endpoint.leaving
+    ]
+
+
+def _options(
+    gateway: Gateway, work: Work, now_s: float, models: tuple[str, ...]
+) -> list[ModelOption]:
+    prompt = work.request.hints.prompt
+    unread = 0.0
+    if prompt is not None:
+        own = prompt.parts[-1][1] if prompt.parts else prompt.input_tokens
+        shared = max(0, prompt.input_tokens - own)
+        unread = own + UNREAD_SHARE * shared
+    states = _states(gateway, work)
+    usual_s = usual_wait_s((state.backlog for state in states), now_s)
+    wait_s = min((s.backlog.wait_s(now_s, usual_s) for s in states), default=0.0)
+    value = _answer_value(gateway, work.service)
+    found = []
+    work_s = 0.0
+    for name in models:
+        pace = gateway.reading_pace(work.service.name, name)
+        # A larger model is never faster, whatever the last few answers say.
+        work_s = max(work_s, pace.predict_s(unread))
+        found.append(
+            ModelOption(
+                name=name,
+                is_largest=name == work.route.model_sizes[-1],
+                price=work.service.model_costs.get(name, 0.0) / value,
+                piece_s=wait_s + work_s,
+                work_s=work_s,
+            )
+        )
+    return found
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -4,12 +4,13 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
 from acaciacove.decisions.reading_pace import ReadingPace
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
-from acaciacove.gateway.choice.pace_meter import PaceMeter
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
+from acaciacove.gateway.choice.sliding_count import SlidingCount
 from acaciacove.gateway.endpoint_states import EndpointStates
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
@@ -30,6 +31,10 @@
 ASSUMED_GATEWAYS = 64
 
 
+# Over which time the own pace of sending is taken.
+SENT_WINDOW_S = 2.0
+
+
 def _told_tails() -> dict[LogStream, StreamTail]:
     return {stream: StreamTail() for stream in TOLD_STREAMS}
 
@@ -51,7 +56,8 @@
     choice: ChoiceSettings = field(factory=ChoiceSettings)
     random: Random = field(factory=Random)
     budgets: dict[str, RetryBudget] = field(factory=dict)
-    paces: dict[str, PaceMeter] = field(factory=dict)
+    sent: dict[str, SlidingCount] = field(factory=dict)
+    confidence: dict[str, ConfidenceBeliefs] = field(factory=dict)
     reading: dict[tuple[str, str | None], ReadingPace] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
@@ -100,9 +106,18 @@
         self._last_number += 1
         return self._last_number
 
-    def pace(self, service: str) -> PaceMeter:
-        """Return how fast a service's larger models answer at present."""
-        return self.paces.setdefault(service, PaceMeter())
+    def confidences(self, service: str) -> ConfidenceBeliefs:
+        """Return what the opinions of a service's models are worth."""
+        return self.confidence.setdefault(service, ConfidenceBeliefs())
+
+    def note_sent(self, service: str, now_s: float) -> None:
+        """Count one request that is sent to an endpoint of a service."""
+        self.sent.setdefault(service, SlidingCount(SENT_WINDOW_S)).add(now_s)
+
+    def sent_per_s(self, service: str, now_s: float) -> float:
+        """Return how many requests this gateway sends to a service at present."""
+        counted = self.sent.get(service)
+        return counted.total(now_s) / SENT_WINDOW_S if counted else 0.0
 
     def reading_pace(self, service: str, model: str | None) -> ReadingPace:
         """Return how fast a model of a service reads prompts."""
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -3,6 +3,7 @@
 import asyncio
 import resource
 
+from acaciacove.decisions.endpoint_backlog import usual_wait_s
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.gateway_metrics import Gauges
 
@@ -41,9 +42,8 @@
             (("service", name),): budget.left(now_s, gateway.gateway_count)
             for name, budget in gateway.budgets.items()
         },
-        ("larger_model_pace", "first pieces as share of their target"): {
-            (("service", name),): pace.mean(now_s)
-            for name, pace in gateway.paces.items()
+        ("usual_wait_seconds", "wait before prompts are read at endpoints"): {
+            (): usual_wait_s((s.backlog for s in gateway.states.all()), now_s)
         },
         ("rollout", "1 for the phase of a roll-out under way"): {
             (("service", name), ("phase", progress.phase.value)): 1.0
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -15,6 +15,7 @@
     REQUEST = "request"
     ATTEMPT = "attempt"
     CALLER_REFUSED = "caller_refused"
+    CONFIDENCE_UNREADABLE = "confidence_unreadable"
     LOG_LOST = "log_lost"
     LOG_REGAINED = "log_regained"
     LOG_SOURCE = "log_source"
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -6,6 +6,7 @@
 from acaciacove.gateway.attempt import attempt
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.choose_endpoint import choose_endpoint
+from acaciacove.gateway.choose_model import choose_first_model
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
@@ -72,7 +73,8 @@
     """Try endpoints in turn; None when the whole answer has been delivered."""
     sizes = work.route.model_sizes
     if sizes and work.model is None:
-        work.model = first_model(work)
+        now_s = asyncio.get_running_loop().time()
+        work.model = choose_first_model(gateway, work, now_s)
     while True:
         now_s = asyncio.get_running_loop().time()
         if work.sent and not _may_repeat_now(gateway, work, now_s):
@@ -96,19 +98,13 @@
         if outcome is AttemptOutcome.DELIVERED:
             return None
         if outcome is AttemptOutcome.UNSURE:
-            work.model = sizes[-1]
+            work.model, work.next_model = work.next_model, None
             work.tried.clear()
             continue
         if not _may_go_on(work, outcome):
             return _ending(work, budget_left=True)
 
 
-def first_model(work: Work) -> str:
-    """Return the model that is asked first: the smallest, if it may be dropped."""
-    sizes = work.route.model_sizes
-    return sizes[0] if work.route.may_repeat else sizes[-1]
-
-
 def _may_enlarge(gateway: Gateway, work: Work) -> bool:
     """Tell whether a doubtful answer may be dropped for a larger model's."""
     sizes = work.route.model_sizes
--- a/acaciacove/gateway/work.py
+++ b/acaciacove/gateway/work.py
@@ -17,7 +17,8 @@
     ``until_s`` is when its answer must be complete. ``sent`` counts endpoints
     that were handed the request. ``may_have_run`` is set once an endpoint may
     have begun it. ``kept_failure`` is the last complete failure of an endpoint.
-    ``heads`` are those of answers that came, in order.
+    ``told`` holds models' opinions of their answers to it, ``next_model`` which model
+    is asked after one that was unsure. ``heads`` are those of answers that came.
     """
 
     request: CallerRequest
@@ -35,6 +36,8 @@
     last_event_id: str | None = None
     events_delivered: bool = False
     first_piece_s: float | None = None
+    next_model: str | None = None
+    told: dict[str, float] = field(factory=dict)
     trail: list[str] = field(factory=list)
     heads: list[HeadSeen] = field(factory=list)
 
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -28,8 +28,11 @@
 
     The promises to operators (``revocation_s`` and those below) are bounds that
     hold over all gateways together; what one gateway does within them is decided
-    in ``acaciacove.gateway``. ``region_of_zone`` maps availability zones. Metrics are
-    served on ``host:metrics_port``, the port that Prometheus exporters commonly use.
+    in ``acaciacove.gateway``. ``answer_value_per_1k_tokens`` is what a good answer is
+    worth for each 1,000 tokens that it is charged for, in the unit of the catalogue's
+    prices: what a model's price is weighed against. ``region_of_zone`` maps
+    availability zones. Metrics are served on ``host:metrics_port``, the port that
+    Prometheus exporters commonly use.
     """
 
     name: str = field(metadata=check(is_name))
@@ -50,8 +53,9 @@
     retry_extra: float = field(default=10.0, metadata=check(at_least(0)))
     exposure_share: float = field(default=0.1, metadata=check(is_share))
     exposure_extra: float = field(default=10.0, metadata=check(at_least(0)))
-    cold_overage: float = field(default=1.0, metadata=check(at_least(0)))
+    cold_overage: float = field(default=1.2, metadata=check(at_least(0)))
     cold_extra: float = field(default=0.0, metadata=check(at_least(0)))
+    answer_value_per_1k_tokens: float = field(default=1.0, metadata=check(is_positive))
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
 
     @property
--- /dev/null
+++ b/tests/test_decisions_models.py
@@ -0,0 +1,179 @@
+"""Which model is asked, and at which endpoint, as pure decisions."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
+from acaciacove.decisions.endpoint_backlog import EndpointBacklog, usual_wait_s
+from acaciacove.decisions.model_plan import (
+    ModelOption,
+    Moment,
+    first_model,
+    next_model,
+)
+from acaciacove.decisions.reading_pace import ReadingPace
+
+CALM = Moment(elapsed_s=0.2, target_s=3.0)
+CONFIDENCES = st.floats(0.0, 100.0)
+
+
+def options(prices=(0.02, 0.1, 0.2), work_s=(0.05, 0.12, 0.4), wait_s=0.0):
+    return [
+        ModelOption(f"m{rank}", rank == 2, price, wait_s + work, work)
+        for rank, (price, work) in enumerate(zip(prices, work_s, strict=True))
+    ]
+
+
+def reading(ability, need, random):
+    told = 50.0 + 150.0 * (ability - need) + random.gauss(0.0, 8.0)
+    return min(100.0, max(0.0, told))
+
+
+def taught(abilities, requests=400, seed=1):
+    """Beliefs after requests that all models answered."""
+    random, beliefs = Random(seed), ConfidenceBeliefs()
+    names = [f"m{rank}" for rank in range(len(abilities))]
+    for first, second in ((0, 1), (0, 2), (1, 2)):
+        beliefs.offset(names[first], names[second], second == 2)
+    for _ in range(requests):
+        need = random.random()
+        told = [reading(ability, need, random) for ability in abilities]
+        for rank, name in enumerate(names):
+            beliefs.learn_answer(name, rank == 2, told[rank])
+        for first, second in ((0, 1), (0, 2), (1, 2)):
+            beliefs.learn_pair(names[first], told[first], names[second], told[second])
+    return beliefs
+
+
+def test_offsets_and_noise_are_learnt_from_pairs():
+    beliefs = taught((0.54, 0.64, 1.0))
+    assert beliefs.offset("m0", "m1").margin == pytest.approx(15.0, abs=6.0)
+    assert beliefs.offset("m0", "m2").margin == pytest.approx(69.0, abs=12.0)
+    assert 6.0 < beliefs.noise < 12.0
+    assert beliefs.quality("m0", False) == pytest.approx(0.54, abs=0.06)
+
+
+def test_a_middle_model_that_is_nearly_the_largest_takes_its_place():
+    """A customer's middle model answers nearly all that the largest does, at half of
+    its price and a third of its time. A cascade that knows only the smallest and the
+    largest would pay twice, and queues would grow behind the largest.
+    """
+    beliefs = taught((0.3, 0.95, 1.0))
+    asked = [
+        next_model("m0", told, options()[1:], beliefs, CALM, True)
+        for told in (0.0, 15.0, 30.0, 45.0)
+    ]
+    assert set(asked) == {"m1"}
+
+
+def test_a_middle_model_that_is_nearly_the_smallest_is_passed_over():
+    beliefs = taught((0.54, 0.56, 1.0))
+    asked = [
+        next_model("m0", told, options()[1:], beliefs, CALM, True)
+        for told in (0.0, 15.0, 30.0)
+    ]
+    assert set(asked) == {"m2"}
+
+
+def test_a_sure_answer_stays_and_a_hopeless_one_does_not():
+    beliefs = taught((0.54, 0.64, 1.0))
+    assert next_model("m0", 90.0, options()[1:], beliefs, CALM, True) is None
+    assert next_model("m0", 5.0, options()[1:], beliefs, CALM, True) is not None
+
+
+def test_in_a_crowd_fewer_answers_are_dropped():
+    """Two of five engines are down and the queues are seconds long. Each request that
+    is asked of the largest model as well makes all behind it wait.
+    """
+    beliefs = taught((0.54, 0.64, 1.0))
+    crowd = Moment(elapsed_s=1.5, target_s=3.0, delayed_per_s=5.0)
+
+    def dropped(moment, wait_s):
+        larger = options(wait_s=wait_s)[1:]
+        return sum(
+            next_model("m0", float(told), larger, beliefs, moment, True) is not None
+            for told in range(101)
+        )
+
+    assert dropped(crowd, 1.5) < dropped(CALM, 0.0)
+    assert dropped(crowd, 1.5) > 0
+
+
+def test_the_first_model_depends_on_prices_and_abilities():
+    beliefs = taught((0.54, 0.64, 1.0))
+    assert first_model(options(), beliefs, CALM, True) == "m0"
+    dear_small = options(prices=(0.2, 0.21, 0.22), work_s=(0.3, 0.31, 0.32))
+    assert first_model(dear_small, beliefs, CALM, True) == "m2"
+    assert first_model(options(), beliefs, CALM, False) == "m2"
+
+
+def test_prices_of_nothing_and_single_models_have_a_choice():
+    beliefs = ConfidenceBeliefs()
+    free = options(prices=(0.0, 0.0, 0.0))
+    assert first_model(free, beliefs, CALM, True) in {"m0", "m1", "m2"}
+    assert first_model(free[:1], beliefs, CALM, True) == "m0"
+    assert next_model("m0", 10.0, [], beliefs, CALM, False) is None
+
+
+@given(st.lists(st.tuples(CONFIDENCES, CONFIDENCES), max_size=60), CONFIDENCES)
+@settings(max_examples=100, derandomize=True)
+def test_beliefs_stay_probabilities_whatever_models_say(pairs, told):
+    beliefs = ConfidenceBeliefs()
+    for first, second in pairs:
+        beliefs.learn_answer("m0", False, first)
+        beliefs.learn_pair("m0", first, "m2", second)
+    assert 0.0 <= beliefs.good_share(told) <= 1.0
+    assert 0.0 <= beliefs.good_share_of("m0", told, "m2") <= 1.0
+    assert 0.0 <= beliefs.quality("m0", False) <= 1.0
+    assert beliefs.noise > 0.0
+
+
+def test_reading_pace_finds_the_line_beneath_the_waits():
+    """First pieces come late as often as not, because of queues. Taken for the model's
+    pace, the waits would make every endpoint look slow for ever.
+    """
+    random, pace = Random(3), ReadingPace()
+    for _ in range(300):
+        tokens = random.choice((500, 3_000, 15_000))
+        wait_s = random.expovariate(4.0) if random.random() < 0.5 else 0.0
+        pace.learn(tokens, 0.03 + tokens * 20e-6 + wait_s)
+    assert pace.predict_s(500) == pytest.approx(0.04, abs=0.06)
+    assert pace.predict_s(15_000) == pytest.approx(0.33, rel=0.3)
+
+
+def test_an_overdue_request_tells_of_a_queue_before_its_answer():
+    """An engine stands still. Its requests are not answered, so nothing is reported of
+    it; one that is overdue shows it, and callers are sent to the others.
+    """
+    stuck, other = EndpointBacklog(), EndpointBacklog()
+    stuck.send(1, 0.1, now_s=10.0)
+    other.send(2, 0.1, now_s=10.0)
+    other.answer(2, 10.1)
+    assert stuck.wait_s(10.1, 0.0) < 0.2
+    assert stuck.wait_s(11.0, 0.0) > 0.8
+    assert other.wait_s(11.0, 0.0) < 0.1
+    stuck.answer(1, 13.0)
+    assert stuck.wait_s(13.0, 0.0) > 1.0
+    assert stuck.wait_s(17.0, 0.0) == 0.0
+
+
+def test_own_requests_before_a_new_one_are_waited_for():
+    backlog = EndpointBacklog()
+    backlog.send(1, 0.4, now_s=5.0)
+    backlog.send(2, 0.3, now_s=5.1)
+    assert backlog.wait_s(5.1, 0.0) == pytest.approx(0.6)
+    assert backlog.answer(1, 5.4) == pytest.approx(0.4)
+    assert backlog.wait_s(5.4, 0.0) == pytest.approx(0.3)
+    backlog.drop(2, 5.45)
+    assert backlog.wait_s(5.45, 0.0) == pytest.approx(0.0)
+
+
+def test_an_endpoint_of_which_nothing_is_known_counts_as_nearly_usual():
+    known, unknown = EndpointBacklog(), EndpointBacklog()
+    known.send(1, 0.1, 0.0)
+    known.answer(1, 1.1)
+    usual = usual_wait_s([known, unknown], 1.1)
+    assert 0.0 < unknown.wait_s(1.1, usual) < known.wait_s(1.1, usual)
