--- a/acaciacove/cli/explain.py
+++ b/acaciacove/cli/explain.py
@@ -6,6 +6,7 @@
 from acaciacove.context import Environment
 from acaciacove.errors import InvalidSettingsError
 from acaciacove.exit_status import ExitStatus
+from acaciacove.explain.losses import sum_losses
 from acaciacove.explain.read_lines import read_lines
 from acaciacove.explain.story import tell_story
 from acaciacove.explain.summary import summarise
@@ -20,7 +21,9 @@
     read = read_lines(text)
     if read.unreadable:
         env.log_error(f"{read.unreadable} lines could not be read")
-    if settings.summary:
+    if settings.losses:
+        told = sum_losses(read.lines)
+    elif settings.summary:
         told = summarise(read.lines)
     else:
         told = tell_story(settings.request_id, read.lines)
--- a/acaciacove/cli/explain_command.py
+++ b/acaciacove/cli/explain_command.py
@@ -13,7 +13,11 @@
         Reads structured log lines of any number of processes, in any order, and prints
         one request's story: who took it, what was believed and how old that was, where
         it went and why, how it ended, and what else was in trouble then. With --summary
-        it counts how requests ended and why attempts failed, for each ten seconds.
+        it counts how requests ended and why attempts failed, for each ten seconds. With
+        --losses it sums, for each ten seconds, answers that were late (in queues, after
+        a second try, or for their size alone), callers that left, answers broken off,
+        failed or refused, how many answers were poor by their models' own opinions, and
+        the prompt tokens of answers that callers got and of those that were dropped.
 
         Lines that cannot be read are counted and passed over.
 
@@ -25,11 +29,14 @@
         Argument(
             "request_id",
             "ID",
-            "Id of the request to tell about; with --summary, the first FILE.",
+            "Id of the request; with --summary or --losses, the first FILE.",
         ),
         Argument(
             "files", "FILE", "Files of log lines, or - for standard input.", many=True
         ),
     ),
-    flags=(Flag("summary", "Count endings and reasons over time instead."),),
+    flags=(
+        Flag("summary", "Count endings and reasons over time instead."),
+        Flag("losses", "Sum what was late, lost, poor and paid for instead."),
+    ),
 )
--- /dev/null
+++ b/acaciacove/explain/losses.py
@@ -0,0 +1,121 @@
+"""What callers and operators lost, by reason and moment, from gateways' log lines."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Any
+
+from attrs import define, field
+
+from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
+from acaciacove.explain.log_line import LogLine
+from acaciacove.gateway.log_events import Event
+
+STEP_S = 10.0
+SERVED = "served"
+# How long after its predicted moment a first piece counts as held up by a queue.
+QUEUED_RATIO = 2.0
+
+
+class Loss(StrEnum):
+    """Why a request was worth less than it could be; each counts once."""
+
+    LATE_QUEUED = "late_queued"
+    LATE_RESENT = "late_resent"
+    LATE_LARGE = "late_large"
+    LEFT = "caller_left"
+    BROKEN = "broken_off"
+    FAILED = "failed"
+    REFUSED = "refused"
+
+
+@define
+class LossRow:
+    """Counts of one span: requests, those lost by reason, and what was paid for.
+
+    ``poor`` is the expected number of poor answers by their models' own opinions.
+    ``tokens`` counts prompt tokens of answers by whether callers got them.
+    """
+
+    clock: str = ""
+    requests: int = 0
+    losses: dict[Loss, int] = field(factory=lambda: defaultdict(int))
+    poor: float = 0.0
+    tokens_kept: int = 0
+    tokens_dropped: int = 0
+
+    def merge(self, other: "LossRow") -> None:
+        """Add another span's counts."""
+        self.requests += other.requests
+        for loss, count in other.losses.items():
+            self.losses[loss] += count
+        self.poor += other.poor
+        self.tokens_kept += other.tokens_kept
+        self.tokens_dropped += other.tokens_dropped
+
+
+def sum_losses(lines: Iterable[LogLine]) -> list[str]:
+    """Return a table with a row for each ten seconds, and one for all of them."""
+    rows: dict[float, LossRow] = defaultdict(LossRow)
+    for line in lines:
+        if line.event not in (Event.REQUEST, Event.CALLER_REFUSED):
+            continue
+        row = rows[line.at_s // STEP_S * STEP_S]
+        row.clock = row.clock or line.clock[:8]
+        row.requests += 1
+        if line.event == Event.CALLER_REFUSED:
+            row.losses[Loss.REFUSED] += 1
+        else:
+            _count(row, line.fields)
+    if not rows:
+        return []
+    whole = LossRow(clock="all")
+    for row in rows.values():
+        whole.merge(row)
+    header = ["from", "requests", *(loss.value for loss in Loss), "poor", "kept"]
+    told = ["\t".join([*header, "dropped"])]
+    told += [_told(rows[step]) for step in sorted(rows)]
+    return [*told, _told(whole)]
+
+
+def _count(row: LossRow, fields: dict[str, Any]) -> None:
+    loss = _loss(fields)
+    if loss is not None:
+        row.losses[loss] += 1
+    heads = fields.get("heads") or []
+    tokens = fields.get("input_tokens") or 0
+    is_served = fields.get("status") == SERVED
+    for place, (_, _, confidence, _, _) in enumerate(heads):
+        is_kept = is_served and place == len(heads) - 1
+        row.tokens_kept += tokens if is_kept else 0
+        row.tokens_dropped += 0 if is_kept else tokens
+        if is_kept and confidence is not None:
+            row.poor += 1.0 - ConfidenceBeliefs().good_share(confidence)
+
+
+def _loss(fields: dict[str, Any]) -> Loss | None:
+    status = str(fields.get("status"))
+    if status == "caller_left":
+        return Loss.LEFT
+    if status == "broken_off":
+        return Loss.BROKEN
+    if status == "503":
+        return Loss.REFUSED
+    if status != SERVED:
+        return Loss.FAILED
+    first_s, target_s = fields.get("first_piece_s"), fields.get("target_s")
+    if first_s is None or target_s is None or first_s <= target_s:
+        return None
+    heads = fields.get("heads") or []
+    if fields.get("tries", 0) > len(heads):
+        return Loss.LATE_RESENT
+    waited_s = sum(taken - predicted for *_, taken, predicted in heads)
+    return Loss.LATE_QUEUED if QUEUED_RATIO * waited_s > first_s else Loss.LATE_LARGE
+
+
+def _told(row: LossRow) -> str:
+    counts = [str(row.losses[loss]) for loss in Loss]
+    tokens = [str(row.tokens_kept), str(row.tokens_dropped)]
+    return "\t".join(
+        [row.clock, str(row.requests), *counts, f"{row.poor:.1f}", *tokens]
+    )
--- a/acaciacove/settings/explain_settings.py
+++ b/acaciacove/settings/explain_settings.py
@@ -9,20 +9,27 @@
 class ExplainSettings(CheckedSettings):
     """The request to tell about, and files of log lines (``-`` is standard input).
 
-    With ``summary`` no request is named, and the first word is a file as well.
+    With ``summary`` or ``losses`` no request is named, and the first word is a file as
+    well.
     """
 
     request_id: str = field()
     files: tuple[str, ...] = ()
     summary: bool = False
+    losses: bool = False
 
     def relation_faults(self) -> list[str]:
         """Ask for a file."""
-        if not self.summary and not self.files:
+        if not self.is_table and not self.files:
             return ["FILE is missing: name files of log lines, or -"]
         return []
 
     @property
     def all_files(self) -> tuple[str, ...]:
         """The files to read."""
-        return (self.request_id, *self.files) if self.summary else self.files
+        return (self.request_id, *self.files) if self.is_table else self.files
+
+    @property
+    def is_table(self) -> bool:
+        """Tell whether all requests are summed instead of one told about."""
+        return self.summary or self.losses
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -4,6 +4,7 @@
 from io import StringIO
 from pathlib import Path
 
+import orjson
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,6 +12,7 @@
 from acaciacove.context import Environment
 from acaciacove.core import main
 from acaciacove.exit_status import ExitStatus
+from acaciacove.explain.losses import sum_losses
 from acaciacove.explain.read_lines import read_lines
 from acaciacove.explain.summary import summarise
 
@@ -84,3 +86,55 @@
     read = read_lines(text)
     assert read.unreadable == sum(bool(line.strip()) for line in text)
     assert summarise(read.lines) == []
+
+
+def losing_line(second, status, first_s, heads, tries=1):
+    return orjson.dumps(
+        {
+            "time": f"2026-01-01T00:00:{second:02}+00:00",
+            "process": "gateway-0",
+            "event": "request",
+            "request_id": "r",
+            "status": status,
+            "first_piece_s": first_s,
+            "target_s": 2.0,
+            "tries": tries,
+            "input_tokens": 1000,
+            "heads": heads,
+        }
+    ).decode()
+
+
+def test_losses_are_summed_by_reason_and_moment():
+    """Answers come late for three reasons, which look alike to callers: a queue, a
+    second try, or a prompt that takes its time. Operators mend them in unlike ways.
+    """
+    sure = ["e", "small", 100.0, 0.3, 0.3]
+    text = [
+        losing_line(1, "served", 0.3, [sure]),
+        losing_line(2, "served", 3.0, [["e", "small", 100.0, 3.0, 0.2]]),
+        losing_line(3, "served", 3.0, [sure], tries=2),
+        losing_line(4, "served", 3.0, [["e", "small", 100.0, 3.0, 2.9]]),
+        losing_line(12, "caller_left", None, [sure]),
+        losing_line(13, 504, None, []),
+        losing_line(14, "served", 0.5, [["e", "small", 0.0, 0.2, 0.2], sure]),
+    ]
+    header, first, second, whole = sum_losses(read_lines(text).lines)
+    names = header.split("\t")[1:]
+    counts = [
+        dict(zip(names, row.split("\t")[1:], strict=True)) for row in (first, second)
+    ]
+    assert counts[0]["requests"] == "4"
+    assert [counts[0][n] for n in ("late_queued", "late_resent", "late_large")] == [
+        "1",
+        "1",
+        "1",
+    ]
+    assert (counts[1]["caller_left"], counts[1]["failed"]) == ("1", "1")
+    assert (counts[0]["kept"], counts[1]["kept"], counts[1]["dropped"]) == (
+        "4000",
+        "1000",
+        "2000",
+    )
+    assert whole.startswith("all\t7\t")
+    assert sum_losses([]) == []
