--- a/acaciacove/decisions/model_plan.py
+++ b/acaciacove/decisions/model_plan.py
@@ -15,6 +15,9 @@
 # What an answer is worth that is too poor, and what a late one loses.
 POOR_WORTH = 0.05
 LATE_LOSS = 0.5
+# What it costs that a request's work delays another by as much as its target. Those
+# behind it delay others in turn.
+CROWD_WEIGHT = 1.0
 # How surely a first piece that is expected at its target is late: predictions are off
 # by a factor of two often, by four seldom.
 SPREAD = 2.5
@@ -120,7 +123,7 @@
 
 def _cost(option: ModelOption, moment: Moment) -> float:
     delayed = moment.delayed_per_s * option.work_s / moment.target_s
-    return option.price + LATE_LOSS * delayed
+    return option.price + CROWD_WEIGHT * delayed
 
 
 def _after(moment: Moment, option: ModelOption) -> Moment:
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -29,6 +29,9 @@
 UNKNOWN_PAIRS = 6
 EXPLORED_SHARE = 0.15
 EXPLORED_LATER = 0.01
+# Nothing is asked to learn from it where a second of work delays more requests than
+# this: what is learnt would be paid for by those behind it.
+CALM_DELAYED_PER_S = 0.5
 
 
 def choose_first_model(gateway: Gateway, work: Work, now_s: float) -> str:
@@ -62,16 +65,17 @@
     beliefs = gateway.confidences(work.service.name)
     for option in options:
         beliefs.offset(asked, option.name, option.is_largest)
+    moment = _moment(gateway, work, now_s)
     chosen = next_model(
         asked,
         confidence,
         options,
         beliefs,
-        _moment(gateway, work, now_s),
+        moment,
         may_go_on_twice=work.sent + 2 <= work.route.max_attempts,
     )
-    if chosen is None:
-        return None
+    if chosen is None or moment.delayed_per_s > CALM_DELAYED_PER_S:
+        return chosen
     return _explored(gateway, beliefs, asked, larger) or chosen
 
 
