--- a/acaciacove/gateway/choice/cold_limiter.py
+++ b/acaciacove/gateway/choice/cold_limiter.py
@@ -1,8 +1,7 @@
 """How many requests a second a cold endpoint gets from this gateway."""
 
-from hashlib import blake2b
-
 from acaciacove.gateway.choice.sliding_count import SlidingCount
+from acaciacove.gateway.choice.stable_hash import stable_hash
 
 WINDOW_S = 1.0
 # A request is counted where it arrives. One that was sent at the end of one
@@ -52,9 +51,5 @@
     whole = int(limit // len(everyone))
     if whole >= 1:
         return whole
-    ranked = sorted(everyone, key=lambda name: _hash(f"{endpoint}/{name}"))
+    ranked = sorted(everyone, key=lambda name: stable_hash(f"{endpoint}/{name}"))
     return 1 if ranked.index(gateway) < int(limit) else 0
-
-
-def _hash(text: str) -> bytes:
-    return blake2b(text.encode(), digest_size=8).digest()
--- a/acaciacove/gateway/choice/weigh_endpoint.py
+++ b/acaciacove/gateway/choice/weigh_endpoint.py
@@ -1,9 +1,8 @@
 """What one endpoint would have to read for a request."""
 
-from hashlib import blake2b
-
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
 from acaciacove.gateway.choice.prompt import Prompt
+from acaciacove.gateway.choice.stable_hash import stable_hash
 from acaciacove.gateway.endpoint_state import EndpointState
 
 
@@ -33,8 +32,4 @@
     """Return the endpoint that all gateways prefer for a shared part."""
     if not instances:
         return None
-    return max(instances, key=lambda name: _hash(f"{key}/{model}/{name}"))
-
-
-def _hash(text: str) -> bytes:
-    return blake2b(text.encode(), digest_size=8).digest()
+    return max(instances, key=lambda name: stable_hash(f"{key}/{model}/{name}"))
--- a/acaciacove/gateway/choose_endpoint.py
+++ b/acaciacove/gateway/choose_endpoint.py
@@ -19,6 +19,12 @@
 BROKEN_DOUBT_S = 1.5
 # The share of an endpoint's connections that one gateway may take for itself.
 CONNECTION_MARGIN = 0.8
+# What each failure in a row counts for beside requests under way.
+FAILURE_REQUESTS = 2.0
+# A cold endpoint dies of a rate well above its own; this much above is borne.
+COLD_STEADY = 1.2
+MS = 1000.0
+TOKENS_PER_1K = 1000.0
 
 
 def choose_endpoint(gateway: Gateway, work: Work, now_s: float) -> EndpointState | None:
@@ -92,10 +98,6 @@
     return own_part(limit, endpoint.instance, settings.name, gateway.peers)
 
 
-# A cold endpoint dies of a rate well above its own; this much above is borne.
-COLD_STEADY = 1.2
-
-
 def _suspicion(gateway: Gateway, state: EndpointState, now_s: float) -> float:
     """Return how many requests an endpoint's doubtful health counts for."""
     is_broken = now_s - state.health.broken_s < BROKEN_DOUBT_S
@@ -103,10 +105,6 @@
     return gateway.choice.suspect_requests * is_broken + failures
 
 
-# What each failure in a row counts for beside requests under way.
-FAILURE_REQUESTS = 2.0
-
-
 def _plain_cost(
     gateway: Gateway, state: EndpointState, now_s: float
 ) -> tuple[float, float]:
@@ -128,7 +126,7 @@
     def cost_s(state: EndpointState) -> float:
         near = state.endpoint.availability_zone == gateway.settings.availability_zone
         load = state.load.estimate(now_s, usual) + _suspicion(gateway, state, now_s)
-        reading_s = reading_time_s(gateway, work, state, home)
+        reading_s = reading_cost_s(gateway, work, state, home)
         zone_ms = 0.0 if near else choice.other_zone_ms
         return (
             state.backlog.wait_s(now_s, wait_s)
@@ -139,9 +137,6 @@
     return min(states, key=cost_s)
 
 
-MS = 1000.0
-
-
 def home_of_prompt(work: Work, states: list[EndpointState]) -> str | None:
     """Return the endpoint that all gateways prefer for the request's shared part."""
     prompt = work.request.hints.prompt
@@ -149,7 +144,7 @@
     return home_of(key, work.model, [s.endpoint.instance for s in states])
 
 
-def reading_time_s(
+def reading_cost_s(
     gateway: Gateway, work: Work, state: EndpointState, home: str | None
 ) -> float:
     """Return what reading the prompt there costs, without a queue."""
@@ -162,6 +157,3 @@
     pace = gateway.reading_pace(work.service.name, work.model)
     memory_s = tokens * choice.memory_ms_per_1k / MS / TOKENS_PER_1K
     return choice.reading_weight * pace.predict_s(tokens) + memory_s
-
-
-TOKENS_PER_1K = 1000.0
--- a/acaciacove/gateway/choose_version.py
+++ b/acaciacove/gateway/choose_version.py
@@ -1,8 +1,7 @@
 """Which versions of a service a request may meet while a roll-out is under way."""
 
-from hashlib import blake2b
-
 from acaciacove.gateway.catalogue.endpoint import Endpoint
+from acaciacove.gateway.choice.stable_hash import SIZE_BYTES, stable_hash
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.rollout.rollout_phase import RolloutPhase
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
@@ -13,8 +12,7 @@
 )
 from acaciacove.gateway.work import Work
 
-HASH_SIZE = 8
-HASH_RANGE = 2.0 ** (8 * HASH_SIZE)
+HASH_RANGE = 2.0 ** (8 * SIZE_BYTES)
 
 
 def admissible(
@@ -99,5 +97,4 @@
 
 def position(text: str) -> float:
     """Return a number from 0 to 1 that is the same in every process."""
-    digest = blake2b(text.encode(), digest_size=HASH_SIZE).digest()
-    return int.from_bytes(digest) / HASH_RANGE
+    return int.from_bytes(stable_hash(text)) / HASH_RANGE
--- a/acaciacove/gateway/operator_reader.py
+++ b/acaciacove/gateway/operator_reader.py
@@ -56,6 +56,7 @@
             return
         if isinstance(decision, Catalogue):
             self.beliefs.catalogue = decision
+            self._tell_unpriced(decision)
         elif isinstance(decision, ZoneOut):
             self.beliefs.zones_out[decision.availability_zone] = record.offset
         elif isinstance(decision, RolloutWish):
@@ -73,6 +74,21 @@
             version=decision.version if isinstance(decision, Catalogue) else None,
         )
 
+    def _tell_unpriced(self, catalogue: Catalogue) -> None:
+        """Say which models have no price; they are taken to cost nothing."""
+        for route in catalogue.routes:
+            for share in route.shares:
+                service = catalogue.services.get(share.service)
+                costs = service.model_costs if service is not None else {}
+                unpriced = [name for name in route.model_sizes if name not in costs]
+                if unpriced:
+                    self.log.write(
+                        Event.MODEL_WITHOUT_PRICE,
+                        route=route.name,
+                        service=share.service,
+                        models=unpriced,
+                    )
+
     def _remove(self, record: LogRecord) -> None:
         zone = self.codec.removed_zone(record.key)
         if zone is not None:
--- a/acaciacove/gateway/relay/reading_order.py
+++ b/acaciacove/gateway/relay/reading_order.py
@@ -2,7 +2,8 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from hashlib import blake2b
+
+from acaciacove.gateway.choice.stable_hash import stable_hash
 
 # Gateways that one reader tells. Each asks for two streams, twice a second, at about
 # 0.2 ms of the reader's processor and 150 bytes: 1.3% of a core and 10 kB/s at most.
@@ -29,7 +30,7 @@
 
 def reading_order(members: Iterable[str]) -> list[str]:
     """Rank the members, those that read the log first; alike in all of them."""
-    return sorted(members, key=lambda name: _hash(f"reader/{name}"))
+    return sorted(members, key=lambda name: stable_hash(f"reader/{name}"))
 
 
 def reader_count(members: int) -> int:
@@ -49,13 +50,9 @@
     if may_read and me in readers:
         return []
     # Each begins with another reader, so that they share the questions.
-    first = int.from_bytes(_hash(me)) % count
+    first = int.from_bytes(stable_hash(me)) % count
     asked = readers[first:] + readers[:first]
     asked += order[count : count + SUBSTITUTES]
     if may_read and me in asked:
         asked = asked[: asked.index(me)]
     return [name for name in asked if name != me]
-
-
-def _hash(text: str) -> bytes:
-    return blake2b(text.encode(), digest_size=8).digest()
--- a/acaciacove/platform/records.py
+++ b/acaciacove/platform/records.py
@@ -131,7 +131,11 @@
         cold_start_s=float(document.get("coldStartS") or 0.0),
         cold_rate_per_s=float(document.get("coldPerS") or 0.0),
         slots=int(engine.get("slots") or 0),
-        model_costs={m["name"]: float(m["cost"]) for m in engine.get("models", ())},
+        model_costs={
+            m["name"]: float(m["cost"])
+            for m in engine.get("models", ())
+            if isinstance(m.get("cost"), int | float) and m["cost"] >= 0
+        },
     )
 
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -10,6 +10,7 @@
     call,
     catalogue,
     draft,
+    lines,
     model_fields,
     run_fleet,
     runs_of,
@@ -298,3 +299,36 @@
         assert len(runs_of(fleet, "r-1")) == 1
 
     run_fleet(story)
+
+
+def test_models_without_a_price_are_asked_all_the_same():
+    """An operator's catalogue leaves out what a model costs. Callers are served as if
+    it cost nothing, and the log names the model.
+    """
+    service = evolve(catalogue().services["model"], model_costs={"small": 0.02})
+    published = catalogue(services=catalogue().services | {"model": service})
+
+    async def story(fleet):
+        answer = await draft("r-1")
+        assert answer.status == 200
+        told = lines(fleet, "model_without_price")
+        assert told[0]["models"] == ["large"]
+
+    run_fleet(story, published=published)
+
+
+def test_a_confidence_out_of_range_is_passed_over():
+    """An endpoint tells a confidence that is none. The answer stays, nothing is
+    learnt from it, and the log says so.
+    """
+
+    async def story(fleet):
+        for server in fleet.endpoints.values():
+            server.behaviour.confidence = {"small": 4000, "large": -3}
+        answer = await draft("r-1")
+        assert answer.status == 200
+        assert lines(fleet, "confidence_unreadable")
+        beliefs = fleet.gateways["gateway-0"].gateway.confidences("model")
+        assert beliefs.qualities == {}
+
+    run_fleet(story)
