--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -174,6 +174,10 @@
         exchange.note_first_piece(now_s)
     if head.not_run:
         await exchange.read_whole(WHOLE_ANSWER_BYTES)
+        # Refusals come at once and leave nothing under way: an endpoint that refuses
+        # everything would look idle, and get every request first.
+        work.refused_by.add(state.endpoint.instance)
+        _note_failure(gateway, state, AttemptOutcome.NOT_RUN, "refused")
         return AttemptOutcome.NOT_RUN
     if not head.is_success or not head.signed or head.encoded:
         return await _failure(gateway, work, exchange, head)
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -99,7 +99,7 @@
             return None
         if outcome is AttemptOutcome.UNSURE:
             work.model, work.next_model = work.next_model, None
-            work.tried.clear()
+            work.tried = set(work.refused_by)
             continue
         if not _may_go_on(work, outcome):
             return _ending(work, budget_left=True)
--- a/acaciacove/gateway/work.py
+++ b/acaciacove/gateway/work.py
@@ -17,6 +17,7 @@
     ``until_s`` is when its answer must be complete. ``sent`` counts endpoints
     that were handed the request. ``may_have_run`` is set once an endpoint may
     have begun it. ``kept_failure`` is the last complete failure of an endpoint.
+    ``refused_by`` are endpoints that said "not run", which no model is asked of again.
     ``told`` holds models' opinions of their answers to it, ``next_model`` which model
     is asked after one that was unsure. ``heads`` are those of answers that came.
     """
@@ -33,6 +34,7 @@
     may_have_run: bool = False
     kept_failure: tuple[AnswerHead, bytes] | None = None
     tried: set[str] = field(factory=set)
+    refused_by: set[str] = field(factory=set)
     last_event_id: str | None = None
     events_delivered: bool = False
     first_piece_s: float | None = None
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -332,3 +332,22 @@
         assert beliefs.qualities == {}
 
     run_fleet(story)
+
+
+def test_an_endpoint_that_refused_is_not_asked_again_for_the_larger_model():
+    """An endpoint refuses at once, because it is full or leaves. Another one's small
+    model doubts its answer, and the larger model is asked for: at the endpoint that
+    refused, which looked idle, its last attempt was lost, and its caller got a 502.
+    """
+
+    async def story(fleet):
+        fleet.endpoints["model-0"].behaviour.full = True
+        fleet.endpoints["model-1"].behaviour.confidence = {"small": 5, "large": 95}
+        for number in range(6):
+            answer = await draft(f"r-{number}", key=f"k{number}")
+            assert answer.status == 200
+            arrivals = [a for a in fleet.arrivals if a.request_id == f"r-{number}"]
+            refused = [a for a in arrivals if a.instance == "model-0"]
+            assert len(refused) <= 1
+
+    run_fleet(story)
