--- a/acaciacove/gateway/rollout/evidence.py
+++ b/acaciacove/gateway/rollout/evidence.py
@@ -14,12 +14,13 @@
     """Counts of both versions, summed over gateways.
 
     ``target`` and ``old`` are keyed by kind of request (route and model),
-    ``target_endpoints`` by endpoint of the new version.
+    ``target_endpoints`` by endpoint of the new version, of which ``machines`` serve.
     """
 
     target: Cells
     old: Cells
     target_endpoints: Cells
+    machines: int
 
 
 def total(cells: Cells) -> CellCounts:
--- a/acaciacove/gateway/rollout/rollout_progress.py
+++ b/acaciacove/gateway/rollout/rollout_progress.py
@@ -179,16 +179,18 @@
     # Sums
     #
 
-    def evidence(self) -> Evidence:
-        """Return all that is known."""
-        return Evidence(self.cells(True), self.cells(False), self._endpoint_cells())
+    def evidence(self, machines: int) -> Evidence:
+        """Return all that is known; ``machines`` serve the new version."""
+        return Evidence(
+            self.cells(True), self.cells(False), self._endpoint_cells(), machines
+        )
 
     def mark_moved(self) -> None:
         """Remember what was known when all requests moved to the new version."""
         self.moved = self.cells(True)
         self.moved_endpoints = self._endpoint_cells()
 
-    def evidence_since_moved(self) -> Evidence:
+    def evidence_since_moved(self, machines: int) -> Evidence:
         """Return what answers since then say of the new version.
 
         A version that turns bad late, or under all of the load, would hide behind the
@@ -198,6 +200,7 @@
             since(self.cells(True), self.moved),
             self.cells(False),
             since(self._endpoint_cells(), self.moved_endpoints),
+            machines,
         )
 
     def cells(self, is_target: bool) -> dict[str, CellCounts]:
--- a/acaciacove/gateway/rollout/rollout_steps.py
+++ b/acaciacove/gateway/rollout/rollout_steps.py
@@ -25,7 +25,7 @@
     if progress.phase is RolloutPhase.STOPPED:
         return
     progress.note_overdue(now_s)
-    verdict = _judge(progress)
+    verdict = _judge(progress, capacity)
     if verdict is Verdict.BAD or _peer_judged_bad(progress):
         progress.judged_bad = True
         _enter(progress, RolloutPhase.STOPPED, now_s)
@@ -48,10 +48,10 @@
     return capacity.target >= settings.least_capacity * capacity.old
 
 
-def _judge(progress: RolloutProgress) -> Verdict:
+def _judge(progress: RolloutProgress, capacity: VersionCapacity) -> Verdict:
     if progress.phase is RolloutPhase.ALL:
-        return judge_moved(progress.evidence_since_moved())
-    return judge(progress.evidence())
+        return judge_moved(progress.evidence_since_moved(capacity.target))
+    return judge(progress.evidence(capacity.target))
 
 
 def _elapsed(progress: RolloutProgress, now_s: float) -> float:
@@ -85,7 +85,8 @@
         return False
     if not has_capacity(capacity, settings):
         return False
-    if judge_moved(progress.evidence_since_moved()) is not Verdict.GOOD:
+    recent = progress.evidence_since_moved(capacity.target)
+    if judge_moved(recent) is not Verdict.GOOD:
         return False
     if _elapsed(progress, now_s) >= settings.complete_by:
         return True
