--- a/acaciacove/decisions/endpoint_backlog.py
+++ b/acaciacove/decisions/endpoint_backlog.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field, frozen
 
-# A wait that was seen says less of the endpoint the older it is; after this long a
-# third of it is left. Queues of some seconds drain in about that time.
+# A wait that was seen says less of the endpoint the older it is: after this long half
+# of it counts, after twice as long none. Queues of some seconds drain in that time.
 MEMORY_S = 1.5
 # How far the newest wait replaces what was known before.
 NEWEST_SHARE = 0.6
--- a/acaciacove/gateway/choice/choice_settings.py
+++ b/acaciacove/gateway/choice/choice_settings.py
@@ -16,12 +16,11 @@
     # What reading 1,000 tokens costs beside its time: they take the place of prompts
     # that the endpoint holds, whatever the model that reads them.
     memory_ms_per_1k: float = 60.0
-    # One more request in an endpoint's batch slows all of them by about 2.5% and
-    # delays them by its own prompt; 30 ms is what one added to a first token.
+    # What one more request in an endpoint's batch costs beside the queue that it adds
+    # to: it slows all the others a little.
     request_ms: float = 25.0
     # What a request to another zone costs beside its millisecond of travel: bytes
-    # between zones are paid for. At 20 ms a calm day moved 15 MB between zones
-    # and at 60 ms 12 MB with the same answers; at 400 ms shares in time fell.
+    # between zones are paid for.
     other_zone_ms: float = 200.0
     # The share of a shared part's reading that is expected to be spared at the
     # endpoint that all gateways prefer for it, though this one has not sent it.
