Work the queues before a service out once a decision

Read in the diff: the first model's choice listed endpoints and weighed their queues and dropped the result; the next model's did so twice.

--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -2,7 +2,7 @@
 
 from math import sqrt
 
-from attrs import evolve
+from attrs import frozen
 
 from acaciacove.decisions.confidence_beliefs import HIGHEST, LOWEST, ConfidenceBeliefs
 from acaciacove.decisions.endpoint_backlog import usual_wait_s
@@ -41,10 +41,7 @@
     for its largest model at once, also for what the smallest answers well, and would
     get the busier.
     """
-    options = [
-        evolve(option, piece_s=option.work_s)
-        for option in _options(gateway, work, now_s, work.route.model_sizes)
-    ]
+    options = _options(gateway, work, work.route.model_sizes, wait_s=0.0)
     may_go_on = work.route.may_repeat and work.route.max_attempts > 1
     beliefs = gateway.confidences(work.service.name)
     moment = Moment(now_s - work.request.arrived_s, work.route.latency_target_s)
@@ -61,11 +58,12 @@
         return None
     assert asked is not None
     larger = sizes[sizes.index(asked) + 1 :]
-    options = _options(gateway, work, now_s, larger)
+    queues = _queues(gateway, work, now_s)
+    options = _options(gateway, work, larger, queues.least_s)
     beliefs = gateway.confidences(work.service.name)
     for option in options:
         beliefs.offset(asked, option.name, option.is_largest)
-    moment = _moment(gateway, work, now_s)
+    moment = _moment(gateway, work, queues, now_s)
     chosen = next_model(
         asked,
         confidence,
@@ -131,27 +129,37 @@
     return sqrt(told * PRICE_MULTIPLE * dearest)
 
 
-def _moment(gateway: Gateway, work: Work, now_s: float) -> Moment:
-    states = _states(gateway, work)
-    wait_s = usual_wait_s((state.backlog for state in states), now_s)
-    sent_per_s = gateway.sent_per_s(work.service.name, now_s) * gateway.gateway_count
-    return Moment(
-        elapsed_s=now_s - work.request.arrived_s,
-        target_s=work.route.latency_target_s,
-        delayed_per_s=sent_per_s / max(1, len(states)) * wait_s,
-    )
+@frozen
+class _Queues:
+    """Queues before a service's endpoints: the usual wait and the least one."""
+
+    endpoints: int
+    usual_s: float
+    least_s: float
 
 
-def _states(gateway: Gateway, work: Work) -> list[EndpointState]:
-    return [
-        gateway.states.of(endpoint)
+def _queues(gateway: Gateway, work: Work, now_s: float) -> _Queues:
+    backlogs = [
+        gateway.states.of(endpoint).backlog
         for endpoint in gateway.beliefs.endpoints.values()
         if endpoint.service == work.service.name and not endpoint.leaving
     ]
+    usual_s = usual_wait_s(backlogs, now_s)
+    least_s = min((b.wait_s(now_s, usual_s) for b in backlogs), default=0.0)
+    return _Queues(len(backlogs), usual_s, least_s)
+
+
+def _moment(gateway: Gateway, work: Work, queues: _Queues, now_s: float) -> Moment:
+    sent_per_s = gateway.sent_per_s(work.service.name, now_s) * gateway.gateway_count
+    return Moment(
+        elapsed_s=now_s - work.request.arrived_s,
+        target_s=work.route.latency_target_s,
+        delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.usual_s,
+    )
 
 
 def _options(
-    gateway: Gateway, work: Work, now_s: float, models: tuple[str, ...]
+    gateway: Gateway, work: Work, models: tuple[str, ...], wait_s: float
 ) -> list[ModelOption]:
     prompt = work.request.hints.prompt
     unread = 0.0
@@ -159,9 +167,6 @@
         own = prompt.parts[-1][1] if prompt.parts else prompt.input_tokens
         shared = max(0, prompt.input_tokens - own)
         unread = own + UNREAD_SHARE * shared
-    states = _states(gateway, work)
-    usual_s = usual_wait_s((state.backlog for state in states), now_s)
-    wait_s = min((s.backlog.wait_s(now_s, usual_s) for s in states), default=0.0)
     value = _answer_value(gateway, work.service)
     found = []
     work_s = 0.0
