Count a lapsed entry's grace from the log's return; look for the log when nobody answers

A gateway was cut off alone until 24.5 s; it read the removal of 24.807 s at 24.820 s, 0.6 s after its last failed call, kept it open as a lapse, and put its end off for as long as the failure was less than a second old: until 27.69 s, while it counts as in touch from 27.5 s.

Ruled out: the relay (its page of 24.82 s held the removal), a restart under the same id.

Change: the 2.2 s begin with the read that showed the removal, or with a failed call after it, and are looked at five times a second instead of with the next page, which can take 1.5 s. Read beside it: a gateway that reaches neither the log nor the others rested for 2 s between own tries, as if others could tell it of the log's return. Both tests fail without the change.

--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -15,7 +15,7 @@
 
 # Entries lapse while the log is away, without their endpoints having left. Those
 # that live are back within two seconds of its return; until then a removal that
-# came with an outage is kept open.
+# came with an outage is kept open. Counted from the first call that succeeds.
 LAPSE_GRACE_S = 2.2
 # A removal this soon after a failed call belongs to the outage.
 OUTAGE_MEMORY_S = 1.0
@@ -25,7 +25,8 @@
 class EndpointReader:
     """Applies heartbeats and removals in offset order.
 
-    ``outage_s`` is when a call to the log last failed.
+    ``outage_s`` is when a call to the log last failed. ``_lapsed`` holds until when
+    entries may come back that went with an outage.
     """
 
     beliefs: Beliefs
@@ -36,6 +37,12 @@
     _lapsed: dict[str, float] = field(factory=dict)
     _heard_s: dict[str, float] = field(factory=dict)
 
+    def note_outage(self) -> None:
+        """Note a failed call; entries that lapsed wait for the log's return anew."""
+        self.outage_s = asyncio.get_running_loop().time()
+        for instance in self._lapsed:
+            self._lapsed[instance] = self.outage_s + LAPSE_GRACE_S
+
     def apply_newest(self, records: tuple[LogRecord, ...]) -> None:
         """Take the newest of each key; keys that are missing were removed."""
         listed = {record.key for record in records}
@@ -125,9 +132,7 @@
         """Drop entries that lapsed with an outage and have not come back."""
         now_s = asyncio.get_running_loop().time()
         for instance, until_s in list(self._lapsed.items()):
-            if now_s - self.outage_s < OUTAGE_MEMORY_S:
-                self._lapsed[instance] = now_s + LAPSE_GRACE_S
-            elif now_s >= until_s:
+            if now_s >= until_s:
                 del self._lapsed[instance]
                 self._drop(instance)
 
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -152,10 +152,17 @@
         return page
 
     def _is_put_off(self) -> bool:
-        """Tell whether own tries rest, as somebody else looks for the log's return."""
-        if self.clock_s() - self._refused_s >= TURNED_AWAY_PAUSE_S:
+        """Tell whether own tries rest, as somebody else looks for the log's return.
+
+        One that cannot be reached could not tell of it.
+        """
+        now_s = self.clock_s()
+        if now_s - self._refused_s >= TURNED_AWAY_PAUSE_S:
             return False
-        return bool(whom_to_ask(self.name, self._group(), may_read=True))
+        return any(
+            self._not_before_s.get(name, 0.0) <= now_s + STALE_PAUSE_S
+            for name in whom_to_ask(self.name, self._group(), may_read=True)
+        )
 
     def _note_source(self, stream: LogStream, source: str) -> None:
         if self._sources.get(stream) == source:
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -48,6 +48,7 @@
 ASKED_WAIT_S = 1.0
 ASKED_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
+EXPIRE_EVERY_S = 0.2
 METRICS_PATH = "/metrics"
 LISTEN_BACKLOG = 1024
 # Callers give an unread request a second. A start that has no beliefs by half of
@@ -120,6 +121,7 @@
         async with background(
             *self._followers(),
             self._trim(),
+            self._expire_lapsed(),
             self._talk_to_peers(),
             duty.run(),
             self._load_metrics(),
@@ -268,7 +270,6 @@
         else:
             for record in page.records:
                 self.endpoints.apply(record)
-        self.endpoints.expire()
         if not was_known:
             self.log.write(Event.READY, endpoints=len(beliefs.endpoints))
 
@@ -279,13 +280,18 @@
         keep departures open that are certain, and leaving endpoints would get
         requests for two seconds more.
         """
-        self.endpoints.outage_s = asyncio.get_running_loop().time()
+        self.endpoints.note_outage()
 
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(TRIM_EVERY_S)
             self.gateway.states.trim(self.gateway.beliefs.endpoints.values())
 
+    async def _expire_lapsed(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_EVERY_S)
+            self.endpoints.expire()
+
     async def _leave(self, front: asyncio.Server) -> None:
         """Take no new callers, finish the requests that are here, and go."""
         loop = asyncio.get_running_loop()
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -230,7 +230,7 @@
     async def story(fleet):
         running = fleet.gateways["gateway-0"]
         endpoints = running.gateway.beliefs.endpoints
-        running.endpoints.outage_s = asyncio.get_running_loop().time()
+        running.endpoints.note_outage()
         await asyncio.sleep(0.1)
         fleet.register(fleet.endpoints["app-0"].report)
         await asyncio.sleep(0.3)
@@ -244,6 +244,20 @@
     run_fleet(story)
 
 
+def test_a_departure_after_an_own_outage_is_known_soon_after_the_way_is_mended():
+    """Guards against requests to an endpoint that left as the gateway came back."""
+
+    async def story(fleet):
+        running = fleet.gateways["gateway-0"]
+        running.endpoints.note_outage()
+        await asyncio.sleep(0.1)
+        fleet.store.append(ENDPOINTS, "app-0", b"")
+        await asyncio.sleep(2.7)
+        assert "app-0" not in running.gateway.beliefs.endpoints
+
+    run_fleet(story)
+
+
 def test_an_endpoint_that_left_without_a_word_is_dropped_at_once():
     async def story(fleet):
         fleet.store.append(ENDPOINTS, "app-0", b"")
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciacove.errors import PlatformUnavailableError
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
@@ -225,6 +227,27 @@
     run_fleet(story)
 
 
+def test_a_gateway_that_reaches_nobody_looks_for_the_log_itself():
+    """Guards against a blind gateway that waits for the word of others it can't hear."""
+    first, second, me = reading_order(("r-1", "r-2", "r-3"))
+    peers = {name: Peer(name, "10.0.9.9", 1, "a", 0.0) for name in (first, second)}
+
+    async def story(fleet):
+        log = fleet.gateways["gateway-0"].metadata
+        clock_s = fleet.boot_time_s
+        relayed = RelayedLog(
+            me, "a", log.metadata, lambda: peers, clock_s, log.log, log.metrics
+        )
+        fleet.store.down = "reset"
+        with pytest.raises(PlatformUnavailableError):
+            await relayed.read(LogStream.OPERATOR, 0, 0.1)
+        fleet.store.down = None
+        page = await relayed.read(LogStream.OPERATOR, 0, 0.1)
+        assert page.records
+
+    run_fleet(story)
+
+
 def test_gateways_that_have_lost_the_log_do_not_assure_each_other():
     """The log turns all away and a key is taken away meanwhile. Each gateway hears
     from the others every half second; none of it may make a key look valid.
