--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -228,7 +228,7 @@
 
 
 def test_a_gateway_that_reaches_nobody_looks_for_the_log_itself():
-    """Guards against a blind gateway that waits for the word of others it can't hear."""
+    """Guards against a blind gateway that waits for others to tell it."""
     first, second, me = reading_order(("r-1", "r-2", "r-3"))
     peers = {name: Peer(name, "10.0.9.9", 1, "a", 0.0) for name in (first, second)}
 
