Tell the other gateways of long prompts; weigh the crowd by the whole wait

Within 0.9 s five gateways sent one engine their longest prompts for the largest model, 3.5 s of reading, and fifteen requests behind them waited 2 to 4.5 s while engines beside it took 0.3 s.

Hypothesis: each gateway sees a 28th of an engine's work; word of the rest lets it choose.

Bytes: one datagram of 56 bytes a receiver; a threshold that rises with the fleet keeps each gateway to 2,500 bytes a second.

--- a/acaciacove/decisions/endpoint_backlog.py
+++ b/acaciacove/decisions/endpoint_backlog.py
@@ -18,7 +18,7 @@
 class AwaitedPiece:
     """A request whose first piece is awaited.
 
-    ``own_s`` is how long it was to take: own requests before it, and itself.
+    ``own_s`` is how long it was to take: known requests before it, and itself.
     """
 
     sent_s: float
@@ -26,19 +26,28 @@
     own_s: float
 
 
+@frozen
+class ToldWork:
+    """A request that another process has told it sent."""
+
+    told_s: float
+    work_s: float
+
+
 @define
 class EndpointBacklog:
-    """What own requests tell of an endpoint's queue.
+    """What is known of an endpoint's queue.
 
-    Own requests before a new one are known. What others sent shows in how much longer
-    than expected a first piece took, or already takes: a request that is overdue tells
-    of a queue long before its answer does.
+    Own requests before a new one are known, and those that others told of. What
+    nobody told shows in how much longer than expected a first piece took, or already
+    takes: a request that is overdue tells of a queue long before its answer does.
     """
 
     free_s: float = -1e9
     others_s: float = 0.0
     others_seen_s: float = -1e9
     awaited: dict[int, AwaitedPiece] = field(factory=dict)
+    told: list[ToldWork] = field(factory=list)
 
     def send(self, number: int, work_s: float, now_s: float) -> None:
         """Note a request that is sent; ``work_s`` is its time without a queue."""
@@ -51,10 +60,19 @@
         if awaited is None:
             return None
         took_s = now_s - awaited.sent_s
+        # Prompts are read in turn: what was sent before this one is through.
+        self.told = [work for work in self.told if work.told_s > awaited.sent_s]
         self._see(max(0.0, took_s - awaited.own_s), now_s)
         self._start_over(now_s)
         return max(0.0, took_s - (awaited.own_s - awaited.work_s))
 
+    def send_other(self, work_s: float, now_s: float) -> None:
+        """Take word of a request that another process has just sent."""
+        if self.free_s <= now_s:
+            self.told.clear()
+        self.free_s = max(self.free_s, now_s) + work_s
+        self.told.append(ToldWork(now_s, work_s))
+
     def drop(self, number: int, now_s: float) -> None:
         """Stop waiting for a request that was given up or lost."""
         awaited = self.awaited.pop(number, None)
@@ -66,8 +84,9 @@
         self._start_over(now_s)
 
     def _start_over(self, now_s: float) -> None:
-        """Work out anew when own requests are through, those that are left."""
-        self.free_s = now_s + sum(a.work_s for a in self.awaited.values())
+        """Work out anew when the requests that are left will be through."""
+        own_s = sum(a.work_s for a in self.awaited.values())
+        self.free_s = now_s + own_s + sum(work.work_s for work in self.told)
 
     def _see(self, wait_s: float, now_s: float) -> None:
         known_s = self.others_known_s(now_s)
--- a/acaciacove/gateway/choice/weigh_endpoint.py
+++ b/acaciacove/gateway/choice/weigh_endpoint.py
@@ -1,28 +1,29 @@
 """What one endpoint would have to read for a request."""
 
-from acaciacove.gateway.choice.choice_settings import ChoiceSettings
 from acaciacove.gateway.choice.prompt import Prompt
-from acaciacove.gateway.choice.stable_hash import stable_hash
+from acaciacove.gateway.choice.stable_hash import part_key, stable_hash
 from acaciacove.gateway.endpoint_state import EndpointState
 
 
+def shared_keys(prompt: Prompt, model: str | None) -> tuple[int, ...]:
+    """Return the keys of a prompt's shared parts, as a model reads them."""
+    return tuple(part_key(model, part) for part, _ in prompt.parts[:-1])
+
+
 def unread_tokens(
-    state: EndpointState,
-    prompt: Prompt,
-    model: str | None,
-    is_home: bool,
-    settings: ChoiceSettings,
+    state: EndpointState, prompt: Prompt, keys: tuple[int, ...], home_share: float
 ) -> float:
     """Return the tokens of a prompt that the endpoint does not hold.
 
-    A part counts as held only when all parts before it are.
+    A part counts as held only when all parts before it are. Of parts that are not
+    known to be held, ``home_share`` is expected to be.
     """
     unread = 0.0
     held = True
-    for part, tokens in prompt.parts[:-1]:
-        held = held and state.holds(model, part)
+    for key, (_, tokens) in zip(keys, prompt.parts, strict=False):
+        held = held and state.holds(key)
         if not held:
-            unread += tokens * (1.0 - settings.home_share if is_home else 1.0)
+            unread += tokens * (1.0 - home_share)
     if prompt.parts:
         unread += prompt.parts[-1][1]
     return unread
--- a/acaciacove/gateway/choose_endpoint.py
+++ b/acaciacove/gateway/choose_endpoint.py
@@ -1,10 +1,12 @@
 """Chooses the endpoint for one attempt."""
 
+from collections.abc import Callable
+
 from acaciacove.decisions.endpoint_backlog import usual_wait_s
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.choice.cold_limiter import own_part
 from acaciacove.gateway.choice.endpoint_load import usual_others
-from acaciacove.gateway.choice.weigh_endpoint import home_of, unread_tokens
+from acaciacove.gateway.choice.weigh_endpoint import home_of, shared_keys, unread_tokens
 from acaciacove.gateway.choose_version import admissible
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
@@ -121,12 +123,12 @@
     choice = gateway.choice
     usual = usual_others((state.load for state in states), now_s)
     wait_s = usual_wait_s((state.backlog for state in states), now_s)
-    home = home_of_prompt(work, states)
+    reading_cost_s = reading_costs(gateway, work, states)
 
     def cost_s(state: EndpointState) -> float:
         near = state.endpoint.availability_zone == gateway.settings.availability_zone
         load = state.load.estimate(now_s, usual) + _suspicion(gateway, state, now_s)
-        reading_s = reading_cost_s(gateway, work, state, home)
+        reading_s = reading_cost_s(state)
         zone_ms = 0.0 if near else choice.other_zone_ms
         return (
             state.backlog.wait_s(now_s, wait_s)
@@ -137,23 +139,24 @@
     return min(states, key=cost_s)
 
 
-def home_of_prompt(work: Work, states: list[EndpointState]) -> str | None:
-    """Return the endpoint that all gateways prefer for the request's shared part."""
-    prompt = work.request.hints.prompt
-    key = (prompt.shared_key or "") if prompt else ""
-    return home_of(key, work.model, [s.endpoint.instance for s in states])
-
-
-def reading_cost_s(
-    gateway: Gateway, work: Work, state: EndpointState, home: str | None
-) -> float:
-    """Return what reading the prompt there costs, without a queue."""
+def reading_costs(
+    gateway: Gateway, work: Work, states: list[EndpointState]
+) -> Callable[[EndpointState], float]:
+    """Return what reading the prompt costs at an endpoint, without a queue."""
     prompt = work.request.hints.prompt
     if prompt is None:
-        return 0.0
+        return lambda state: 0.0
     choice = gateway.choice
-    is_home = state.endpoint.instance == home
-    tokens = unread_tokens(state, prompt, work.model, is_home, choice)
+    keys = shared_keys(prompt, work.model)
     pace = gateway.reading_pace(work.service.name, work.model)
-    memory_s = tokens * choice.memory_ms_per_1k / MS / TOKENS_PER_1K
-    return choice.reading_weight * pace.predict_s(tokens) + memory_s
+    instances = [s.endpoint.instance for s in states]
+    home = home_of(prompt.shared_key or "", work.model, instances)
+
+    def cost_s(state: EndpointState) -> float:
+        is_home = state.endpoint.instance == home
+        home_share = choice.home_share if is_home else 0.0
+        tokens = unread_tokens(state, prompt, keys, home_share)
+        memory_s = tokens * choice.memory_ms_per_1k / MS / TOKENS_PER_1K
+        return choice.reading_weight * pace.predict_s(tokens) + memory_s
+
+    return cost_s
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -131,10 +131,10 @@
 
 @frozen
 class _Queues:
-    """Queues before a service's endpoints: the usual wait and the least one."""
+    """Queues before a service's endpoints: the mean wait and the least one."""
 
     endpoints: int
-    usual_s: float
+    mean_s: float
     least_s: float
 
 
@@ -145,8 +145,10 @@
         if endpoint.service == work.service.name and not endpoint.leaving
     ]
     usual_s = usual_wait_s(backlogs, now_s)
-    least_s = min((b.wait_s(now_s, usual_s) for b in backlogs), default=0.0)
-    return _Queues(len(backlogs), usual_s, least_s)
+    waits_s = [b.wait_s(now_s, usual_s) for b in backlogs]
+    if not waits_s:
+        return _Queues(0, 0.0, 0.0)
+    return _Queues(len(waits_s), sum(waits_s) / len(waits_s), min(waits_s))
 
 
 def _moment(gateway: Gateway, work: Work, queues: _Queues, now_s: float) -> Moment:
@@ -154,7 +156,7 @@
     return Moment(
         elapsed_s=now_s - work.request.arrived_s,
         target_s=work.route.latency_target_s,
-        delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.usual_s,
+        delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.mean_s,
     )
 
 
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -1,6 +1,7 @@
 """What a gateway keeps for one life of an endpoint."""
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from attrs import define, field
 
@@ -12,7 +13,7 @@
 from acaciacove.gateway.http.connection_pool import ConnectionPool
 
 # Prompt parts that one gateway believes to be in an endpoint's memory; parts
-# that this gateway has not sent there lately are likely gone.
+# that nobody has sent there lately are likely gone.
 MAX_KNOWN_PARTS = 512
 
 
@@ -26,16 +27,16 @@
     backlog: EndpointBacklog = field(factory=EndpointBacklog)
     health: EndpointHealth = field(factory=EndpointHealth)
     cold: ColdLimiter = field(factory=ColdLimiter)
-    parts: OrderedDict[tuple[str | None, str], None] = field(factory=OrderedDict)
+    parts: OrderedDict[int, None] = field(factory=OrderedDict)
 
-    def remember_parts(self, model: str | None, ids: list[str]) -> None:
-        """Note that prompt parts have just been read by a model."""
-        for part in ids:
-            self.parts.pop((model, part), None)
-            self.parts[(model, part)] = None
+    def remember_parts(self, keys: Iterable[int]) -> None:
+        """Note by their keys that shared parts have just been read."""
+        for key in keys:
+            self.parts.pop(key, None)
+            self.parts[key] = None
         while len(self.parts) > MAX_KNOWN_PARTS:
             self.parts.popitem(last=False)
 
-    def holds(self, model: str | None, part: str) -> bool:
+    def holds(self, key: int) -> bool:
         """Tell whether a part is probably in the endpoint's memory."""
-        return (model, part) in self.parts
+        return key in self.parts
--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -3,16 +3,23 @@
 from collections.abc import Iterable
 
 from acaciacove.gateway.catalogue.endpoint import Endpoint
+from acaciacove.gateway.choice.stable_hash import stable_number
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.http.connection_pool import ConnectionPool
 
 
+def endpoint_id(instance: str) -> int:
+    """Return the number by which gateways name an endpoint to each other."""
+    return stable_number(instance)
+
+
 class EndpointStates:
     """One state for each life of an endpoint."""
 
     def __init__(self) -> None:
         """Begin without endpoints."""
         self._states: dict[tuple[str, str], EndpointState] = {}
+        self._by_id: dict[int, EndpointState] = {}
 
     def of(self, endpoint: Endpoint) -> EndpointState:
         """Return the state of an endpoint, with its newest report."""
@@ -21,12 +28,22 @@
             pool = ConnectionPool(endpoint.host, endpoint.port)
             state = EndpointState(endpoint=endpoint, pool=pool)
             self._states[endpoint.key] = state
+            self._by_id[endpoint_id(endpoint.instance)] = state
         state.endpoint = endpoint
         return state
 
-    def trim(self, endpoints: Iterable[Endpoint]) -> None:
-        """Forget endpoints that are gone and end their idle connections."""
+    def find(self, number: int) -> EndpointState | None:
+        """Return the newest life of the endpoint with an id, None if unknown."""
+        return self._by_id.get(number)
+
+    def keep_to(self, endpoints: Iterable[Endpoint]) -> None:
+        """Have a state for each known endpoint, and forget those that are gone.
+
+        Idle connections are ended with it.
+        """
         known = {endpoint.key for endpoint in endpoints}
+        for endpoint in endpoints:
+            self.of(endpoint)
         for key, state in list(self._states.items()):
             if key in known:
                 state.pool.trim()
@@ -34,6 +51,12 @@
             state.pool.close()
             if state.load.in_flight == 0:
                 del self._states[key]
+                self._forget_id(state)
+
+    def _forget_id(self, state: EndpointState) -> None:
+        number = endpoint_id(state.endpoint.instance)
+        if self._by_id.get(number) is state:
+            del self._by_id[number]
 
     def all(self) -> Iterable[EndpointState]:
         """Return every state."""
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -6,8 +6,9 @@
 import h11
 from attrs import define
 
-from acaciacove.gateway.choice.weigh_endpoint import unread_tokens
+from acaciacove.gateway.choice.weigh_endpoint import shared_keys, unread_tokens
 from acaciacove.gateway.endpoint_state import EndpointState
+from acaciacove.gateway.endpoint_states import endpoint_id
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.endpoint_connection import EndpointConnection
@@ -15,6 +16,7 @@
 from acaciacove.gateway.http.forward_hints import ForwardHints
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress, kind_cell
 from acaciacove.gateway.work import Work
+from acaciacove.messages.work_sent import WorkSent
 
 # Answers to earlier requests that are passed over on one connection before it is
 # given up.
@@ -83,15 +85,16 @@
         if prompt is None:
             return
         gateway, work, state = self.gateway, self.work, self.state
-        choice = gateway.choice
-        self.unread_tokens = unread_tokens(state, prompt, work.model, False, choice)
+        keys = shared_keys(prompt, work.model)
+        self.unread_tokens = unread_tokens(state, prompt, keys, 0.0)
         pace = gateway.reading_pace(work.service.name, work.model)
         self.piece_number = gateway.next_number()
         work_s = pace.predict_s(self.unread_tokens)
         self.predicted_s = state.backlog.wait_s(now_s, 0.0) + work_s
         state.backlog.send(self.piece_number, work_s, now_s)
-        ids = [part for part, _ in prompt.parts]
-        state.remember_parts(work.model, ids)
+        state.remember_parts(keys)
+        endpoint = endpoint_id(state.endpoint.instance)
+        gateway.tell_work(WorkSent(endpoint, work_s, keys), now_s)
 
     def note_first_piece(self, now_s: float) -> None:
         """Learn from the head of an answer how busy the endpoint is, and how fast."""
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -1,5 +1,6 @@
 """The state of one gateway, handed whole to what serves requests."""
 
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
@@ -20,6 +21,7 @@
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS, StreamTail
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
+from acaciacove.messages.work_sent import WorkSent
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 # Of the repeats that are promised over all gateways, the share that is planned
@@ -35,6 +37,13 @@
 SENT_WINDOW_S = 2.0
 
 
+TellWork = Callable[[WorkSent, float], None]
+
+
+def tell_nobody(sent: WorkSent, now_s: float) -> None:
+    """Stand in until the other gateways can be told."""
+
+
 def _told_tails() -> dict[LogStream, StreamTail]:
     return {stream: StreamTail() for stream in TOLD_STREAMS}
 
@@ -45,6 +54,7 @@
 
     ``members`` are the other gateways that are or may be alive, and ``tails`` hold
     what is told to them. ``members_known`` is set once their list has been read.
+    ``tell_work`` tells them of a prompt that has just been sent.
     """
 
     settings: GatewaySettings
@@ -63,6 +73,7 @@
     members: dict[str, Peer] = field(factory=dict)
     members_known: bool = False
     tails: dict[LogStream, StreamTail] = field(factory=_told_tails)
+    tell_work: TellWork = tell_nobody
     leaving: bool = False
     _last_number: int = 0
     sessions: SessionVersions = field(init=False)
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -20,8 +20,10 @@
     write_member,
 )
 from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.peers.work_news import WorkNews
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.version_cell import VersionCell
+from acaciacove.messages.work_sent import WorkSent
 from acaciacove.wire.codec import decode, encode
 
 # Pace of reports: fast while a roll-out is judged or the log cannot be reached,
@@ -64,6 +66,12 @@
         self._incarnation = time.time_ns()
         self._nonces: dict[int, float] = {}
         self._next_nonce = 0
+        self._work_news = WorkNews(
+            lambda: gateway.members.values(),
+            self._send_data,
+            gateway.states,
+            gateway.log,
+        )
 
     async def open(self) -> None:
         """Listen for peers."""
@@ -71,6 +79,7 @@
         self._transport = await self._open_datagrams(
             settings.host, settings.peer_port, self._take
         )
+        self._gateway.tell_work = self._work_news.tell
 
     async def run(self) -> None:
         """Join, and report until cancelled."""
@@ -178,10 +187,11 @@
             self._send(peer, reply_wanted=asks)
 
     def _send(self, peer: Peer, reply_wanted: bool) -> None:
+        self._send_data(encode(self._report(peer, reply_wanted)), peer)
+
+    def _send_data(self, data: bytes, peer: Peer) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        report = self._report(peer, reply_wanted)
-        data = encode(report)
         self._transport.sendto(data, (peer.host, peer.port))
         self._count("sent", data)
 
@@ -218,15 +228,19 @@
     def _take(self, data: bytes) -> None:
         self._count("taken", data)
         try:
-            report = decode(data)
+            message = decode(data)
         except MalformedMessageError as error:
             self._gateway.log.write(Event.PEER_MESSAGE_UNREADABLE, detail=str(error))
             return
-        if not isinstance(report, GatewayReport):
-            return
+        now_s = asyncio.get_running_loop().time()
+        if isinstance(message, WorkSent):
+            self._work_news.take(message, now_s)
+        elif isinstance(message, GatewayReport):
+            self._take_report(message, now_s)
+
+    def _take_report(self, report: GatewayReport, now_s: float) -> None:
         if report.instance == self._gateway.settings.name:
             return
-        now_s = asyncio.get_running_loop().time()
         peer = self._peer_of(report, now_s)
         peer.known_s = peer.heard_s = now_s
         peer.incarnation = report.incarnation
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -285,7 +285,7 @@
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(TRIM_EVERY_S)
-            self.gateway.states.trim(self.gateway.beliefs.endpoints.values())
+            self.gateway.states.keep_to(self.gateway.beliefs.endpoints.values())
 
     async def _expire_lapsed(self) -> None:
         while True:
--- a/acaciacove/messages/message.py
+++ b/acaciacove/messages/message.py
@@ -18,6 +18,7 @@
 from acaciacove.messages.records import Records
 from acaciacove.messages.refused import Refused
 from acaciacove.messages.run import Run
+from acaciacove.messages.work_sent import WorkSent
 
 Message = (
     Hello
@@ -38,4 +39,5 @@
     | GatewayReport
     | LogAsk
     | LogTold
+    | WorkSent
 )
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -209,6 +209,12 @@
   records @4 :List(ToldRecord);
 }
 
+struct WorkSent {
+  endpoint @0 :UInt32;
+  workS @1 :Float32;
+  parts @2 :List(UInt32);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -229,5 +235,6 @@
     gatewayReport @15 :GatewayReport;
     logAsk @16 :LogAsk;
     logTold @17 :LogTold;
+    workSent @18 :WorkSent;
   }
 }
--- a/tests/test_decisions_models.py
+++ b/tests/test_decisions_models.py
@@ -15,6 +15,7 @@
     next_model,
 )
 from acaciacove.decisions.reading_pace import ReadingPace
+from acaciacove.decisions.telling_threshold import TellingThreshold
 
 CALM = Moment(elapsed_s=0.2, target_s=3.0)
 CONFIDENCES = st.floats(0.0, 100.0)
@@ -177,3 +178,46 @@
     known.answer(1, 1.1)
     usual = usual_wait_s([known, unknown], 1.1)
     assert 0.0 < unknown.wait_s(1.1, usual) < known.wait_s(1.1, usual)
+
+
+def test_what_others_tell_is_waited_for_until_an_own_answer_shows_it_through():
+    backlog = EndpointBacklog()
+    backlog.send_other(0.8, now_s=5.0)
+    backlog.send(1, 0.1, now_s=5.2)
+    backlog.send_other(0.5, now_s=5.3)
+    assert backlog.wait_s(5.3, 0.0) == pytest.approx(1.1)
+    assert backlog.answer(1, 5.9) == pytest.approx(0.1)
+    assert backlog.wait_s(5.9, 0.0) == pytest.approx(0.5)
+
+
+def test_work_that_was_told_is_over_when_its_time_has_passed():
+    """Guards against a queue that never empties where no own answer comes."""
+    backlog = EndpointBacklog()
+    backlog.send_other(0.8, now_s=5.0)
+    backlog.send_other(0.2, now_s=7.0)
+    assert backlog.wait_s(7.0, 0.0) == pytest.approx(0.2)
+    assert len(backlog.told) == 1
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 2.0), st.floats(0.0, 5.0)), max_size=200),
+    st.integers(1, 20_000),
+)
+@settings(max_examples=200, derandomize=True)
+def test_what_is_told_keeps_to_its_budget(moments, cost_bytes):
+    threshold = TellingThreshold(bytes_per_s=2_500.0)
+    now_s, told_bytes = 0.0, 0
+    for gap_s, work_s in moments:
+        now_s += gap_s
+        if threshold.admits(work_s, cost_bytes, now_s):
+            told_bytes += cost_bytes
+    assert told_bytes <= 2_500.0 * now_s + cost_bytes
+
+
+def test_where_not_all_can_be_told_the_longest_work_is():
+    threshold = TellingThreshold(bytes_per_s=1_000.0)
+    random = Random(3)
+    offered = [(step * 0.05, random.uniform(0.0, 3.0)) for step in range(4_000)]
+    told = [w for at_s, w in offered if threshold.admits(w, 1_000, at_s)]
+    assert len(told) > 150
+    assert sum(told) / len(told) > 2.0
--- a/tests/test_gateway_heavy_load.py
+++ b/tests/test_gateway_heavy_load.py
@@ -2,6 +2,7 @@
 
 from heapq import heappop, heappush
 from random import Random
+from statistics import median
 
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.catalogue.endpoint import Endpoint
@@ -13,13 +14,17 @@
 )
 from acaciacove.gateway.choice.prompt import Prompt
 from acaciacove.gateway.choose_endpoint import choose_endpoint
+from acaciacove.gateway.endpoint_states import endpoint_id
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.caller_hints import CallerHints
 from acaciacove.gateway.http.caller_request import CallerRequest
+from acaciacove.gateway.peers.work_news import WorkNews
 from acaciacove.gateway.work import Work
+from acaciacove.messages.work_sent import WorkSent
 from acaciacove.platform.header_fields import DIALECT
 from acaciacove.standins.gateway_fleet import gateway_settings
+from acaciacove.wire.codec import decode
 from tests.gateway_world import catalogue
 
 # The largest deployment that was measured: 29 gateways before 24 engines, each of
@@ -76,8 +81,8 @@
     return made
 
 
-def a_work(gateway, number, now_s):
-    prompt = Prompt((("own", 500),), 500, 40)
+def a_work(gateway, number, now_s, tokens=500):
+    prompt = Prompt((("own", tokens),), tokens, 40)
     hints = CallerHints(str(number), None, None, None, prompt, None, None)
     request = CallerRequest(b"POST", b"/draft/1", "h", (), b"", hints, now_s)
     current = gateway.beliefs.catalogue
@@ -138,3 +143,74 @@
     fair = sum(engine.arrivals for engine in engines.values()) / ENGINES
     for engine in engines.values():
         assert 0.5 * fair < engine.arrivals < 1.3 * fair
+
+
+# One prompt in five is long, and the fleet reads for 60 seconds in a hundred.
+LONG_S = 0.8
+SHORT_S = 0.05
+PROMPTS_PER_S = 70.0
+TOKENS_PER_S = 20_000.0
+
+
+def tell_each_other(gateways):
+    """Carry word of prompts between gateways as datagrams are."""
+    now_s = [0.0]
+    news = {}
+    for gateway in gateways:
+        name = gateway.settings.name
+        others = [g.settings.name for g in gateways if g is not gateway]
+        news[name] = WorkNews(
+            lambda others=others: others,
+            lambda data, name: news[name].take(decode(data), now_s[0]),
+            gateway.states,
+            gateway.log,
+        )
+        gateway.tell_work = news[name].tell
+    return now_s
+
+
+def play_long_prompts(seconds, told):
+    """Return, for each second, how long prompts waited at each engine."""
+    random = Random(11)
+    names = [f"engine-{number}" for number in range(ENGINES)]
+    free_s = dict.fromkeys(names, 0.0)
+    gateways = gateways_before(names)
+    clock = tell_each_other(gateways) if told else [0.0]
+    for gateway in gateways:
+        for endpoint in gateway.beliefs.endpoints.values():
+            gateway.states.of(endpoint)
+    waits = [[] for _ in range(seconds)]
+    events, number, now_s = [], 0, 0.0
+    while now_s < seconds:
+        while events and events[0][0] <= now_s:
+            at_s, asked, gateway, name = heappop(events)
+            state = gateway.states.of(gateway.beliefs.endpoints[name])
+            state.load.in_flight -= 1
+            state.backlog.answer(asked, at_s)
+        number += 1
+        clock[0] = now_s
+        taker = random.choice(gateways)
+        work_s = LONG_S if random.random() < 0.2 else SHORT_S
+        work = a_work(taker, number, now_s, round(work_s * TOKENS_PER_S))
+        state = choose_endpoint(taker, work, now_s)
+        name = state.endpoint.instance
+        state.load.in_flight += 1
+        state.backlog.send(number, work_s, now_s)
+        taker.tell_work(WorkSent(endpoint_id(name), work_s, ()), now_s)
+        waits[int(now_s)].append(max(0.0, free_s[name] - now_s))
+        free_s[name] = max(now_s, free_s[name]) + work_s
+        heappush(events, (free_s[name], number, taker, name))
+        now_s += random.expovariate(PROMPTS_PER_S)
+    return waits
+
+
+def test_long_prompts_of_many_gateways_do_not_meet_at_one_engine():
+    """Guards against seconds of queue at one engine while the one beside it is free."""
+    for second in play_long_prompts(20, told=True)[1:]:
+        assert max(second) <= median(second) + 1.0
+
+
+def test_without_word_of_each_other_long_prompts_meet():
+    """Shows that the load above is one that gateways cannot spread alone."""
+    alone = play_long_prompts(20, told=False)[1:]
+    assert any(max(second) > median(second) + 1.0 for second in alone)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -8,7 +8,9 @@
 from pytest import raises
 
 from acaciacove.errors import MalformedMessageError
+from acaciacove.gateway.choice.stable_hash import part_key
 from acaciacove.gateway.choose_endpoint import cold_part
+from acaciacove.gateway.endpoint_states import endpoint_id
 from acaciacove.gateway.gateway import ASSUMED_GATEWAYS
 from acaciacove.gateway.peers.member_record import (
     MemberRecord,
@@ -19,9 +21,10 @@
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.rollout_view import RolloutView
 from acaciacove.messages.version_cell import VersionCell
+from acaciacove.messages.work_sent import WorkSent
 from acaciacove.standins.gateway_fleet import PEER_PORT
 from acaciacove.wire.codec import decode, encode
-from tests.gateway_world import call, catalogue, report, run_fleet
+from tests.gateway_world import call, catalogue, model_fields, report, run_fleet
 
 OFFSETS = st.integers(0, 2**40)
 SECONDS = st.floats(0, 1e6, allow_nan=False)
@@ -220,3 +223,46 @@
         assert gateway.gateway_count == ASSUMED_GATEWAYS
 
     run_fleet(story, gateways=2)
+
+
+@given(
+    st.builds(
+        WorkSent,
+        endpoint=st.integers(0, 2**32 - 1),
+        work_s=st.floats(0, 100, width=32),
+        parts=st.lists(st.integers(0, 2**32 - 1), max_size=3).map(tuple),
+    )
+)
+@settings(max_examples=50, derandomize=True)
+def test_word_of_a_prompt_is_read_as_it_was_written(sent):
+    assert decode(encode(sent)) == sent
+
+
+def test_a_long_prompt_at_one_gateway_is_known_to_the_other():
+    async def story(fleet):
+        await asyncio.sleep(1.5)
+        fields = model_fields(tokens=60_000)
+        await call("/draft/1", "r-1", fields=fields)
+        asked = next(a.instance for a in fleet.arrivals)
+        other = fleet.gateways["gateway-1"].gateway
+        state = other.states.find(endpoint_id(asked))
+        assert state.backlog.told
+        assert any(state.holds(part_key(m, "subject")) for m in ("small", "large"))
+
+    run_fleet(story, gateways=2)
+
+
+def test_word_of_impossible_work_is_left():
+    """Guards against a faulty peer that makes an endpoint look busy for ever."""
+
+    async def story(fleet):
+        gateway = fleet.gateways["gateway-0"].gateway
+        for work_s in (float("nan"), float("inf"), -1.0, 1e9):
+            data = encode(WorkSent(endpoint_id("model-0"), work_s, ()))
+            fleet.network.carry("10.0.1.2", data, ("10.0.1.1", PEER_PORT))
+        await asyncio.sleep(0.1)
+        now_s = asyncio.get_running_loop().time()
+        for state in gateway.states.all():
+            assert state.backlog.wait_s(now_s, 0.0) == 0.0
+
+    run_fleet(story, gateways=2)
