Call the log as often as promises need; tell each other of outcomes

Change: readers hold their calls and rest between reads of endpoints in proportion to the time that is promised for decisions (2 s as before; at 3 s and more 1.5 s held, 0.3 s of rest, told for 2.1 s). Outcomes are read twice a second by the whole fleet at most, in place of once in 5 s by each gateway.

A rest of 0.4 s beside 1 s of hold was red in test_only_few_gateways_call_the_log: a reader that rests and waits must still be able to tell; the test of the pace holds that now.

--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -54,7 +54,9 @@
 
     ``members`` are the other gateways that are or may be alive, and ``tails`` hold
     what is told to them. ``members_known`` is set once their list has been read.
-    ``tell_work`` tells them of a prompt that has just been sent.
+    ``tell_work`` tells them of a prompt that has just been sent. Outcomes of roll-outs
+    have been read here up to ``outcomes_offset``, last with news at
+    ``outcomes_changed_s``, and by some other gateway up to ``outcomes_told``.
     """
 
     settings: GatewaySettings
@@ -73,6 +75,9 @@
     members: dict[str, Peer] = field(factory=dict)
     members_known: bool = False
     tails: dict[LogStream, StreamTail] = field(factory=_told_tails)
+    outcomes_offset: int = -1
+    outcomes_told: int = -1
+    outcomes_changed_s: float = -1e9
     tell_work: TellWork = tell_nobody
     leaving: bool = False
     _last_number: int = 0
--- a/acaciacove/gateway/outcome_duty.py
+++ b/acaciacove/gateway/outcome_duty.py
@@ -24,8 +24,10 @@
 
 STEP_EVERY_S = 0.1
 # Outcomes that others recorded are read this often while an order is open, and
-# right before one is recorded.
+# right before one is recorded. All gateways together make two calls a second at most;
+# those that are told of a new outcome look at once.
 READ_EVERY_S = 5.0
+FLEET_READS_PER_S = 2.0
 # Gateways record in turn, this long after each other, so that mostly one call is
 # made; the condition of the append settles races.
 TURN_S = 0.2
@@ -58,7 +60,7 @@
             if not self._gateway.rollouts:
                 continue
             now_s = asyncio.get_running_loop().time()
-            if now_s - self._read_s >= READ_EVERY_S:
+            if now_s - self._read_s >= self._read_every_s():
                 await self._read_outcomes()
             for progress in list(self._gateway.rollouts.values()):
                 self._step(progress)
@@ -66,6 +68,11 @@
                 if wanted is not None:
                     await self._record_in_turn(progress, wanted)
 
+    def _read_every_s(self) -> float:
+        if self._gateway.outcomes_told > self._next_offset:
+            return RETRY_S
+        return max(READ_EVERY_S, self._gateway.gateway_count / FLEET_READS_PER_S)
+
     def _follow_orders(self) -> None:
         """Open and close roll-outs as orders and outcomes say."""
         gateway = self._gateway
@@ -111,6 +118,9 @@
         for record in page.records:
             self._take(record)
         self._next_offset = page.next_offset
+        self._gateway.outcomes_offset = page.next_offset
+        if page.records:
+            self._gateway.outcomes_changed_s = self._read_s
         return True
 
     def _take(self, record: LogRecord) -> None:
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -30,6 +30,8 @@
 # else just often enough to tell living peers from dead ones.
 BUSY_EVERY_S = 0.3
 CALM_EVERY_S = 2.0
+# An outcome of a roll-out that was read here is passed on for this long.
+OUTCOME_NEWS_S = 2.0
 # Peers that one round of reports goes to; the others learn in later rounds.
 FANOUT = 4
 # The age of the own beliefs from which peers are asked to confirm them.
@@ -95,8 +97,13 @@
                 self._transport.close()
 
     def _is_busy(self) -> bool:
-        beliefs = self._gateway.beliefs
-        return bool(self._gateway.rollouts) or beliefs.confirmed_age_s > ASK_AGE_S
+        gateway = self._gateway
+        changed_s = asyncio.get_running_loop().time() - gateway.outcomes_changed_s
+        return (
+            bool(gateway.rollouts)
+            or gateway.beliefs.confirmed_age_s > ASK_AGE_S
+            or changed_s < OUTCOME_NEWS_S
+        )
 
     #
     # Who the peers are
@@ -223,6 +230,7 @@
             rollouts=tuple(p.view(now_s) for p in gateway.rollouts.values()),
             cells=tuple(cells),
             availability_zone=settings.availability_zone,
+            outcomes_offset=gateway.outcomes_offset,
         )
 
     def _take(self, data: bytes) -> None:
@@ -245,6 +253,8 @@
         peer.known_s = peer.heard_s = now_s
         peer.incarnation = report.incarnation
         peer.heard_nonce = report.nonce
+        told = max(self._gateway.outcomes_told, report.outcomes_offset)
+        self._gateway.outcomes_told = told
         self._confirm(report)
         self._take_rollouts(report, now_s)
         if report.reply_wanted:
--- a/acaciacove/gateway/relay/tell_records.py
+++ b/acaciacove/gateway/relay/tell_records.py
@@ -11,11 +11,6 @@
 from acaciacove.messages.told_record import ToldRecord
 from acaciacove.wire.connection import Connection
 
-# Knowledge older than this is not told: the asker does better to look itself. A
-# reader that others follow renews its knowledge each second. One that has lost the
-# log says so 1.4 s later, which leaves its askers half a second to look themselves
-# within the 2 s in which the users' decisions must be in force.
-OLDEST_TOLD_S = 1.4
 # Knowledge that has no more than this left to be told is not told: an answer with
 # nothing in it, held for no time, would only bring the same question again.
 LEAST_LEFT_S = 0.01
@@ -24,15 +19,21 @@
 
 
 async def tell_records(
-    connection: Connection, tails: Tails, clock_s: Callable[[], float]
+    connection: Connection,
+    tails: Tails,
+    clock_s: Callable[[], float],
+    oldest_s: float,
 ) -> None:
-    """Answer the questions of one connection until it closes."""
+    """Answer the questions of one connection until it closes.
+
+    Knowledge older than ``oldest_s`` is not told: the asker does better to look itself.
+    """
     try:
         while isinstance(ask := await connection.receive(), LogAsk):
             tail = _tail_of(tails, ask.stream)
             if tail is None:
                 return
-            await connection.send(await answer(ask, tail, clock_s))
+            await connection.send(await answer(ask, tail, clock_s, oldest_s))
     except ConnectionError:
         # The asker is gone; nobody waits for the answer.
         return
@@ -46,12 +47,12 @@
 
 
 async def answer(
-    ask: LogAsk, tail: StreamTail, clock_s: Callable[[], float]
+    ask: LogAsk, tail: StreamTail, clock_s: Callable[[], float], oldest_s: float
 ) -> LogTold:
     """Hold a question while there is nothing new, then say what is known."""
     asked_boot_s = clock_s()
     tail.asked_boot_s = asked_boot_s
-    left_s = OLDEST_TOLD_S - (asked_boot_s - tail.complete_boot_s)
+    left_s = oldest_s - (asked_boot_s - tail.complete_boot_s)
     is_fresh = left_s > LEAST_LEFT_S
     if is_fresh and tail.next_offset <= ask.offset:
         # Nothing may be held for longer than it can still be told.
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -28,6 +28,7 @@
 from acaciacove.gateway.outcome_duty import OutcomeDuty
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
 from acaciacove.gateway.record_codec import RecordCodec
+from acaciacove.gateway.relay.relay_pace import relay_pace
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.serve_request import serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
@@ -37,15 +38,10 @@
 # which one meets a connection that has gone silent and its time limit of a second,
 # still end within the time for which API keys are honoured without a proof.
 DECISION_WAIT_S = 1.5
-# Endpoints' records are written when something changes. During a roll-out or a
-# restart many change together; this pause reads them in one call, and delays the
-# news of a leaving endpoint by a tenth of the time that is promised for it.
 ENDPOINT_WAIT_S = 1.5
-ENDPOINT_PAUSE_S = 0.2
-# While other gateways ask this one, its reads are held for less: what it tells is
-# then at most this old, and an asker notices in time when it has lost the log. A
-# question this long ago says that nobody asks any more.
-ASKED_WAIT_S = 1.0
+# While other gateways ask this one, its reads are held for less, so that an asker
+# notices in time when it has lost the log. A question this long ago says that nobody
+# asks any more.
 ASKED_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
 EXPIRE_EVERY_S = 0.2
@@ -230,7 +226,7 @@
             FollowedStream(
                 LogStream.ENDPOINTS,
                 lambda: self._wait_s(LogStream.ENDPOINTS, ENDPOINT_WAIT_S),
-                ENDPOINT_PAUSE_S,
+                relay_pace(self.settings.propagation_s).pause_s,
                 self._on_endpoints,
                 self._note_outage,
             ),
@@ -245,7 +241,7 @@
         """Return how long a read may be held: less while other gateways ask."""
         asked_s = self.gateway.tails[stream].asked_boot_s
         if self.clock_s() - asked_s < ASKED_MEMORY_S:
-            return min(alone_s, ASKED_WAIT_S)
+            return min(alone_s, relay_pace(self.settings.propagation_s).held_s)
         return alone_s
 
     def _on_decisions(
--- a/acaciacove/messages/gateway_report.py
+++ b/acaciacove/messages/gateway_report.py
@@ -14,7 +14,8 @@
     that ``revision`` is the newest decision; infinite when never. ``echo`` is
     the ``nonce`` of the receiver's last report: it proves that this one was made
     after that one was sent, however long it has waited in a queue.
-    ``address`` is IP:PORT.
+    ``address`` is IP:PORT. ``outcomes_offset`` is where the log of roll-outs' outcomes
+    ended when the sender read it.
     """
 
     instance: str
@@ -28,3 +29,4 @@
     rollouts: tuple[RolloutView, ...]
     cells: tuple[VersionCell, ...]
     availability_zone: str
+    outcomes_offset: int = -1
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -91,6 +91,7 @@
     "exposure_extra": ("bounds.exposureTolerance", float),
     "cold_overage": ("bounds.coldOverage", float),
     "cold_extra": ("bounds.coldTolerance", float),
+    "propagation_s": ("bounds.configPropagationMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
 }
 _REQUIRED = frozenset(
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -41,6 +41,7 @@
 STANDIN_LIMITS = CallerLimits(max_header_bytes=65_536, idle_timeout_s=10.0)
 OPERATOR = names.STREAMS[LogStream.OPERATOR]
 ENDPOINTS = names.STREAMS[LogStream.ENDPOINTS]
+OUTCOMES = names.STREAMS[LogStream.OUTCOMES]
 TalkToPeers = Callable[[Gateway, MetadataLog], Awaitable[None]]
 
 
@@ -132,8 +133,7 @@
 
     def outcome(self, service: str) -> str:
         """Return the recorded state of a roll-out, or nothing."""
-        stream = names.STREAMS[LogStream.OUTCOMES]
-        found = self.store.newest[stream].get(names.ROLLOUT_KEY + service)
+        found = self.store.newest[OUTCOMES].get(names.ROLLOUT_KEY + service)
         return found[1].decode() if found else ""
 
     async def add_gateway(
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -186,6 +186,7 @@
   rollouts @8 :List(RolloutView);
   cells @9 :List(VersionCell);
   availabilityZone @10 :Text;
+  outcomesOffset @11 :Int64 = -1;
 }
 
 struct ToldRecord {
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -10,8 +10,9 @@
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.outcome_duty import FLEET_READS_PER_S, OutcomeDuty
 from acaciacove.gateway.peers.peer import Peer
-from acaciacove.gateway.relay.reader_link import ReaderLink
+from acaciacove.gateway.relay.reader_link import HOLD_S, ReaderLink
 from acaciacove.gateway.relay.reading_order import (
     SUBSTITUTES,
     reader_count,
@@ -19,12 +20,14 @@
     reading_order,
     whom_to_ask,
 )
+from acaciacove.gateway.relay.relay_pace import relay_pace
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.relay.stream_tail import KEPT_RECORDS, StreamTail
-from acaciacove.gateway.relay.tell_records import OLDEST_TOLD_S, answer
+from acaciacove.gateway.relay.tell_records import answer
 from acaciacove.messages.log_ask import LogAsk
 from acaciacove.messages.log_told import LogTold
 from acaciacove.messages.told_record import ToldRecord
+from acaciacove.platform.store_client import CALL_TIMEOUT_S
 from acaciacove.standins.gateway_fleet import ENDPOINTS, PEER_PORT
 from acaciacove.wire.codec import decode, encode
 from tests.gateway_world import call, catalogue, report, run_fleet
@@ -345,12 +348,43 @@
         now_s = asyncio.get_running_loop().time
         tail = StreamTail()
         tail.take(LogPage((), 7), True, now_s())
-        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s)
+        oldest_s = relay_pace(2.0).oldest_told_s
+        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s, oldest_s)
         assert told.known and told.records == () and told.held_s >= 0.5
         # What others tell does not count as an own look.
         tail.take(LogPage((), 7, complete_after_s=0.0), False, now_s())
-        await asyncio.sleep(OLDEST_TOLD_S)
-        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s)
+        await asyncio.sleep(oldest_s)
+        told = await answer(LogAsk("operator", 7, 0.5), tail, now_s, oldest_s)
         assert not told.known
 
     run_virtual(story)
+
+
+@given(st.floats(2.0, 20.0))
+@settings(max_examples=50, derandomize=True)
+def test_askers_of_a_reader_that_lost_the_log_have_time_to_look_themselves(promised_s):
+    """Guards against decisions that come into force after the promised time."""
+    pace = relay_pace(promised_s)
+    # A reader that rests and then waits for news can tell all the while.
+    assert pace.pause_s + pace.held_s < pace.oldest_told_s
+    assert promised_s - pace.oldest_told_s >= HOLD_S
+    # A call that meets a silent connection, and the one after it, end before keys do.
+    assert 2 * pace.held_s + CALL_TIMEOUT_S <= 0.9 * 5.0
+
+
+def test_a_large_fleet_reads_outcomes_no_more_often_than_a_small_one():
+    """Guards against calls to the log that grow with the number of gateways."""
+
+    async def reads_per_s(fleet, members):
+        running = fleet.gateways["gateway-0"]
+        duty = OutcomeDuty(running.gateway, running.metadata, running.codec)
+        running.gateway.members = {
+            f"g-{n}": Peer(f"g-{n}", "10.0.9.9", 1, "a", 0.0) for n in range(members)
+        }
+        return (members + 1) / duty._read_every_s()
+
+    async def story(fleet):
+        for members in (5, 28, 68, 380):
+            assert await reads_per_s(fleet, members) <= FLEET_READS_PER_S
+
+    run_fleet(story)
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -4,9 +4,12 @@
 import json
 from random import Random
 
+from acaciacove.gateway import outcome_duty
 from acaciacove.gateway.operator_decision import RolloutWish
+from acaciacove.gateway.rollout.rollout_state import RolloutState
+from acaciacove.platform.names import ROLLOUT_KEY
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
-from acaciacove.standins.gateway_fleet import gateway_settings
+from acaciacove.standins.gateway_fleet import OUTCOMES, gateway_settings
 from tests.gateway_world import call, model_fields, report, run_fleet
 
 DURATION_S = 20.0
@@ -257,3 +260,27 @@
         assert new_runs(fleet) == []
 
     run_fleet(story, gateways=2)
+
+
+def test_an_outcome_that_one_gateway_has_read_is_known_to_all_soon(monkeypatch):
+    """Guards against refusals by a gateway that waits for a version that is stopped."""
+    monkeypatch.setattr(outcome_duty, "READ_EVERY_S", 1e6)
+
+    async def story(fleet):
+        await add_new_version(fleet)
+        roll_out(fleet)
+        await asyncio.sleep(2.0)
+        assert state(fleet) == "in_progress"
+        value = fleet.outcome("model").replace("in_progress", "completed")
+        fleet.store.append(OUTCOMES, ROLLOUT_KEY + "model", value.encode())
+        first, second = (running.gateway for running in fleet.gateways.values())
+        first.outcomes_told = first.outcomes_offset + 1
+        await asyncio.sleep(2.0)
+        for gateway in (first, second):
+            assert gateway.beliefs.outcomes["model"].state is RolloutState.COMPLETED
+        # News of it ends again, and so do calls to the log.
+        calls = fleet.store.reads
+        await asyncio.sleep(3.0)
+        assert fleet.store.reads - calls < 20
+
+    run_fleet(story, gateways=2)
