--- a/acaciacove/gateway/choice/endpoint_load.py
+++ b/acaciacove/gateway/choice/endpoint_load.py
@@ -9,9 +9,7 @@
 # that were reported have mostly ended.
 REPORT_LIFE_S = 3.0
 # What an endpoint of unknown load counts for, as a share of the usual load. At 0 slow
-# endpoints look idle; at 1 gateways stay with those that they know, and in a play of
-# 24 engines before 29 gateways some engines got a fifth of their share. With three
-# quarters all got between 0.7 and 1.2 of it.
+# endpoints look idle; at 1 gateways stay with those that they know.
 UNKNOWN_SHARE = 0.75
 
 
@@ -46,10 +44,8 @@
         """Return requests at the endpoint: own ones, and others by the report.
 
         As the report ages, others count as nearly as many as are ``usual`` at
-        endpoints. One of thirty gateways hears from an endpoint every other second,
-        and from a slow one less often. Taken for idle between reports, the slow ones
-        got the more requests the busier they were, and stayed slow for a quarter of a
-        minute.
+        endpoints. Slow endpoints answer seldom: taken for idle between reports, they
+        would get more requests the busier they are.
         """
         freshness = self.freshness(now_s)
         unknown = UNKNOWN_SHARE * usual * (1.0 - freshness)
