--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: help run test install format lint types unit features demo
+.PHONY: help run test install format lint types unit features demo regressions
 
 help: ## List the targets
 	@grep -E '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -37,3 +37,6 @@
 
 features: install ## behave alone
 	$(BIN)/behave --no-color --format progress features
+
+regressions: ## Score the large deployments with the users' bench (FLEETBENCH, SITES)
+	bash deploy/regressions.sh
