Plan a version's holders only when listed, and unload copies that are surplus

Cause of the known red test (sidecars hold a new version on 3 or 4 endpoints where 2 ought to): each sidecar plans alone from the peers that it knows. One that had not been listed yet, or that took others for silent beside load, found itself among the first two, loaded the version, and nothing ever unloaded it again when the others were heard.

Ruled out: the plan itself (same peers give the same holders in every order), and orders that overtake each other (the gate refuses them).

Change: nothing is planned before the platform's list shows the sidecar itself; a version that was loaded by order, and that the plan has placed elsewhere for five seconds, is unloaded once nothing runs on it. The test stays as it was.

--- a/acaciacove/daemon/shared_state.py
+++ b/acaciacove/daemon/shared_state.py
@@ -105,6 +105,14 @@
             reason = Reason(refused.reason)
             self.membership.refused(name, peer.incarnation, reason, _now_s())
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether the platform's list has shown this instance itself.
+
+        Until then the list may be older than the fleet that this process is part of.
+        """
+        return self.membership.find(self.me.name) is not None
+
     @property
     def may_decide(self) -> bool:
         """Tell whether the state held is current: it is not right after a pause."""
--- a/acaciacove/sidecar/version_orders.py
+++ b/acaciacove/sidecar/version_orders.py
@@ -20,6 +20,9 @@
 from acaciacove.state.load_permit import wait_for_permit
 
 LOOK_S = 0.5
+# Peers that are silent for a moment come back: a copy of a version is unloaded only
+# after the plan has done without it for this long.
+SURPLUS_S = 5.0
 LOAD_LIMIT_S = 600.0
 OVERTAKEN = Refusal(Reason.STALE_FENCE, True, "the version is no longer wanted")
 
@@ -33,6 +36,7 @@
     store: WeightStore | None
     rng: Random
     given: int = field(default=0)
+    surplus_since_s: dict[VersionId, float] = field(factory=dict)
 
     async def run(self) -> None:
         """Compare what is held with what is wanted, again and again."""
@@ -47,16 +51,47 @@
 
     async def _step(self) -> None:
         """Give the next order that is due, if there is one."""
+        if not self.sidecar.shared.is_listed:
+            # Whoever knows nobody else would take each version for its own to hold.
+            return
         fleet = self.sidecar.holder.state
-        for version in sorted(self._wanted(fleet) - self.sidecar.served):
+        wanted = self._wanted(fleet)
+        for version in sorted(wanted - self.sidecar.served):
             await self._load(version, fleet.revision)
             return
+        lasting = self._lasting_surplus(fleet, wanted)
         for version in sorted(self.sidecar.served):
             known = fleet.versions.get(version)
-            if known is not None and known.withdrawn and self._is_idle(version):
+            is_withdrawn = known is not None and known.withdrawn
+            if (is_withdrawn or version in lasting) and self._is_idle(version):
                 await self._unload(version, fleet.revision)
                 return
 
+    def _lasting_surplus(
+        self, fleet: FleetState, wanted: frozenset[VersionId]
+    ) -> frozenset[VersionId]:
+        """Return versions loaded here that the plan has placed elsewhere for a while.
+
+        Peers that were not known yet, or silent, make an endpoint load in their place.
+        Nothing else would take such a copy away: entries never look for it, and it
+        fills the engine's memory.
+        """
+        now_s = asyncio.get_running_loop().time()
+        listed = self.sidecar.shared.me.versions
+        surplus = {
+            version
+            for version in self.sidecar.served - wanted
+            if version not in listed and fleet.is_usable(version)
+        }
+        self.surplus_since_s = {
+            version: self.surplus_since_s.get(version, now_s) for version in surplus
+        }
+        return frozenset(
+            version
+            for version, since_s in self.surplus_since_s.items()
+            if now_s - since_s >= SURPLUS_S
+        )
+
     def _wanted(self, fleet: FleetState) -> frozenset[VersionId]:
         """Return what this endpoint should hold, as every process plans it."""
         if not self.sidecar.is_engine:
