Rest up to 0.75 s between reads of heartbeats, by the promised time to drain

A read of endpoints ends with the first heartbeat, some twenty a second, so a reader calls as often as its rest allows: 3.3 times a second.

Ruled out: holding reads of decisions longer. Keys must stop within 5 s although a connection is silent or the log turns a gateway away without an answer; an open connection proves neither.

Change: the rest is a quarter of the time in which a leaving endpoint still serves (a new setting, drain_s, from the platform's bounds), 0.75 s at most and half of a held read. What a reader rests is taken off what its next read is held, so that what it tells stays fresh. An endpoint whose connection broke counts as cold for as much longer.

--- a/acaciacove/gateway/choose_endpoint.py
+++ b/acaciacove/gateway/choose_endpoint.py
@@ -18,7 +18,7 @@
 # How long after a connection broke an endpoint may have started again without its
 # new record being read here: a restart, the record's way, and one pause between
 # two reads of heartbeats.
-BROKEN_DOUBT_S = 1.6
+BROKEN_DOUBT_S = 2.1
 # The share of an endpoint's connections that one gateway may take for itself.
 CONNECTION_MARGIN = 0.8
 # What each failure in a row counts for beside requests under way.
--- a/acaciacove/gateway/peers/talk_to_peers.py
+++ b/acaciacove/gateway/peers/talk_to_peers.py
@@ -17,7 +17,7 @@
 ) -> None:
     """Listen for peers and report to them until cancelled."""
     settings = gateway.settings
-    oldest_s = relay_pace(settings.propagation_s).oldest_told_s
+    oldest_s = relay_pace(settings.propagation_s, settings.drain_s).oldest_told_s
 
     async def tell(connection: Connection) -> None:
         await tell_records(connection, gateway.tails, gateway.beliefs.clock_s, oldest_s)
--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -7,32 +7,42 @@
 # reader that has lost the log look themselves in the rest.
 HELD_SHARE = 0.5
 TOLD_SHARE = 0.7
-# During a roll-out or a restart many endpoints change together; a pause reads them
-# in one call.
-PAUSE_SHARE = 0.1
+# Heartbeats of a fleet come many times a second, and each would end a read. A pause
+# reads them in one call; it takes this part of the time in which a leaving endpoint
+# still serves.
+PAUSE_SHARE = 0.25
 # API keys are honoured for some seconds without a proof. Two calls, one of which
 # meets a connection that has gone silent, end within that time.
 LONGEST_HELD_S = 1.5
 LONGEST_TOLD_S = 2.1
-LONGEST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 0.75
 
 
 @frozen
 class RelayPace:
     """``held_s`` bounds a reader's calls, ``oldest_told_s`` what it tells.
 
-    Between two reads of endpoints it rests for ``pause_s``.
+    Between two reads of endpoints it rests for ``pause_s``, and these are held for
+    ``endpoints_held_s`` at most.
     """
 
     held_s: float
+    endpoints_held_s: float
     pause_s: float
     oldest_told_s: float
 
 
-def relay_pace(propagation_s: float) -> RelayPace:
-    """Return the pace for a promised time: fewer calls where it is longer."""
+def relay_pace(propagation_s: float, drain_s: float) -> RelayPace:
+    """Return the pace for promised times: fewer calls where they are longer.
+
+    A decision is in force everywhere after ``propagation_s``, and a leaving endpoint
+    is sent nothing after ``drain_s``.
+    """
+    held_s = min(LONGEST_HELD_S, HELD_SHARE * propagation_s)
+    pause_s = min(LONGEST_PAUSE_S, PAUSE_SHARE * drain_s, held_s / 2.0)
     return RelayPace(
-        held_s=min(LONGEST_HELD_S, HELD_SHARE * propagation_s),
-        pause_s=min(LONGEST_PAUSE_S, PAUSE_SHARE * propagation_s),
+        held_s=held_s,
+        endpoints_held_s=held_s - pause_s,
+        pause_s=pause_s,
         oldest_told_s=min(LONGEST_TOLD_S, TOLD_SHARE * propagation_s),
     )
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -28,7 +28,7 @@
 from acaciacove.gateway.outcome_duty import OutcomeDuty
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
 from acaciacove.gateway.record_codec import RecordCodec
-from acaciacove.gateway.relay.relay_pace import relay_pace
+from acaciacove.gateway.relay.relay_pace import RelayPace, relay_pace
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.serve_request import serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
@@ -37,8 +37,7 @@
 # empty costs a call, and proves that no decision was missed. Two in a row, of
 # which one meets a connection that has gone silent and its time limit of a second,
 # still end within the time for which API keys are honoured without a proof.
-DECISION_WAIT_S = 1.5
-ENDPOINT_WAIT_S = 1.5
+ALONE_WAIT_S = 1.5
 # While other gateways ask this one, its reads are held for less, so that an asker
 # notices in time when it has lost the log. A question this long ago says that nobody
 # asks any more.
@@ -218,15 +217,15 @@
         streams = (
             FollowedStream(
                 LogStream.OPERATOR,
-                lambda: self._wait_s(LogStream.OPERATOR, DECISION_WAIT_S),
+                lambda: self._wait_s(LogStream.OPERATOR, self._pace.held_s),
                 0.0,
                 self._on_decisions,
                 self._note_outage,
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
-                lambda: self._wait_s(LogStream.ENDPOINTS, ENDPOINT_WAIT_S),
-                relay_pace(self.settings.propagation_s).pause_s,
+                lambda: self._wait_s(LogStream.ENDPOINTS, self._pace.endpoints_held_s),
+                self._pace.pause_s,
                 self._on_endpoints,
                 self._note_outage,
             ),
@@ -237,12 +236,15 @@
             for stream in streams
         ]
 
-    def _wait_s(self, stream: LogStream, alone_s: float) -> float:
-        """Return how long a read may be held: less while other gateways ask."""
-        asked_s = self.gateway.tails[stream].asked_boot_s
-        if self.clock_s() - asked_s < ASKED_MEMORY_S:
-            return min(alone_s, relay_pace(self.settings.propagation_s).held_s)
-        return alone_s
+    @property
+    def _pace(self) -> RelayPace:
+        return relay_pace(self.settings.propagation_s, self.settings.drain_s)
+
+    def _wait_s(self, stream: LogStream, asked_s: float) -> float:
+        """Return how long a read may be held: ``asked_s`` while other gateways ask."""
+        last_boot_s = self.gateway.tails[stream].asked_boot_s
+        is_asked = self.clock_s() - last_boot_s < ASKED_MEMORY_S
+        return min(ALONE_WAIT_S, asked_s) if is_asked else ALONE_WAIT_S
 
     def _on_decisions(
         self, page: LogPage, is_newest: bool, complete_boot_s: float
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -92,6 +92,7 @@
     "cold_overage": ("bounds.coldOverage", float),
     "cold_extra": ("bounds.coldTolerance", float),
     "propagation_s": ("bounds.configPropagationMs", _seconds),
+    "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
 }
 _REQUIRED = frozenset(
