Share readers of the log between availability zones of a few gateways

Cause: each zone with three gateways or more had a reader of its own: four readers for 26 gateways in four zones, where one tells sixteen.

Change: a zone has readers of its own only if it has as many gateways as one reader tells; smaller zones share theirs, so 26 gateways have two readers and five still have one. Fleets with large zones read as before.

A test of zones and readers fails on the old rule.

--- a/acaciacove/gateway/relay/reading_order.py
+++ b/acaciacove/gateway/relay/reading_order.py
@@ -14,17 +14,17 @@
 SUBSTITUTES = 2
 
 
-# Availability zones with fewer gateways share their readers. A zone with readers of
-# its own spares the bytes between zones, which are paid for.
-LEAST_GROUP = 3
-
-
 def reading_group(me: str, zone_of: Mapping[str, str]) -> set[str]:
-    """Return the members that share readers with ``me``, itself among them."""
+    """Return the members that share readers with ``me``, itself among them.
+
+    Readers of an availability zone's own spare the bytes between zones. A zone with
+    fewer gateways than one reader tells would pay for them with more calls to the log,
+    so such zones share theirs.
+    """
     sizes = Counter(zone_of.values())
-    if sizes[zone_of[me]] >= LEAST_GROUP:
+    if sizes[zone_of[me]] >= TOLD_BY_ONE:
         return {name for name, zone in zone_of.items() if zone == zone_of[me]}
-    return {name for name, zone in zone_of.items() if sizes[zone] < LEAST_GROUP}
+    return {name for name, zone in zone_of.items() if sizes[zone] < TOLD_BY_ONE}
 
 
 def reading_order(members: Iterable[str]) -> list[str]:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -103,6 +103,19 @@
     assert len({frozenset(group) for group in groups}) <= len(zones)
 
 
+@given(st.integers(1, 15), st.integers(1, 8))
+@settings(max_examples=50, derandomize=True)
+def test_small_zones_have_no_more_readers_than_the_fleet_needs(in_zone, zones):
+    """Guards against a reader, and its calls, for each zone of a few gateways."""
+    zone_of = {f"{n}-{z}": f"zone-{z}" for z in range(zones) for n in range(in_zone)}
+    readers = [
+        name
+        for name in zone_of
+        if not whom_to_ask(name, reading_group(name, zone_of), may_read=True)
+    ]
+    assert len(readers) == reader_count(len(zone_of))
+
+
 @given(NAMES)
 @settings(max_examples=100, derandomize=True)
 def test_a_reader_that_the_log_turns_away_asks_the_others(names):
