Rest between reads of heartbeats by the number of endpoints

Change: 25 ms of rest for each endpoint, between 0.2 s as before and the longest rest.

Ruled out: a rest by records read in the last call, which swings with bursts of restarts.

--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -24,7 +24,7 @@
     """What a follower does with its stream.
 
     ``wait_s`` tells how long the log may hold a read that finds nothing,
-    ``pause_s`` how long the follower rests between reads, so that many small
+    ``pause_s`` tells how long the follower rests between reads, so that many small
     records come in one answer. ``on_page`` gets (page, whether it is the newest
     of each key, boot time at which the page was complete); ``on_failure`` is told
     of each failed call.
@@ -32,7 +32,7 @@
 
     stream: LogStream
     wait_s: Callable[[], float]
-    pause_s: float
+    pause_s: Callable[[], float]
     on_page: Callable[[LogPage, bool, float], None]
     on_failure: Callable[[], None]
     next_offset: int = -1
@@ -69,7 +69,7 @@
             )
             failures = 0
         if not is_told:
-            await asyncio.sleep(followed.pause_s)
+            await asyncio.sleep(followed.pause_s())
 
 
 async def _read_once(
--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -16,14 +16,18 @@
 LONGEST_HELD_S = 1.5
 LONGEST_TOLD_S = 2.1
 LONGEST_PAUSE_S = 0.75
+# A few endpoints end a read seldom: resting longer would save no call and only make
+# their news older.
+LEAST_PAUSE_S = 0.2
+PAUSE_PER_ENDPOINT_S = 0.025
 
 
 @frozen
 class RelayPace:
     """``held_s`` bounds a reader's calls, ``oldest_told_s`` what it tells.
 
-    Between two reads of endpoints it rests for ``pause_s``, and these are held for
-    ``endpoints_held_s`` at most.
+    Between two reads of endpoints it rests for ``pause_s`` at most, and these are held
+    for ``endpoints_held_s`` at most.
     """
 
     held_s: float
@@ -31,6 +35,11 @@
     pause_s: float
     oldest_told_s: float
 
+    def rest_s(self, endpoints: int) -> float:
+        """Return the rest between two reads of so many endpoints' heartbeats."""
+        wanted_s = max(LEAST_PAUSE_S, PAUSE_PER_ENDPOINT_S * endpoints)
+        return min(self.pause_s, wanted_s)
+
 
 def relay_pace(propagation_s: float, drain_s: float) -> RelayPace:
     """Return the pace for promised times: fewer calls where they are longer.
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -218,14 +218,14 @@
             FollowedStream(
                 LogStream.OPERATOR,
                 lambda: self._wait_s(LogStream.OPERATOR, self._pace.held_s),
-                0.0,
+                lambda: 0.0,
                 self._on_decisions,
                 self._note_outage,
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
                 lambda: self._wait_s(LogStream.ENDPOINTS, self._pace.endpoints_held_s),
-                self._pace.pause_s,
+                self._rest_s,
                 self._on_endpoints,
                 self._note_outage,
             ),
@@ -240,6 +240,10 @@
     def _pace(self) -> RelayPace:
         return relay_pace(self.settings.propagation_s, self.settings.drain_s)
 
+    def _rest_s(self) -> float:
+        """Return the rest between reads of endpoints: the more, the more they write."""
+        return self._pace.rest_s(len(self.gateway.beliefs.endpoints))
+
     def _wait_s(self, stream: LogStream, asked_s: float) -> float:
         """Return how long a read may be held: ``asked_s`` while other gateways ask."""
         last_boot_s = self.gateway.tails[stream].asked_boot_s
