--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -20,18 +20,18 @@
 # their news older.
 LEAST_PAUSE_S = 0.2
 PAUSE_PER_ENDPOINT_S = 0.025
+# What an answer of the log may take beyond the time that it is held.
+ANSWER_MARGIN_S = 0.2
 
 
 @frozen
 class RelayPace:
     """``held_s`` bounds a reader's calls, ``oldest_told_s`` what it tells.
 
-    Between two reads of endpoints it rests for ``pause_s`` at most, and these are held
-    for ``endpoints_held_s`` at most.
+    Between two reads of endpoints it rests for ``pause_s`` at most.
     """
 
     held_s: float
-    endpoints_held_s: float
     pause_s: float
     oldest_told_s: float
 
@@ -40,6 +40,11 @@
         wanted_s = max(LEAST_PAUSE_S, PAUSE_PER_ENDPOINT_S * endpoints)
         return min(self.pause_s, wanted_s)
 
+    def endpoints_held_s(self, endpoints: int) -> float:
+        """Return how long a read after such a rest may be held, and still be told."""
+        left_s = self.oldest_told_s - self.rest_s(endpoints) - ANSWER_MARGIN_S
+        return min(self.held_s, left_s)
+
 
 def relay_pace(propagation_s: float, drain_s: float) -> RelayPace:
     """Return the pace for promised times: fewer calls where they are longer.
@@ -51,7 +56,6 @@
     pause_s = min(LONGEST_PAUSE_S, PAUSE_SHARE * drain_s, held_s / 2.0)
     return RelayPace(
         held_s=held_s,
-        endpoints_held_s=held_s - pause_s,
         pause_s=pause_s,
         oldest_told_s=min(LONGEST_TOLD_S, TOLD_SHARE * propagation_s),
     )
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -224,7 +224,7 @@
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
-                lambda: self._wait_s(LogStream.ENDPOINTS, self._pace.endpoints_held_s),
+                lambda: self._wait_s(LogStream.ENDPOINTS, self._endpoints_held_s()),
                 self._rest_s,
                 self._on_endpoints,
                 self._note_outage,
@@ -244,6 +244,9 @@
         """Return the rest between reads of endpoints: the more, the more they write."""
         return self._pace.rest_s(len(self.gateway.beliefs.endpoints))
 
+    def _endpoints_held_s(self) -> float:
+        return self._pace.endpoints_held_s(len(self.gateway.beliefs.endpoints))
+
     def _wait_s(self, stream: LogStream, asked_s: float) -> float:
         """Return how long a read may be held: ``asked_s`` while other gateways ask."""
         last_boot_s = self.gateway.tails[stream].asked_boot_s
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -373,17 +373,19 @@
     run_virtual(story)
 
 
-@given(st.floats(2.0, 20.0), st.floats(0.2, 20.0))
+@given(st.floats(2.0, 20.0), st.floats(0.2, 20.0), st.integers(0, 600))
 @settings(max_examples=50, derandomize=True)
 def test_askers_of_a_reader_that_lost_the_log_have_time_to_look_themselves(
-    promised_s, drain_s
+    promised_s, drain_s, endpoints
 ):
     """Guards against decisions that come into force after the promised time."""
     pace = relay_pace(promised_s, drain_s)
     # A reader that rests and then waits for news can tell all the while.
     assert pace.held_s < pace.oldest_told_s
-    assert pace.endpoints_held_s > 0.0
-    assert pace.pause_s + pace.endpoints_held_s < pace.oldest_told_s
+    assert pace.endpoints_held_s(endpoints) > 0.0
+    rested_s = pace.rest_s(endpoints) + pace.endpoints_held_s(endpoints)
+    assert rested_s < pace.oldest_told_s
+    assert pace.rest_s(endpoints) <= pace.pause_s
     # Word of a leaving endpoint leaves time for what is on its way to it.
     assert pace.pause_s <= drain_s / 3.0
     assert promised_s - pace.oldest_told_s >= HOLD_S
