Weigh a delay by what it costs requests at the pace of now

Cause: asking a larger model delays those behind it, and each delay of one target counted as a whole answer lost, on calm engines as on busy ones.

Change: gateways learn from each answer how much it would have lost by a little more delay (the slope of the worth's own curve at the time that its caller waited), times three since delays are passed on, and never more than before. A new process begins with the full weight.

Tests of many short and few long waits, beginnings, bounds.

--- a/acaciacove/decisions/model_plan.py
+++ b/acaciacove/decisions/model_plan.py
@@ -8,16 +8,13 @@
 
 from collections.abc import Sequence
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
 
 # What an answer is worth that is too poor, and what a late one loses.
 POOR_WORTH = 0.05
 LATE_LOSS = 0.5
-# What it costs that a request's work delays another by as much as its target. Those
-# behind it delay others in turn.
-CROWD_WEIGHT = 1.0
 # How surely a first piece that is expected at its target is late: predictions are off
 # by a factor of two often, by four seldom.
 SPREAD = 2.5
@@ -44,12 +41,13 @@
     """When a decision is made: time since the request came, and its target.
 
     ``delayed_per_s`` is how many other requests a second of an endpoint's work delays
-    by a second.
+    by a second, and ``delay_weight`` what it costs to delay one by its target.
     """
 
     elapsed_s: float
     target_s: float
     delayed_per_s: float = 0.0
+    delay_weight: float = 1.0
 
 
 def first_model(
@@ -123,13 +121,11 @@
 
 def _cost(option: ModelOption, moment: Moment) -> float:
     delayed = moment.delayed_per_s * option.work_s / moment.target_s
-    return option.price + CROWD_WEIGHT * delayed
+    return option.price + moment.delay_weight * delayed
 
 
 def _after(moment: Moment, option: ModelOption) -> Moment:
-    return Moment(
-        moment.elapsed_s + option.piece_s, moment.target_s, moment.delayed_per_s
-    )
+    return evolve(moment, elapsed_s=moment.elapsed_s + option.piece_s)
 
 
 def _in_time(moment: Moment, piece_s: float) -> float:
@@ -137,3 +133,14 @@
     share = (moment.elapsed_s + piece_s) / moment.target_s
     late = share**SPREAD / (1.0 + share**SPREAD)
     return 1.0 - LATE_LOSS * late
+
+
+def late_slope(share: float) -> float:
+    """Return what a good answer loses for each target of further delay.
+
+    ``share`` is the time to its first piece as a share of its target.
+    """
+    if share <= 0.0:
+        return 0.0
+    power = share**SPREAD
+    return LATE_LOSS * SPREAD * power / share / (1.0 + power) ** 2
--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -284,6 +284,9 @@
         if not work.events_delivered:
             now_s = asyncio.get_running_loop().time()
             work.first_piece_s = now_s
+            waited_s = now_s - work.request.arrived_s
+            target_s = work.route.latency_target_s
+            gateway.delay_cost(work.service.name).learn(waited_s, target_s)
             _note_answer(gateway, exchange, False, now_s - exchange.began_s)
             _note_size(gateway, work)
             _start_stream(front, head)
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -157,6 +157,7 @@
         elapsed_s=now_s - work.request.arrived_s,
         target_s=work.route.latency_target_s,
         delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.mean_s,
+        delay_weight=gateway.delay_cost(work.service.name).weight,
     )
 
 
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
+from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.reading_pace import ReadingPace
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
@@ -71,6 +72,7 @@
     sent: dict[str, SlidingCount] = field(factory=dict)
     confidence: dict[str, ConfidenceBeliefs] = field(factory=dict)
     reading: dict[tuple[str, str | None], ReadingPace] = field(factory=dict)
+    delay_costs: dict[str, DelayCost] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
     members_known: bool = False
@@ -126,6 +128,10 @@
         """Return what the opinions of a service's models are worth."""
         return self.confidence.setdefault(service, ConfidenceBeliefs())
 
+    def delay_cost(self, service: str) -> DelayCost:
+        """Return what a little more waiting costs requests for a service."""
+        return self.delay_costs.setdefault(service, DelayCost())
+
     def note_sent(self, service: str, now_s: float) -> None:
         """Count one request that is sent to an endpoint of a service."""
         self.sent.setdefault(service, SlidingCount(SENT_WINDOW_S)).add(now_s)
--- a/tests/test_decisions_models.py
+++ b/tests/test_decisions_models.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from acaciacove.decisions.confidence_beliefs import ConfidenceBeliefs
+from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.endpoint_backlog import EndpointBacklog, usual_wait_s
 from acaciacove.decisions.model_plan import (
     ModelOption,
@@ -103,6 +104,43 @@
     assert dropped(crowd, 1.5) > 0
 
 
+def delays_of(shares):
+    cost = DelayCost()
+    for share in shares:
+        cost.learn(share * 2.0, 2.0)
+    return cost
+
+
+def test_many_short_waits_cost_less_than_few_long_ones():
+    """Many requests a second behind engines that are hardly late lose nothing by a
+    little delay; answers that their model doubts are dropped for a larger one's there.
+    """
+    beliefs = taught((0.54, 0.64, 1.0))
+    short, long = delays_of([0.1] * 200), delays_of([0.7] * 200)
+    assert short.weight < 0.2
+    assert long.weight > 0.8
+
+    def dropped(cost):
+        crowd = Moment(0.3, 3.0, delayed_per_s=1.0, delay_weight=cost.weight)
+        return sum(
+            next_model("m0", float(told), options()[1:], beliefs, crowd, True)
+            is not None
+            for told in range(101)
+        )
+
+    assert dropped(short) > dropped(long)
+
+
+def test_delays_count_in_full_until_answers_show_what_they_cost():
+    assert DelayCost().weight == 1.0
+
+
+@given(st.lists(st.floats(0.0, 1e6), max_size=50))
+@settings(max_examples=100, derandomize=True)
+def test_the_weight_of_delays_stays_a_share(shares):
+    assert 0.0 <= delays_of(shares).weight <= 1.0
+
+
 def test_the_first_model_depends_on_prices_and_abilities():
     beliefs = taught((0.54, 0.64, 1.0))
     assert first_model(options(), beliefs, CALM, True) == "m0"
