Add a soak of gateways as processes under faults that are drawn from a seed

acaciacove soak starts gateways as they are deployed, each a process with a settings file of its own, before the stand-in log and endpoints on loopback. Eleven promises are checked from what callers and endpoints saw; what overlaps a stall of the soak's own process is passed over by the checks with a time, and counted. Weighed: proxies between gateways as well, left out since datagrams and the relay go to the members' own addresses; stepping clocks, which cannot be done from outside.

--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -20,7 +20,7 @@
     RELEASE_SHOW,
     RELEASE_VALIDATE,
 )
-from acaciacove.cli.tool_commands import BENCH, DEMO, LOAD, STANDINS
+from acaciacove.cli.tool_commands import BENCH, DEMO, LOAD, SOAK, STANDINS
 from acaciacove.settings.help_settings import HelpSettings
 
 HELP_SETTINGS = Command(
@@ -60,5 +60,6 @@
     STANDINS,
     BENCH,
     LOAD,
+    SOAK,
     HELP_SETTINGS,
 )
--- a/acaciacove/cli/tool_commands.py
+++ b/acaciacove/cli/tool_commands.py
@@ -4,6 +4,7 @@
     bench,
     demo,
     load,
+    soak,
     standins,
 )
 from acaciacove.cli.argument import Argument
@@ -14,6 +15,7 @@
 from acaciacove.settings.bench_settings import BenchSettings
 from acaciacove.settings.load_settings import LoadSettings
 from acaciacove.settings.no_settings import NoSettings
+from acaciacove.settings.soak_settings import SoakSettings
 from acaciacove.settings.standins_settings import StandinsSettings
 
 DEMO = Command(
@@ -140,3 +142,31 @@
         JSON,
     ),
 )
+SOAK = Command(
+    words=("soak",),
+    summary="Run gateways as processes under drawn faults and check every promise.",
+    help="""
+        Starts gateways as they are deployed, each a process of its own, on loopback
+        before stand-ins of the platform's log and of endpoints, and lets callers call.
+        Meanwhile it delays, resets and silences connections, pauses, kills, stops and
+        restarts processes, takes the log away, and changes what operators decide, all
+        drawn from the seed. Processes are ended by their ids, and only those that the
+        soak has started.
+
+        It prints the plan, then what was played and seen, and each promise that was
+        broken. --only plays some numbers of the plan, to find the faults that matter.
+
+        Exit status: 0, or 7 when a promise was found broken.
+    """,
+    settings=SoakSettings,
+    run=soak.run,
+    flags=(
+        SEED,
+        Flag("seconds", "How long callers call.", "SECONDS"),
+        Flag("gateways", "Gateways, each a process.", "COUNT"),
+        Flag("endpoints", "Endpoints to begin with, within this process.", "COUNT"),
+        Flag("callers", "Callers that send side by side.", "COUNT"),
+        Flag("only", "Play only these numbers of the plan, such as 3,7.", "NUMBERS"),
+        Flag("log_folder", "Where processes' lines go; default: a new one.", "PATH"),
+    ),
+)
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -29,7 +29,7 @@
     faults: list[str] = []
     values = {
         name: _value(fields, source, convert, faults)
-        for name, (source, convert) in _FIELDS.items()
+        for name, (source, convert) in FIELDS.items()
         if source in fields or name in _REQUIRED
     }
     values["region_of_zone"] = {
@@ -72,7 +72,7 @@
     return int(text.split(",")[0])
 
 
-_FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
+FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
     "name": ("nodeName", str),
     "availability_zone": ("zone", str),
     "region": ("region", str),
--- /dev/null
+++ b/acaciacove/platform/written_node_file.py
@@ -0,0 +1,30 @@
+"""Writes the platform's settings file of one process, for stand-ins and tests."""
+
+from acaciacove.platform.node_file import FIELDS
+from acaciacove.settings.gateway_settings import GatewaySettings
+
+MS = 1000.0
+IN_MILLISECONDS = "Ms"
+LAST_PORT = 65_535
+
+
+def write_node_file(settings: GatewaySettings) -> str:
+    """Return the lines that ``decode_node_file`` reads as these settings."""
+    lines = [
+        f"{source}={_written(source, getattr(settings, name))}"
+        for name, (source, _) in FIELDS.items()
+    ]
+    zones = settings.region_of_zone.items()
+    lines += [f"zones.{name}={region}" for name, region in zones]
+    return "\n".join(lines) + "\n"
+
+
+def _written(source: str, value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    if source.endswith(IN_MILLISECONDS):
+        assert isinstance(value, float)
+        return str(value * MS)
+    if source == "internalPortRange":
+        return f"{value},{LAST_PORT}"
+    return str(value)
--- /dev/null
+++ b/acaciacove/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real processes under faults, judged from outside."""
--- /dev/null
+++ b/acaciacove/soak/addresses.py
@@ -0,0 +1,48 @@
+"""Loopback addresses of one soak, apart from those of another one beside it."""
+
+from attrs import frozen
+
+FRONT_PORT = 8000
+READINESS_PORT = 8001
+PEER_PORT = 8002
+METRICS_PORT = 9464
+LOG_PORT = 7000
+ENDPOINT_PORT = 9000
+HOSTS_IN_NET = 250
+FIRST_BLOCK, BLOCKS = 16, 200
+
+
+@frozen
+class Addresses:
+    """Addresses in one block of 127.0.0.0/8."""
+
+    block: int
+
+    def _host(self, net: int, number: int) -> str:
+        more, place = divmod(number, HOSTS_IN_NET)
+        return f"127.{self.block}.{net + more}.{place + 1}"
+
+    def gateway(self, number: int) -> str:
+        """Return a gateway's own address."""
+        return self._host(10, number)
+
+    def log(self) -> str:
+        """Return the log's own address."""
+        return self._host(1, 0)
+
+    def log_of(self, number: int) -> str:
+        """Return the address at which one gateway finds the log."""
+        return self._host(20, number)
+
+    def endpoint(self, number: int) -> str:
+        """Return an endpoint's own address."""
+        return self._host(30, number)
+
+    def told_endpoint(self, number: int) -> str:
+        """Return the address at which gateways find an endpoint."""
+        return self._host(60, number)
+
+
+def addresses_of(process_id: int) -> Addresses:
+    """Return the addresses of the soak that runs in a process."""
+    return Addresses(FIRST_BLOCK + process_id % BLOCKS)
--- /dev/null
+++ b/acaciacove/soak/check_answers.py
@@ -0,0 +1,70 @@
+"""What callers may see: at most once, truth, wholeness, permission."""
+
+import re
+from collections.abc import Iterator
+
+from acaciacove.gateway.refuse import PROMISING
+from acaciacove.platform import names
+from acaciacove.soak.call_kind import ONCE, CallKind
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.soak_catalogue import SIZES, organisation_of
+from acaciacove.soak.soak_trace import SoakTrace
+from acaciacove.soak.violation import Promise, Violation
+from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
+
+REVOCATION_S = 5.0
+SUCCESS = 200
+EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) (\d+)\n\n")
+
+
+def check_answers(trace: SoakTrace) -> Iterator[Violation]:
+    """Yield what callers and endpoints should not have seen."""
+    runs = trace.runs()
+    for call in trace.calls:
+        own = runs.get(call.request_id, [])
+        instances = [run.instance for run in own]
+        if call.kind in ONCE and len(own) > 1:
+            yield _of(Promise.ONCE, call, f"ran on {instances}")
+        if call.status in PROMISING and own:
+            yield _of(Promise.NOT_RUN, call, f"{call.status}, ran on {instances}")
+        if call.status == SUCCESS and call.complete:
+            yield from _check_whole(call, instances)
+    yield from _check_permission(trace)
+
+
+def _of(promise: Promise, call: CallRecord, detail: str) -> Violation:
+    return Violation(promise, f"{call.kind.value} {call.request_id}: {detail}")
+
+
+def _check_whole(call: CallRecord, instances: list[str]) -> Iterator[Violation]:
+    instance, _, request_id = call.receipt.partition("/")
+    if request_id != call.request_id or instance not in instances:
+        yield _of(Promise.WHOLE, call, f"receipt {call.receipt!r}")
+    elif call.kind is CallKind.DRAFT:
+        events = EVENT.findall(call.body)
+        numbers = [int(number) for number, _, _ in events]
+        rest = EVENT.sub(b"", call.body)
+        if numbers != list(range(1, EndpointBehaviour().events + 1)) or rest:
+            yield _of(Promise.WHOLE, call, f"events {numbers}, rest {rest!r}")
+    elif call.body != f"{instance} served {call.request_id}".encode():
+        yield _of(Promise.WHOLE, call, f"body {call.body!r}")
+
+
+def _check_permission(trace: SoakTrace) -> Iterator[Violation]:
+    calls = trace.by_id()
+    for arrival in trace.arrivals:
+        call = calls.get(arrival.request_id)
+        if call is None:
+            detail = f"{arrival.request_id!r} was sent by no caller"
+            yield Violation(Promise.ALLOWED, detail)
+            continue
+        told = arrival.fields.get(names.ORGANISATION.decode())
+        if told != organisation_of(call.key):
+            yield _of(Promise.ALLOWED, call, f"ran for {told}")
+        model = arrival.fields.get(names.MODEL.decode())
+        if model is not None and model not in SIZES:
+            yield _of(Promise.ALLOWED, call, f"ran on model {model}")
+        revoked_s = trace.revoked_s.get(call.key, float("inf"))
+        if arrival.ran and call.sent_s > revoked_s + REVOCATION_S:
+            late_s = call.sent_s - revoked_s
+            yield _of(Promise.REVOKED, call, f"sent {late_s:.2f} s after")
--- /dev/null
+++ b/acaciacove/soak/check_operations.py
@@ -0,0 +1,138 @@
+"""What operators may rely on: drains, zones, budgets, stops, recovery."""
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator
+
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.fault_kind import FaultKind
+from acaciacove.soak.soak_catalogue import service_of
+from acaciacove.soak.soak_trace import SoakTrace
+from acaciacove.soak.violation import Promise, Violation
+
+DRAIN_S = 2.0
+ZONE_OUT_S = 5.0
+GRACE_S = 8.0
+RETRY_RATIO = 0.9
+RETRY_EXTRA = 50.0
+RETRY_WINDOW_S = 10.0
+SERVED_SHARE = 0.25
+# Fewer requests after all is back say nothing of a share.
+FEWEST_SETTLED = 20
+
+
+def check_operations(trace: SoakTrace) -> Iterator[Violation]:
+    """Yield what the fleet as a whole should not have done."""
+    yield from _check_drains(trace)
+    yield from _check_zones(trace)
+    yield from _check_budget(trace)
+    yield from _check_stops(trace)
+    yield from _check_recovery(trace)
+    for detail in [*trace.exits, *trace.faulty_lines]:
+        yield Violation(Promise.ALIVE, detail)
+
+
+def _check_drains(trace: SoakTrace) -> Iterator[Violation]:
+    left_s = {
+        fault.subject: fault.from_s
+        for fault in trace.faults
+        if fault.kind is FaultKind.ENDPOINT_LEAVES
+    }
+    calls = trace.by_id()
+    for arrival in trace.arrivals:
+        since_s = left_s.get(arrival.instance)
+        call = calls.get(arrival.request_id)
+        if since_s is None or call is None or arrival.at_s <= since_s + DRAIN_S:
+            continue
+        if trace.is_in_touch(call.gateway, since_s, arrival.at_s):
+            late_s = arrival.at_s - since_s
+            detail = f"{call.request_id} at {arrival.instance} after {late_s:.2f} s"
+            yield Violation(Promise.DRAINED, detail)
+
+
+def _check_zones(trace: SoakTrace) -> Iterator[Violation]:
+    calls = trace.by_id()
+    outs = [fault for fault in trace.faults if fault.kind is FaultKind.ZONE_OUT]
+    for arrival in trace.arrivals:
+        zone, call = trace.zone_of.get(arrival.instance), calls.get(arrival.request_id)
+        if call is None:
+            continue
+        for out in outs:
+            is_late = out.from_s + ZONE_OUT_S < arrival.at_s < out.until_s
+            if out.subject != zone or not is_late:
+                continue
+            if trace.is_in_touch(call.gateway, out.from_s, arrival.at_s):
+                late_s = arrival.at_s - out.from_s
+                detail = f"{call.request_id} in {zone} after {late_s:.2f} s"
+                yield Violation(Promise.ZONE_OUT, detail)
+
+
+def _check_budget(trace: SoakTrace) -> Iterator[Violation]:
+    """Compare repeats with the requests of the best of three windows."""
+    sent: dict[str, list[float]] = defaultdict(list)
+    repeated: dict[str, list[float]] = defaultdict(list)
+    calls = trace.by_id()
+    for call in trace.calls:
+        sent[service_of(call.kind)].append(call.sent_s)
+    seen: set[str] = set()
+    for arrival in sorted(trace.arrivals, key=lambda a: a.at_s):
+        known = calls.get(arrival.request_id)
+        if known is not None and arrival.request_id in seen:
+            repeated[service_of(known.kind)].append(arrival.at_s)
+        seen.add(arrival.request_id)
+    for service, moments in repeated.items():
+        requests = sorted(sent[service])
+        for at_s in moments:
+            repeats = _within(moments, at_s)
+            shifts = (0.0, RETRY_WINDOW_S / 2.0, RETRY_WINDOW_S)
+            most = max(_within(requests, at_s - shift) for shift in shifts)
+            if repeats > RETRY_RATIO * most + RETRY_EXTRA:
+                detail = f"{service}: {repeats} repeats for {most} requests"
+                yield Violation(Promise.BUDGET, detail)
+                break
+
+
+def _within(moments: list[float], until_s: float) -> int:
+    """Count sorted moments in the window that ends then."""
+    begin = bisect_right(moments, until_s - RETRY_WINDOW_S)
+    return bisect_right(moments, until_s) - begin
+
+
+def _check_stops(trace: SoakTrace) -> Iterator[Violation]:
+    """Look at requests that a stopping gateway had, or took within its notice."""
+    runs = trace.runs()
+    for stop in trace.faults:
+        if stop.kind is not FaultKind.TERMINATE:
+            continue
+        for call in trace.calls:
+            was_there = call.sent_s < stop.from_s + DRAIN_S and call.ended_s > (
+                stop.from_s
+            )
+            if call.gateway != stop.subject or not was_there or not call.closed:
+                continue
+            ends = [run.ended for run in runs.get(call.request_id, [])]
+            if set(ends) <= {"done"} and _nothing_else(trace, stop.from_s, call):
+                detail = f"{call.request_id} was cut, endpoints said {ends}"
+                yield Violation(Promise.STOPPED, detail)
+
+
+def _nothing_else(trace: SoakTrace, stopped_s: float, call: CallRecord) -> bool:
+    """Tell whether nothing but the stop befell the request's way."""
+    if any(a < call.ended_s and b > call.sent_s for a, b in trace.stalls):
+        return False
+    return not any(
+        fault.from_s < call.ended_s
+        and fault.until_s > call.sent_s - DRAIN_S
+        and fault.kind is not FaultKind.KEY_REVOKED
+        and not (fault.subject == call.gateway and fault.from_s == stopped_s)
+        for fault in trace.faults
+    )
+
+
+def _check_recovery(trace: SoakTrace) -> Iterator[Violation]:
+    late = [call for call in trace.calls if call.sent_s > trace.settled_s]
+    valid = [call for call in late if call.key not in trace.revoked_s]
+    served = sum(call.status == 200 and call.complete for call in valid)
+    if len(valid) >= FEWEST_SETTLED and served < SERVED_SHARE * len(valid):
+        detail = f"{served} of {len(valid)} served once all was back"
+        yield Violation(Promise.RECOVERED, detail)
--- /dev/null
+++ b/acaciacove/soak/fault_kind.py
@@ -0,0 +1,69 @@
+"""Faults that a soak injects from outside the processes."""
+
+from enum import StrEnum
+
+
+class FaultKind(StrEnum):
+    """What happens; the comment tells what its target is."""
+
+    # A gateway, by its number.
+    TERMINATE = "terminate"
+    KILL = "kill"
+    PAUSE = "pause"
+    # A gateway's connections to the log, by the gateway's number.
+    LOG_DELAYED = "log_delayed"
+    LOG_RESET = "log_reset"
+    LOG_SILENT = "log_silent"
+    LOG_MUTE = "log_mute"
+    # The log, for everybody.
+    LOG_AWAY = "log_away"
+    LOG_REFUSES = "log_refuses"
+    LOG_FORGETS = "log_forgets"
+    LOG_LOSES_REPLIES = "log_loses_replies"
+    # Connections to an endpoint, by the endpoint's number.
+    ENDPOINT_DELAYED = "endpoint_delayed"
+    ENDPOINT_RESET = "endpoint_reset"
+    ENDPOINT_SILENT = "endpoint_silent"
+    ENDPOINT_MUTE = "endpoint_mute"
+    # An endpoint, by its number.
+    ENDPOINT_CRASHES = "endpoint_crashes"
+    ENDPOINT_LEAVES = "endpoint_leaves"
+    ENDPOINT_FAILS = "endpoint_fails"
+    ENDPOINT_FULL = "endpoint_full"
+    ENDPOINT_LOSES_ANSWERS = "endpoint_loses_answers"
+    ENDPOINT_CUTS = "endpoint_cuts"
+    # What an operator does; the target is drawn from what there is.
+    KEY_REVOKED = "key_revoked"
+    ZONE_OUT = "zone_out"
+
+
+ON_GATEWAY = frozenset({FaultKind.TERMINATE, FaultKind.KILL, FaultKind.PAUSE})
+ON_GATEWAY_LOG = frozenset(
+    {
+        FaultKind.LOG_DELAYED,
+        FaultKind.LOG_RESET,
+        FaultKind.LOG_SILENT,
+        FaultKind.LOG_MUTE,
+    }
+)
+ON_LOG = frozenset(
+    {
+        FaultKind.LOG_AWAY,
+        FaultKind.LOG_REFUSES,
+        FaultKind.LOG_FORGETS,
+        FaultKind.LOG_LOSES_REPLIES,
+    }
+)
+# Faults that end by themselves: nothing has to be undone after a time.
+AT_ONCE = frozenset(
+    {
+        FaultKind.KILL,
+        FaultKind.LOG_RESET,
+        FaultKind.LOG_FORGETS,
+        FaultKind.LOG_LOSES_REPLIES,
+        FaultKind.ENDPOINT_RESET,
+        FaultKind.ENDPOINT_CRASHES,
+        FaultKind.ENDPOINT_LOSES_ANSWERS,
+        FaultKind.KEY_REVOKED,
+    }
+)
--- /dev/null
+++ b/acaciacove/soak/proxy.py
@@ -0,0 +1,79 @@
+"""A proxy on loopback that delays, swallows and resets."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+from acaciacove.soak.link_state import LinkState
+
+PIECE_BYTES = 65_536
+NO_LINGERING = struct.pack("ii", 1, 0)
+
+
+class Proxy:
+    """Forwards connections of one address to another, as ``state`` says."""
+
+    def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
+        """Forward from ``address`` to ``target`` once opened."""
+        self.state = LinkState()
+        self._address = address
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._forward, *self._address)
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for writer in list(self._writers):
+            # Closed without lingering, a socket sends a reset in place of its end.
+            end = writer.get_extra_info("socket")
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGERING)
+            writer.transport.abort()
+
+    def close(self) -> None:
+        """Listen no more, and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, far_writer}
+        self._writers |= pair
+        try:
+            await asyncio.gather(
+                self._pump(reader, far_writer, lambda: self.state.up_silent),
+                self._pump(far_reader, writer, lambda: self.state.down_silent),
+            )
+        except OSError:
+            # One side is gone: the other learns it by the reset below.
+            pass
+        finally:
+            self._writers -= pair
+            for end in pair:
+                end.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_silent: Callable[[], bool],
+    ) -> None:
+        while data := await reader.read(PIECE_BYTES):
+            if self.state.delay_s:
+                await asyncio.sleep(self.state.delay_s)
+            if is_silent():
+                continue
+            writer.write(data)
+            await writer.drain()
+        writer.write_eof()
--- /dev/null
+++ b/acaciacove/soak/soak_caller.py
@@ -0,0 +1,148 @@
+"""Callers of a soak, who keep what they saw."""
+
+import asyncio
+from random import Random
+
+import h11
+
+from acaciacove.platform import names
+from acaciacove.soak.addresses import FRONT_PORT
+from acaciacove.soak.call_kind import CallKind
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.soak_catalogue import HOST, KEYS
+from acaciacove.soak.soak_world import SoakWorld, receipt_field
+
+DEADLINE_S = 3.0
+# What a caller waits beyond its deadline before it gives up on an answer.
+PATIENCE_S = 1.0
+CONNECT_S = 1.0
+THINK_S = 0.08
+# Some callers go on with a key that was taken away.
+REVOKED_SHARE = 0.15
+READ_BYTES = 65_536
+
+
+class SoakCaller:
+    """Sends one request after another, on a kept connection while there is one."""
+
+    def __init__(self, number: int, world: SoakWorld) -> None:
+        """Begin without a connection."""
+        self._number = number
+        self._world = world
+        self._random = Random(f"{world.settings.seed}/caller/{number}")
+        self._gateway = 0
+        self._sent = 0
+        self._connection = h11.Connection(h11.CLIENT)
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(self._random.expovariate(1.0 / THINK_S))
+                if self._writer is None and not await self._connect():
+                    continue
+                await self._call()
+        finally:
+            self._leave()
+
+    async def _connect(self) -> bool:
+        ready = sorted(self._world.ready) or range(len(self._world.gateways))
+        self._gateway = self._random.choice(list(ready))
+        host = self._world.addresses.gateway(self._gateway)
+        self._connection = h11.Connection(h11.CLIENT)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                self._reader, self._writer = await asyncio.open_connection(
+                    host, FRONT_PORT
+                )
+        except (OSError, TimeoutError):
+            # Nothing was sent: there is nothing to check.
+            return False
+        return True
+
+    async def _call(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sent += 1
+        call = CallRecord(
+            request_id=f"{self._number}-{self._sent}",
+            kind=self._random.choice(list(CallKind)),
+            key=self._key(),
+            gateway=self._gateway,
+            sent_s=loop.time(),
+        )
+        self._world.calls.append(call)
+        try:
+            async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
+                self._send(call)
+                await self._read(call)
+        except TimeoutError:
+            # No answer in time; the record says so by its missing status.
+            self._leave()
+        except (OSError, h11.RemoteProtocolError):
+            call.closed = True
+            self._leave()
+        call.ended_s = loop.time()
+        if self._connection.our_state is h11.DONE and call.complete:
+            try:
+                self._connection.start_next_cycle()
+            except h11.LocalProtocolError:
+                self._leave()
+        else:
+            self._leave()
+
+    def _key(self) -> str:
+        revoked = list(self._world.revoked_s)
+        if revoked and self._random.random() < REVOKED_SHARE:
+            return self._random.choice(revoked)
+        return self._random.choice(self._world.keys or list(KEYS))
+
+    def _send(self, call: CallRecord) -> None:
+        assert self._writer is not None
+        headers = [
+            (b"Host", HOST.encode()),
+            (names.REQUEST_ID, call.request_id.encode()),
+            (names.AUTHORIZATION, f"Bearer {call.key}".encode()),
+            (names.DEADLINE_MS, str(int(DEADLINE_S * 1000)).encode()),
+            (b"Content-Length", b"4"),
+        ]
+        if call.kind is CallKind.DRAFT:
+            subject = self._random.randrange(20)
+            parts = f"common:400,{subject:x}:400,{self._number}{self._sent}:200"
+            headers += [
+                (names.MODEL, names.ANY_MODEL.encode()),
+                (names.TOKENS, b"1000,40"),
+                (names.PROMPT_PARTS, parts.encode()),
+            ]
+        target = f"/{call.kind.value}/{self._sent}"
+        request = h11.Request(method="POST", target=target, headers=headers)
+        data = self._connection.send(request) or b""
+        data += self._connection.send(h11.Data(data=b"body")) or b""
+        data += self._connection.send(h11.EndOfMessage()) or b""
+        self._writer.write(data)
+
+    async def _read(self, call: CallRecord) -> None:
+        assert self._reader is not None
+        while True:
+            event = self._connection.next_event()
+            if event is h11.NEED_DATA:
+                data = await self._reader.read(READ_BYTES)
+                self._connection.receive_data(data)
+            elif isinstance(event, h11.Response):
+                call.status = event.status_code
+                fields = {n.decode(): v.decode() for n, v in event.headers}
+                call.receipt = fields.get(receipt_field(), "")
+            elif isinstance(event, h11.Data):
+                call.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                call.complete = True
+                return
+            else:
+                call.closed = True
+                return
+
+    def _leave(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+            self._writer = None
--- /dev/null
+++ b/acaciacove/soak/soak_report.py
@@ -0,0 +1,43 @@
+"""What a soak found."""
+
+from collections import Counter
+
+from attrs import frozen
+
+from acaciacove.soak.fault_kind import FaultKind
+from acaciacove.soak.planned_fault import PlannedFault
+from acaciacove.soak.violation import Violation
+
+
+@frozen
+class SoakReport:
+    """Counts of a run, and the promises that it saw broken.
+
+    ``answers`` counts calls by status, "none" without one.
+    """
+
+    plan: tuple[PlannedFault, ...]
+    played: Counter[FaultKind]
+    answers: Counter[str]
+    arrivals: int
+    stalls: int
+    served_after: tuple[int, int]
+    violations: tuple[Violation, ...]
+    log_folder: str
+
+    def text(self) -> str:
+        """Return the report as lines for a person."""
+        served, asked = self.served_after
+        answers = ", ".join(f"{k}: {n}" for k, n in sorted(self.answers.items()))
+        faults = ", ".join(f"{k.value}: {n}" for k, n in sorted(self.played.items()))
+        told = [
+            f"requests by answer: {answers}",
+            f"arrivals at endpoints: {self.arrivals}",
+            f"faults played: {faults or 'none'}",
+            f"served once all was back: {served} of {asked}",
+            f"stalls of this machine, left out of checks with a time: {self.stalls}",
+            f"logs: {self.log_folder}",
+        ]
+        told += [f"BROKEN {v.promise.value}: {v.detail}" for v in self.violations]
+        told.append(f"{len(self.violations)} violations")
+        return "\n".join(told)
--- /dev/null
+++ b/acaciacove/soak/soak_trace.py
@@ -0,0 +1,62 @@
+"""What a soak has recorded, as the checks read it."""
+
+from collections import defaultdict
+
+from attrs import field, frozen
+
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.fault_kind import ON_GATEWAY, ON_GATEWAY_LOG, ON_LOG
+from acaciacove.soak.played_fault import PlayedFault
+from acaciacove.standins.endpoint_arrival import EndpointArrival
+
+# Rules with a time limit hold for gateways that nothing has befallen for this long.
+CONTACT_S = 3.0
+
+
+@frozen
+class SoakTrace:
+    """Calls, arrivals at endpoints, faults and stalls of one run, in loop time.
+
+    ``zone_of`` maps endpoints, ``revoked_s`` keys to when they were taken away.
+    ``settled_s`` is when all was back and had time to recover.
+    """
+
+    calls: list[CallRecord] = field(factory=list)
+    arrivals: list[EndpointArrival] = field(factory=list)
+    faults: list[PlayedFault] = field(factory=list)
+    stalls: list[tuple[float, float]] = field(factory=list)
+    zone_of: dict[str, str] = field(factory=dict)
+    revoked_s: dict[str, float] = field(factory=dict)
+    settled_s: float = float("inf")
+    exits: list[str] = field(factory=list)
+    faulty_lines: list[str] = field(factory=list)
+
+    def runs(self) -> dict[str, list[EndpointArrival]]:
+        """Return the arrivals that ran, by request id."""
+        found: dict[str, list[EndpointArrival]] = defaultdict(list)
+        for arrival in self.arrivals:
+            if arrival.ran:
+                found[arrival.request_id].append(arrival)
+        return found
+
+    def by_id(self) -> dict[str, CallRecord]:
+        """Return the calls by request id."""
+        return {call.request_id: call for call in self.calls}
+
+    def is_in_touch(self, gateway: int, from_s: float, to_s: float) -> bool:
+        """Tell whether nothing befell a gateway or the log, nor this process."""
+        since_s = from_s - CONTACT_S
+        if any(a < to_s and b > since_s for a, b in self.stalls):
+            return False
+        return not any(
+            fault.from_s < to_s
+            and fault.until_s > since_s
+            and (
+                fault.kind in ON_LOG
+                or (
+                    fault.kind in ON_GATEWAY | ON_GATEWAY_LOG
+                    and fault.subject == gateway
+                )
+            )
+            for fault in self.faults
+        )
--- /dev/null
+++ b/acaciacove/soak/soak_world.py
@@ -0,0 +1,180 @@
+"""Everything that a soak runs, and what it has seen."""
+
+import asyncio
+import os
+from pathlib import Path
+from random import Random
+
+from attrs import define, evolve, field
+
+from acaciacove.gateway.endpoint_report import EndpointReport
+from acaciacove.platform import names
+from acaciacove.settings.gateway_settings import GatewaySettings
+from acaciacove.settings.soak_settings import SoakSettings
+from acaciacove.soak.addresses import (
+    ENDPOINT_PORT,
+    FRONT_PORT,
+    LOG_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READINESS_PORT,
+    Addresses,
+    addresses_of,
+)
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.gateway_process import GatewayProcess
+from acaciacove.soak.played_fault import PlayedFault
+from acaciacove.soak.proxy import Proxy
+from acaciacove.soak.soak_catalogue import APP, KEYS, MODEL, SIZES, soak_catalogue
+from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
+from acaciacove.standins.endpoint_server import EndpointServer
+from acaciacove.standins.gateway_fleet import ENDPOINTS, GatewayFleet
+
+ZONES = ("a", "b", "c")
+HEARTBEAT_S = 1.2
+# The loop looks at its own clock this often; what is late by more is a stall of the
+# machine, in which times of the soak mean nothing.
+STALL_STEP_S = 0.05
+STALL_S = 0.25
+
+
+@define(eq=False)
+class SoakWorld:
+    """The stand-in platform, gateways, their links, and the record of the run."""
+
+    settings: SoakSettings
+    folder: Path
+    addresses: Addresses = field(factory=lambda: addresses_of(os.getpid()))
+    fleet: GatewayFleet = field(init=False)
+    random: Random = field(init=False)
+    gateways: list[GatewayProcess] = field(factory=list)
+    log_links: list[Proxy] = field(factory=list)
+    endpoint_links: dict[str, Proxy] = field(factory=dict)
+    servers: dict[str, EndpointServer] = field(factory=dict)
+    zone_of: dict[str, str] = field(factory=dict)
+    ready: set[int] = field(factory=set)
+    calls: list[CallRecord] = field(factory=list)
+    faults: list[PlayedFault] = field(factory=list)
+    stalls: list[tuple[float, float]] = field(factory=list)
+    keys: list[str] = field(factory=lambda: list(KEYS))
+    revoked_s: dict[str, float] = field(factory=dict)
+    zones_out: set[str] = field(factory=set)
+    versions: int = 1
+    _endpoints_made: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Make what depends on the settings."""
+        self.fleet = GatewayFleet(store_host=self.addresses.log())
+        self.random = Random(self.settings.seed)
+
+    async def open(self) -> None:
+        """Start log, endpoints and gateways."""
+        await self.fleet.open()
+        self.publish()
+        for number in range(self.settings.endpoints):
+            await self.add_endpoint(APP if number % 2 else MODEL)
+        for number in range(self.settings.gateways):
+            await self._add_gateway(number)
+
+    def publish(self) -> None:
+        """Put a catalogue with the keys of now in force."""
+        self.versions += 1
+        self.fleet.publish(soak_catalogue(self.versions, self.keys))
+
+    async def add_endpoint(self, service: str) -> None:
+        """Start an endpoint with a new name behind a link of its own."""
+        number = self._endpoints_made
+        self._endpoints_made += 1
+        report = EndpointReport(
+            instance=f"i-{number}",
+            generation="1",
+            service=service,
+            host=self.addresses.told_endpoint(number),
+            port=ENDPOINT_PORT,
+            availability_zone=ZONES[number % len(ZONES)],
+            version="v1",
+            slots=64,
+            leaving=False,
+            cold_remaining_s=0.0,
+        )
+        behaviour = EndpointBehaviour(
+            confidence=dict(zip(SIZES, (40, 99), strict=True))
+        )
+        server = EndpointServer(report, behaviour, self.fleet.arrivals)
+        own = (self.addresses.endpoint(number), ENDPOINT_PORT)
+        await self.fleet.listen(report.instance, *own, server.serve)
+        link = Proxy((report.host, report.port), own)
+        await link.open()
+        self.endpoint_links[report.instance] = link
+        self.servers[report.instance] = server
+        self.zone_of[report.instance] = report.availability_zone
+        self.fleet.register(report)
+
+    def remove_endpoint(self, instance: str) -> None:
+        """End an endpoint with its connections; its record goes, too."""
+        if self.servers.pop(instance, None) is None:
+            return
+        self.fleet.store.append(ENDPOINTS, instance, b"")
+        self.fleet.crash(instance)
+        self.endpoint_links.pop(instance).close()
+
+    def announce_leaving(self, instance: str) -> None:
+        """Let an endpoint's record say that it leaves."""
+        server = self.servers[instance]
+        server.report = evolve(server.report, leaving=True)
+        self.fleet.register(server.report)
+
+    async def _add_gateway(self, number: int) -> None:
+        link = Proxy(
+            (self.addresses.log_of(number), LOG_PORT), (self.addresses.log(), LOG_PORT)
+        )
+        await link.open()
+        self.log_links.append(link)
+        gateway = GatewayProcess(self._gateway_settings(number), self.folder)
+        self.gateways.append(gateway)
+        await gateway.start()
+
+    def _gateway_settings(self, number: int) -> GatewaySettings:
+        host = self.addresses.gateway(number)
+        return GatewaySettings(
+            name=f"gateway-{number}",
+            availability_zone=ZONES[number % len(ZONES)],
+            region="south",
+            host=host,
+            front_address=f"{host}:{FRONT_PORT}",
+            readiness_address=f"{host}:{READINESS_PORT}",
+            peer_port=PEER_PORT,
+            metrics_port=METRICS_PORT,
+            log_address=f"{self.addresses.log_of(number)}:{LOG_PORT}",
+            region_of_zone=dict.fromkeys(ZONES, "south"),
+            retry_ratio=0.9,
+            retry_extra=50.0,
+        )
+
+    async def beat(self) -> None:
+        """Write each endpoint's heartbeats until cancelled."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for server in self.servers.values():
+                self.fleet.register(server.report)
+
+    async def watch_stalls(self) -> None:
+        """Note when this process itself was held up, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            before_s = loop.time()
+            await asyncio.sleep(STALL_STEP_S)
+            if loop.time() - before_s - STALL_STEP_S > STALL_S:
+                self.stalls.append((before_s, loop.time()))
+
+    async def close(self) -> None:
+        """End the processes that this soak started, and its own servers."""
+        await asyncio.gather(*(gateway.kill() for gateway in self.gateways))
+        for link in [*self.log_links, *self.endpoint_links.values()]:
+            link.close()
+        await self.fleet.close()
+
+
+def receipt_field() -> str:
+    """Return the name of the field that shows which endpoint made an answer."""
+    return names.RECEIPT.decode()
--- /dev/null
+++ b/acaciacove/soak/violation.py
@@ -0,0 +1,29 @@
+"""A promise that a run has seen broken."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Promise(StrEnum):
+    """What the checks of a soak stand for."""
+
+    ONCE = "runs at most once"
+    NOT_RUN = "a refusal that says 'not run' is true"
+    WHOLE = "an answer is whole and its caller's own"
+    ALLOWED = "only for the organisation that holds the key, on a model of its route"
+    REVOKED = "a revoked key runs nothing"
+    DRAINED = "a leaving endpoint gets no new work"
+    ZONE_OUT = "a zone that is out gets no new work"
+    BUDGET = "repeats keep to their budget over all processes"
+    STOPPED = "a planned stop cuts no request"
+    RECOVERED = "requests are served again once all is back"
+    ALIVE = "no process ends by itself or logs a fault"
+
+
+@frozen
+class Violation:
+    """Which promise, and how it was seen."""
+
+    promise: Promise
+    detail: str
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -71,12 +71,13 @@
 
     async def open(self) -> None:
         """Start the log."""
-        await self._listen("", self.store_host, STORE_PORT, self._log_server().serve)
+        await self.listen("", self.store_host, STORE_PORT, self._log_server().serve)
 
     def _log_server(self) -> KeyedLogServer:
         return KeyedLogServer(self.store)
 
-    async def _listen(self, name: str, host: str, port: int, serve: Serve) -> None:
+    async def listen(self, name: str, host: str, port: int, serve: Serve) -> None:
+        """Serve HTTP at an address until ``name`` crashes or all is closed."""
         connections: set[FrontConnection] = set()
 
         def protocol() -> FrontConnection:
@@ -94,7 +95,7 @@
         """Start an endpoint and register it."""
         server = EndpointServer(report, behaviour or EndpointBehaviour(), self.arrivals)
         self.endpoints[report.instance] = server
-        await self._listen(report.instance, report.host, report.port, server.serve)
+        await self.listen(report.instance, report.host, report.port, server.serve)
         self.register(report)
         return server
 
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,198 @@
+"""Each check of a soak finds what it stands for, and passes what is allowed."""
+
+import pytest
+
+from acaciacove.platform import names
+from acaciacove.soak.call_kind import CallKind
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.check_answers import check_answers
+from acaciacove.soak.check_operations import check_operations
+from acaciacove.soak.fault_kind import FaultKind
+from acaciacove.soak.played_fault import PlayedFault
+from acaciacove.soak.soak_catalogue import organisation_of
+from acaciacove.soak.soak_trace import SoakTrace
+from acaciacove.soak.violation import Promise
+from acaciacove.standins.endpoint_arrival import EndpointArrival
+
+KEY = "key-0"
+EVENTS = b"".join(b"id: %d\ndata: small %d\n\n" % (n, n) for n in range(1, 5))
+
+
+def a_call(number=1, kind=CallKind.BOOK, **changes):
+    request_id = f"1-{number}"
+    values = {
+        "request_id": request_id,
+        "kind": kind,
+        "key": KEY,
+        "gateway": 0,
+        "sent_s": 10.0,
+        "ended_s": 10.1,
+        "status": 200,
+        "complete": True,
+        "receipt": f"i-0/{request_id}",
+        "body": f"i-0 served {request_id}".encode(),
+    }
+    return CallRecord(**(values | changes))
+
+
+def an_arrival(number=1, **changes):
+    fields = {
+        "acaciacove-attempt-id": f"1-{number}",
+        names.ORGANISATION.decode(): organisation_of(KEY),
+    }
+    fields |= changes.pop("fields", {})
+    values = {
+        "at_s": 10.05,
+        "instance": "i-0",
+        "method": "POST",
+        "target": "/book/1",
+        "fields": fields,
+        "body": b"body",
+        "ran": True,
+        "ended": "done",
+    }
+    return EndpointArrival(**(values | changes))
+
+
+def promises_broken(**trace):
+    seen = SoakTrace(**trace)
+    found = [*check_answers(seen), *check_operations(seen)]
+    return {violation.promise for violation in found}
+
+
+def test_a_served_request_breaks_nothing():
+    assert promises_broken(calls=[a_call()], arrivals=[an_arrival()]) == set()
+    draft = a_call(kind=CallKind.DRAFT, body=EVENTS)
+    assert promises_broken(calls=[draft], arrivals=[an_arrival()]) == set()
+
+
+def test_a_booking_that_runs_twice_is_found():
+    arrivals = [an_arrival(), an_arrival(instance="i-1")]
+    assert promises_broken(calls=[a_call()], arrivals=arrivals) == {Promise.ONCE}
+    lookup = a_call(kind=CallKind.LOOK)
+    assert promises_broken(calls=[lookup], arrivals=arrivals) == set()
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_false_promise_that_nothing_ran_is_found(status):
+    call = a_call(status=status)
+    assert promises_broken(calls=[call], arrivals=[an_arrival()]) == {Promise.NOT_RUN}
+    refused = an_arrival(ran=False, ended="")
+    assert promises_broken(calls=[call], arrivals=[refused]) == set()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"body": b"i-0 served 1-2"},
+        {"receipt": "i-0/1-2"},
+        {"receipt": "i-9/1-1"},
+        {"receipt": ""},
+        {"kind": CallKind.DRAFT, "body": EVENTS[:-20]},
+        {"kind": CallKind.DRAFT, "body": EVENTS + EVENTS},
+        {"kind": CallKind.DRAFT, "body": EVENTS + b"id: 5"},
+    ],
+)
+def test_an_answer_that_is_not_whole_or_another_s_is_found(changes):
+    call = a_call(**changes)
+    assert promises_broken(calls=[call], arrivals=[an_arrival()]) == {Promise.WHOLE}
+
+
+def test_an_answer_that_ends_early_and_says_so_is_allowed():
+    call = a_call(complete=False, closed=True, body=b"i-0 ser")
+    assert promises_broken(calls=[call], arrivals=[an_arrival()]) == set()
+
+
+def test_work_for_another_organisation_or_of_nobody_is_found():
+    fields = {names.ORGANISATION.decode(): "another"}
+    other = an_arrival(fields=fields)
+    assert promises_broken(calls=[a_call()], arrivals=[other]) == {Promise.ALLOWED}
+    assert promises_broken(arrivals=[an_arrival()]) == {Promise.ALLOWED}
+    model = an_arrival(fields={names.MODEL.decode(): "huge"})
+    assert promises_broken(calls=[a_call()], arrivals=[model]) == {Promise.ALLOWED}
+
+
+def test_work_for_a_revoked_key_is_found_once_its_time_is_up():
+    run = {"calls": [a_call()], "arrivals": [an_arrival()]}
+    assert promises_broken(**run, revoked_s={KEY: 4.9}) == {Promise.REVOKED}
+    assert promises_broken(**run, revoked_s={KEY: 5.1}) == set()
+
+
+def left_at(at_s):
+    return PlayedFault(FaultKind.ENDPOINT_LEAVES, "i-0", at_s)
+
+
+def test_work_for_an_endpoint_that_has_left_is_found():
+    run = {"calls": [a_call()], "arrivals": [an_arrival()]}
+    assert promises_broken(**run, faults=[left_at(8.0)]) == {Promise.DRAINED}
+    assert promises_broken(**run, faults=[left_at(8.2)]) == set()
+
+
+@pytest.mark.parametrize(
+    ("kind", "subject", "excused"),
+    [
+        (FaultKind.PAUSE, 0, True),
+        (FaultKind.PAUSE, 1, False),
+        (FaultKind.LOG_SILENT, 0, True),
+        (FaultKind.LOG_SILENT, 1, False),
+        (FaultKind.LOG_REFUSES, "log", True),
+        (FaultKind.ENDPOINT_FAILS, "i-0", False),
+    ],
+)
+def test_only_what_befell_the_gateway_itself_or_the_log_excuses_it(
+    kind, subject, excused
+):
+    fault = PlayedFault(kind, subject, 7.0, 7.5)
+    found = promises_broken(
+        calls=[a_call()], arrivals=[an_arrival()], faults=[left_at(8.0), fault]
+    )
+    assert found == (set() if excused else {Promise.DRAINED})
+
+
+def test_a_stall_of_this_machine_excuses_what_has_a_time():
+    found = promises_broken(
+        calls=[a_call()],
+        arrivals=[an_arrival()],
+        faults=[left_at(8.0)],
+        stalls=[(9.0, 9.5)],
+    )
+    assert found == set()
+
+
+def test_work_in_a_zone_that_is_out_is_found():
+    run = {"calls": [a_call()], "arrivals": [an_arrival()], "zone_of": {"i-0": "a"}}
+    out = PlayedFault(FaultKind.ZONE_OUT, "a", 5.0, 11.0)
+    assert promises_broken(**run, faults=[out]) == {Promise.ZONE_OUT}
+    back = PlayedFault(FaultKind.ZONE_OUT, "a", 5.0, 10.0)
+    assert promises_broken(**run, faults=[back]) == set()
+
+
+def test_repeats_beyond_the_budget_are_found():
+    def repeated(count):
+        calls = [a_call(n, CallKind.LOOK, status=None) for n in range(count)]
+        arrivals = [an_arrival(n) for n in range(count)] * 3
+        return promises_broken(calls=calls, arrivals=arrivals)
+
+    assert repeated(40) == set()
+    assert repeated(60) == {Promise.BUDGET}
+
+
+def test_a_request_that_a_planned_stop_cut_is_found():
+    call = a_call(status=None, complete=False, closed=True, ended_s=12.0)
+    stop = PlayedFault(FaultKind.TERMINATE, 0, 9.0, 13.0)
+    run = {"calls": [call], "arrivals": [an_arrival()]}
+    assert promises_broken(**run, faults=[stop]) == {Promise.STOPPED}
+    killed = PlayedFault(FaultKind.KILL, 0, 11.0, 11.5)
+    assert promises_broken(**run, faults=[stop, killed]) == set()
+
+
+def test_a_fleet_that_serves_no_more_is_found():
+    calls = [a_call(n, status=503) for n in range(30)]
+    found = promises_broken(calls=calls, settled_s=9.0)
+    assert found == {Promise.RECOVERED}
+    assert promises_broken(calls=calls, settled_s=11.0) == set()
+
+
+def test_processes_that_end_or_fail_are_found():
+    assert promises_broken(exits=["gateway-0"]) == {Promise.ALIVE}
+    assert promises_broken(faulty_lines=["Traceback"]) == {Promise.ALIVE}
