--- a/acaciacove/cli/tool_commands.py
+++ b/acaciacove/cli/tool_commands.py
@@ -167,6 +167,7 @@
         Flag("endpoints", "Endpoints to begin with, within this process.", "COUNT"),
         Flag("callers", "Callers that send side by side.", "COUNT"),
         Flag("only", "Play only these numbers of the plan, such as 3,7.", "NUMBERS"),
+        Flag("shorten", "If a promise was broken, find few faults that suffice."),
         Flag("log_folder", "Where processes' lines go; default: a new one.", "PATH"),
     ),
 )
--- a/acaciacove/settings/soak_settings.py
+++ b/acaciacove/settings/soak_settings.py
@@ -18,7 +18,8 @@
     """How long a soak runs, with how many processes, and under which faults.
 
     The plan of faults depends on ``seed`` and ``seconds`` alone. ``only`` plays the
-    faults with these numbers of the plan and leaves out the others.
+    faults with these numbers of the plan and leaves out the others; ``shorten`` looks
+    for few that still break a promise, once the whole plan did.
     """
 
     seed: int = 1
@@ -27,4 +28,5 @@
     endpoints: int = field(default=6, metadata=check(at_least(4)))
     callers: int = field(default=12, metadata=check(at_least(1)))
     only: str = field(default="", metadata=check(is_number_list))
+    shorten: bool = False
     log_folder: str = ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from acaciacove.soak.fault_plan import plan_faults
 from acaciacove.soak.proxy import Proxy
 from acaciacove.soak.run_soak import run_soak
+from acaciacove.soak.shorten_plan import shorten_plan
 from acaciacove.standins.gateway_fleet import gateway_settings
 
 # Seeds that once showed a fault, with a line on its cause, are listed here.
@@ -43,6 +44,15 @@
     assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
 
 
+@pytest.mark.parametrize("needed", [{5}, {2, 9}, {1, 2, 3}, set(range(1, 11))])
+def test_a_plan_is_shortened_to_the_faults_that_matter(needed):
+    async def is_broken(numbers):
+        return needed <= set(numbers)
+
+    kept = asyncio.run(shorten_plan(range(1, 11), is_broken))
+    assert set(kept) == needed
+
+
 def test_faulty_numbers_of_a_plan_are_told():
     with pytest.raises(InvalidSettingsError):
         SoakSettings(only="2,x")
