--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -54,6 +54,10 @@
         FaultKind.LOG_LOSES_REPLIES,
     }
 )
+DELAYING = frozenset({FaultKind.LOG_DELAYED, FaultKind.ENDPOINT_DELAYED})
+RESETTING = frozenset({FaultKind.LOG_RESET, FaultKind.ENDPOINT_RESET})
+# Bytes towards the server are swallowed; of the other faults of a link, its answers.
+SILENCING = frozenset({FaultKind.LOG_SILENT, FaultKind.ENDPOINT_SILENT})
 # Faults that end by themselves: nothing has to be undone after a time.
 AT_ONCE = frozenset(
     {
--- a/acaciacove/soak/play_faults.py
+++ b/acaciacove/soak/play_faults.py
@@ -2,9 +2,18 @@
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable, Sequence
-
-from acaciacove.soak.fault_kind import AT_ONCE, ON_GATEWAY, ON_GATEWAY_LOG, FaultKind
+from collections.abc import Callable, Sequence
+
+from acaciacove.soak.fault_kind import (
+    AT_ONCE,
+    DELAYING,
+    ON_GATEWAY,
+    ON_GATEWAY_LOG,
+    ON_LOG,
+    RESETTING,
+    SILENCING,
+    FaultKind,
+)
 from acaciacove.soak.planned_fault import PlannedFault
 from acaciacove.soak.played_fault import PlayedFault
 from acaciacove.soak.proxy import Proxy
@@ -14,6 +23,7 @@
 DELAY_S = 0.3
 RESTART_S = 0.3
 LOST_ANSWERS = 5
+EVENTS_BEFORE_CUT = 2
 # How long an endpoint that has said that it leaves goes on serving.
 LEAVING_SERVES_S = 3.0
 FEWEST_KEYS = 3
@@ -35,7 +45,7 @@
     elif fault.kind in ON_GATEWAY_LOG:
         number = fault.target % len(world.gateways)
         await _on_link(world, fault, world.log_links[number], number)
-    elif fault.kind.value.startswith("log_"):
+    elif fault.kind in ON_LOG:
         await _on_log(world, fault)
     elif fault.kind is FaultKind.KEY_REVOKED:
         _revoke_key(world)
@@ -89,13 +99,12 @@
 async def _on_link(
     world: SoakWorld, fault: PlannedFault, link: Proxy, subject: int | str
 ) -> None:
-    name = fault.kind.value.rsplit("_", 1)[-1]
     state = link.state
-    if name == "reset":
+    if fault.kind in RESETTING:
         link.reset()
-    elif name == "delayed":
+    elif fault.kind in DELAYING:
         state.delay_s = DELAY_S
-    elif name == "silent":
+    elif fault.kind in SILENCING:
         state.up_silent = True
     else:
         state.down_silent = True
@@ -154,31 +163,44 @@
 async def _on_endpoint(world: SoakWorld, fault: PlannedFault) -> None:
     names = sorted(world.servers)
     instance = names[fault.target % len(names)]
-    faults: dict[FaultKind, Callable[[], Awaitable[None]]] = {
-        FaultKind.ENDPOINT_CRASHES: lambda: _crash(world, fault, instance),
-        FaultKind.ENDPOINT_LEAVES: lambda: _leave(world, fault, instance),
-    }
-    if fault.kind in faults:
-        await faults[fault.kind]()
-        return
-    behaviour = world.servers[instance].behaviour
-    if fault.kind is FaultKind.ENDPOINT_LOSES_ANSWERS:
-        behaviour.lost_answers += LOST_ANSWERS
-        await _lasting(world, fault, instance, lambda: None)
-    elif fault.kind is FaultKind.ENDPOINT_FAILS:
-        behaviour.failing = True
-        await _lasting(world, fault, instance, lambda: _heal(behaviour))
-    elif fault.kind is FaultKind.ENDPOINT_FULL:
-        behaviour.full = True
-        await _lasting(world, fault, instance, lambda: _heal(behaviour))
-    elif fault.kind is FaultKind.ENDPOINT_CUTS:
-        behaviour.cut_after = 2
+    if fault.kind is FaultKind.ENDPOINT_CRASHES:
+        await _crash(world, fault, instance)
+    elif fault.kind is FaultKind.ENDPOINT_LEAVES:
+        await _leave(world, fault, instance)
+    elif fault.kind in MISBEHAVIOURS:
+        behaviour = world.servers[instance].behaviour
+        MISBEHAVIOURS[fault.kind](behaviour)
         await _lasting(world, fault, instance, lambda: _heal(behaviour))
     else:
         await _on_link(world, fault, world.endpoint_links[instance], instance)
 
 
+def _fail(behaviour: EndpointBehaviour) -> None:
+    behaviour.failing = True
+
+
+def _fill(behaviour: EndpointBehaviour) -> None:
+    behaviour.full = True
+
+
+def _cut(behaviour: EndpointBehaviour) -> None:
+    behaviour.cut_after = EVENTS_BEFORE_CUT
+
+
+def _lose_answers(behaviour: EndpointBehaviour) -> None:
+    behaviour.lost_answers += LOST_ANSWERS
+
+
+MISBEHAVIOURS: dict[FaultKind, Callable[[EndpointBehaviour], None]] = {
+    FaultKind.ENDPOINT_FAILS: _fail,
+    FaultKind.ENDPOINT_FULL: _fill,
+    FaultKind.ENDPOINT_CUTS: _cut,
+    FaultKind.ENDPOINT_LOSES_ANSWERS: _lose_answers,
+}
+
+
 def _heal(behaviour: EndpointBehaviour) -> None:
+    """End what lasts; answers that are to be lost are counted down by themselves."""
     behaviour.failing = behaviour.full = False
     behaviour.cut_after = None
 
--- a/acaciacove/soak/soak_caller.py
+++ b/acaciacove/soak/soak_caller.py
@@ -10,7 +10,7 @@
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.soak_catalogue import HOST, KEYS
-from acaciacove.soak.soak_world import SoakWorld, receipt_field
+from acaciacove.soak.soak_world import SoakWorld
 
 DEADLINE_S = 3.0
 # What a caller waits beyond its deadline before it gives up on an answer.
@@ -20,6 +20,7 @@
 # Some callers go on with a key that was taken away.
 REVOKED_SHARE = 0.15
 READ_BYTES = 65_536
+MS = 1000.0
 
 
 class SoakCaller:
@@ -104,7 +105,7 @@
             (b"Host", HOST.encode()),
             (names.REQUEST_ID, call.request_id.encode()),
             (names.AUTHORIZATION, f"Bearer {call.key}".encode()),
-            (names.DEADLINE_MS, str(int(DEADLINE_S * 1000)).encode()),
+            (names.DEADLINE_MS, str(int(DEADLINE_S * MS)).encode()),
             (b"Content-Length", b"4"),
         ]
         if call.kind is CallKind.DRAFT:
@@ -132,7 +133,7 @@
             elif isinstance(event, h11.Response):
                 call.status = event.status_code
                 fields = {n.decode(): v.decode() for n, v in event.headers}
-                call.receipt = fields.get(receipt_field(), "")
+                call.receipt = fields.get(names.RECEIPT.decode(), "")
             elif isinstance(event, h11.Data):
                 call.body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/acaciacove/soak/soak_world.py
+++ b/acaciacove/soak/soak_world.py
@@ -8,7 +8,6 @@
 from attrs import define, evolve, field
 
 from acaciacove.gateway.endpoint_report import EndpointReport
-from acaciacove.platform import names
 from acaciacove.settings.gateway_settings import GatewaySettings
 from acaciacove.settings.soak_settings import SoakSettings
 from acaciacove.soak.addresses import (
@@ -185,8 +184,3 @@
         for link in [*self.log_links, *self.endpoint_links.values()]:
             link.close()
         await self.fleet.close()
-
-
-def receipt_field() -> str:
-    """Return the name of the field that shows which endpoint made an answer."""
-    return names.RECEIPT.decode()
