--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -15,7 +15,7 @@
 # meets a connection that has gone silent, end within that time.
 LONGEST_HELD_S = 1.5
 LONGEST_TOLD_S = 2.1
-LONGEST_PAUSE_S = 0.75
+LONGEST_PAUSE_S = 0.5
 # A few endpoints end a read seldom: resting longer would save no call and only make
 # their news older.
 LEAST_PAUSE_S = 0.2
