Soak: one rule for requests after recovery, and no unused draw

Read over the whole change: the report and the check of recovery each picked the requests that were sent with a valid key once all was back; the trace does it for both. The world drew from a seed that nothing used. Ruled out as duplicates: the six pairs of places of the same shape, which build settings or read answers with other fields.

--- a/acaciacove/soak/check_operations.py
+++ b/acaciacove/soak/check_operations.py
@@ -141,8 +141,7 @@
 
 
 def _check_recovery(trace: SoakTrace) -> Iterator[Violation]:
-    late = [call for call in trace.calls if call.sent_s > trace.settled_s]
-    valid = [call for call in late if call.key not in trace.revoked_s]
+    valid = trace.calls_after_recovery()
     served = sum(call.status == 200 and call.complete for call in valid)
     if len(valid) >= FEWEST_SETTLED and served < SERVED_SHARE * len(valid):
         detail = f"{served} of {len(valid)} served once all was back"
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -109,11 +109,7 @@
     world: SoakWorld, plan: tuple[PlannedFault, ...], settled_s: float
 ) -> SoakReport:
     trace = _trace(world, settled_s)
-    late = [
-        call
-        for call in trace.calls
-        if call.sent_s > settled_s and call.key not in trace.revoked_s
-    ]
+    late = trace.calls_after_recovery()
     served = sum(call.status == 200 and call.complete for call in late)
     return SoakReport(
         plan=plan,
--- a/acaciacove/soak/soak_trace.py
+++ b/acaciacove/soak/soak_trace.py
@@ -43,6 +43,14 @@
         """Return the calls by request id."""
         return {call.request_id: call for call in self.calls}
 
+    def calls_after_recovery(self) -> list[CallRecord]:
+        """Return the calls with a valid key that were sent once all was back."""
+        return [
+            call
+            for call in self.calls
+            if call.sent_s > self.settled_s and call.key not in self.revoked_s
+        ]
+
     def is_in_touch(self, gateway: int, from_s: float, to_s: float) -> bool:
         """Tell whether nothing befell a gateway or the log, nor this process."""
         since_s = from_s - CONTACT_S
--- a/acaciacove/soak/soak_world.py
+++ b/acaciacove/soak/soak_world.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 from pathlib import Path
-from random import Random
 
 from attrs import define, evolve, field
 
@@ -53,7 +52,6 @@
     folder: Path
     addresses: Addresses = field(factory=lambda: addresses_of(os.getpid()))
     fleet: GatewayFleet = field(init=False)
-    random: Random = field(init=False)
     gateways: list[GatewayProcess] = field(factory=list)
     log_links: list[Proxy] = field(factory=list)
     endpoint_links: dict[str, Proxy] = field(factory=dict)
@@ -72,7 +70,6 @@
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
         self.fleet = GatewayFleet(store_host=self.addresses.log())
-        self.random = Random(self.settings.seed)
 
     async def open(self) -> None:
         """Start log, endpoints and gateways."""
