Tell crashes of endpoints from broken connections, and repeats of one request

Logs could not distinguish the hypotheses on crashing engines: each repeat of a request bears an id of its own, and an endpoint that crashed looks like a connection that was reset.

Change: lost attempts log a fingerprint of method, target, caller and body. After a request was lost, the gateway asks the endpoint for a connection; a process that has ended refuses it, a reset on the way does not stop the endpoint from listening. endpoint_crashed lists the fingerprints that were lost with it, requests_cut stands for the rest, crash_uncertain for an endpoint that is out of reach; acaciacove_gateway_endpoint_crashes_total counts.

Ruled out: header fields as part of the fingerprint (ids and deadlines differ each time).

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -69,6 +69,8 @@
         broken = work.events_delivered
         outcome = AttemptOutcome.BROKEN if broken else AttemptOutcome.LOST
         _note_failure(gateway, state, outcome, str(error))
+        if exchange.sent:
+            gateway.crash_watch.note_lost(state, work.fingerprint)
     except TimeoutError:
         broken = work.events_delivered
         outcome = AttemptOutcome.BROKEN if broken else AttemptOutcome.SILENT
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -22,6 +22,7 @@
 class EndpointState:
     """Connections, load, queue, health and probable cache of an endpoint.
 
+    ``crashed`` is set once this life of it is known to have ended without a word.
     ``rank`` stands for it where all gateways are to prefer the same endpoint.
     """
 
@@ -32,6 +33,7 @@
     health: EndpointHealth = field(factory=EndpointHealth)
     cold: ColdLimiter = field(factory=ColdLimiter)
     parts: OrderedDict[int, None] = field(factory=OrderedDict)
+    crashed: bool = False
     rank: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -13,6 +13,8 @@
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
 from acaciacove.gateway.choice.sliding_count import SlidingCount
+from acaciacove.gateway.crash_watch import CrashWatch
+from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import EndpointStates
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
@@ -84,13 +86,18 @@
     leaving: bool = False
     _last_number: int = 0
     sessions: SessionVersions = field(init=False)
+    crash_watch: CrashWatch = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
         self.sessions = SessionVersions(self.settings.session_life_s)
+        self.crash_watch = CrashWatch(self.log, self.metrics, self._on_crash)
         self.take_settings(self.settings)
 
+    def _on_crash(self, state: EndpointState, suspects: list[int]) -> None:
+        """Take note of requests under which an endpoint has crashed."""
+
     def take_settings(self, settings: GatewaySettings) -> None:
         """Keep to new bounds from now on; what was counted stays counted."""
         self.settings = settings
--- a/acaciacove/gateway/http/connection_pool.py
+++ b/acaciacove/gateway/http/connection_pool.py
@@ -38,6 +38,12 @@
             self.open_count -= 1
             raise
 
+    async def check(self, timeout_s: float) -> None:
+        """Make a connection and end it; raises ConnectFailedError when none is made."""
+        self.handshakes += 1
+        connection = await connect(self._host, self._port, timeout_s)
+        connection.abort()
+
     def _take_idle(self, share: float) -> EndpointConnection | None:
         now_s = asyncio.get_running_loop().time()
         while self._idle:
--- a/acaciacove/gateway/http/endpoint_connection.py
+++ b/acaciacove/gateway/http/endpoint_connection.py
@@ -12,6 +12,7 @@
     BadAnswerError,
     ConnectFailedError,
     ConnectionLostError,
+    ConnectRefusedError,
 )
 
 MAX_ANSWER_HEADER_BYTES = 65_536
@@ -112,6 +113,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(EndpointConnection, host, port)
+    except ConnectionRefusedError as error:
+        raise ConnectRefusedError(f"{type(error).__name__}: {error}") from error
     except (OSError, TimeoutError) as error:
         raise ConnectFailedError(f"{type(error).__name__}: {error}") from error
     bound_unacknowledged(connection)
--- a/acaciacove/gateway/http/errors.py
+++ b/acaciacove/gateway/http/errors.py
@@ -11,6 +11,10 @@
     """A connection could not be made; nothing was sent."""
 
 
+class ConnectRefusedError(ConnectFailedError):
+    """The machine answers, and nothing listens there."""
+
+
 class BadAnswerError(AcaciacoveError):
     """An endpoint sent bytes that are no answer to the request."""
 
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -22,6 +22,11 @@
         ("size", "kept"),
     )
     EJECTIONS = ("ejections_total", "times that an endpoint was left out", ())
+    ENDPOINT_CRASHES = (
+        "endpoint_crashes_total",
+        "crashes of endpoints under requests of this gateway",
+        (),
+    )
     LOG_CALLS = ("log_calls_total", "calls to the platform's log", ("call", "result"))
     LOG_QUESTIONS = (
         "log_questions_total",
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -15,6 +15,7 @@
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.refuse import PROMISING, refuse
+from acaciacove.gateway.request_fingerprint import written_fingerprint
 from acaciacove.gateway.work import Work
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
@@ -201,9 +202,17 @@
         endpoint=work.trail[-1] if work.trail else None,
         model=work.model,
         outcome=outcome.value,
+        fingerprint=_fingerprint_of(work, outcome),
     )
 
 
+def _fingerprint_of(work: Work, outcome: AttemptOutcome) -> str | None:
+    """Name what was asked where an endpoint may have crashed under it."""
+    if outcome not in (AttemptOutcome.LOST, AttemptOutcome.BROKEN):
+        return None
+    return written_fingerprint(work.fingerprint)
+
+
 def _log_request(gateway: Gateway, work: Work, status: int | str) -> None:
     now_s = asyncio.get_running_loop().time()
     request = work.request
--- a/acaciacove/gateway/work.py
+++ b/acaciacove/gateway/work.py
@@ -1,5 +1,7 @@
 """One caller's request on its way through the gateway."""
 
+from functools import cached_property
+
 from attrs import define, field
 
 from acaciacove.gateway.catalogue.organisation import Organisation
@@ -8,6 +10,7 @@
 from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.caller_request import CallerRequest
+from acaciacove.gateway.request_fingerprint import request_fingerprint
 
 
 @define(eq=False)
@@ -43,6 +46,12 @@
     trail: list[str] = field(factory=list)
     heads: list[HeadSeen] = field(factory=list)
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """The same number each time that the caller sends this request."""
+        caller = self.organisation.name if self.organisation else ""
+        return request_fingerprint(self.request, caller)
+
     @property
     def priority(self) -> int:
         """The urgency that engines are told, 0 first."""
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -114,6 +114,11 @@
         for connection in list(self._connections.pop(instance)):
             connection.abort()
 
+    def cut_connections(self, instance: str) -> None:
+        """Break an endpoint's connections; it goes on listening."""
+        for connection in list(self._connections[instance]):
+            connection.abort()
+
     def publish(self, catalogue: Catalogue) -> None:
         """Put a catalogue in force."""
         record = write_catalogue(catalogue)
