--- a/acaciacove/soak/soak_world.py
+++ b/acaciacove/soak/soak_world.py
@@ -104,7 +104,7 @@
         behaviour = EndpointBehaviour(
             confidence=dict(zip(SIZES, (40, 99), strict=True))
         )
-        server = EndpointServer(report, behaviour, self.fleet.arrivals)
+        server = EndpointServer(report, behaviour, self.fleet.arrivals, lambda: None)
         own = (self.addresses.endpoint(number), ENDPOINT_PORT)
         await self.fleet.listen(report.instance, *own, server.serve)
         link = Proxy((report.host, report.port), own)
--- a/acaciacove/standins/endpoint_arrival.py
+++ b/acaciacove/standins/endpoint_arrival.py
@@ -8,7 +8,9 @@
     """What came when, and what became of it.
 
     ``fields`` are the header fields by lower-case name. ``ended`` tells how
-    the run ended: "done", "cut" when its caller left, or "" while it runs.
+    the run ended: "done", "cut" when its caller left, "broken" when the endpoint
+    broke its answer off, "crashed" when it crashed under the run, or "" while it
+    runs.
     """
 
     at_s: float
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -15,7 +15,7 @@
     request's answer first, ``unsigned`` leaves the receipt out, ``confidence`` by
     model is told with the head. ``lost_answers`` requests are run, and their
     connections closed without an answer. ``early_end`` ends a body short of its
-    length.
+    length. A run of a request with ``crashing_body`` ends the endpoint.
     """
 
     work_s: float = 0.02
@@ -31,4 +31,5 @@
     unsigned: bool = False
     early_end: bool = False
     lost_answers: int = 0
+    crashing_body: bytes | None = None
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -1,6 +1,7 @@
 """A stand-in for an endpoint of the users' platform: plain service or engine."""
 
 import asyncio
+from collections.abc import Callable
 
 from acaciacove.gateway.endpoint_report import EndpointReport
 from acaciacove.gateway.http.caller_request import CallerRequest
@@ -11,6 +12,8 @@
 
 Fields = list[tuple[bytes, bytes]]
 MISDIRECTED = 421
+# From the begin of a run to the crash that it causes.
+CRASH_AFTER_S = 0.05
 
 
 class EndpointServer:
@@ -21,11 +24,16 @@
         report: EndpointReport,
         behaviour: EndpointBehaviour,
         arrivals: list[EndpointArrival],
+        crash: Callable[[], None],
     ) -> None:
-        """Answer as ``report.instance``; ``arrivals`` is shared by a fleet."""
+        """Answer as ``report.instance``; ``arrivals`` is shared by a fleet.
+
+        ``crash`` ends the endpoint with all its connections.
+        """
         self.report = report
         self.behaviour = behaviour
         self.arrivals = arrivals
+        self.crash = crash
         self.running = 0
         self._counted = 0
 
@@ -46,7 +54,7 @@
             await self._run(arrival, front)
             arrival.ended = arrival.ended or "done"
         except BaseException:
-            arrival.ended = "cut"
+            arrival.ended = arrival.ended or "cut"
             raise
         finally:
             arrival.ended_s = asyncio.get_running_loop().time()
@@ -74,6 +82,8 @@
         behaviour = self.behaviour
         if behaviour.mute:
             await asyncio.Event().wait()
+        if arrival.body == behaviour.crashing_body:
+            await self._crash(arrival)
         await asyncio.sleep(behaviour.work_s)
         if behaviour.lost_answers or behaviour.cut_after == 0:
             behaviour.lost_answers = max(0, behaviour.lost_answers - 1)
@@ -89,6 +99,11 @@
         else:
             await self._plain(arrival, front, fields)
 
+    async def _crash(self, arrival: EndpointArrival) -> None:
+        await asyncio.sleep(CRASH_AFTER_S)
+        arrival.ended = "crashed"
+        asyncio.get_running_loop().call_soon(self.crash)
+
     def _fails_by_count(self, arrival: EndpointArrival) -> bool:
         behaviour = self.behaviour
         if not behaviour.failing_every:
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -1,8 +1,9 @@
 """Gateways, endpoints and the log of a stand-in platform in one event loop."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from random import Random
+from typing import Any
 
 from attrs import define, evolve, field
 
@@ -39,6 +40,8 @@
 ENDPOINT_PORT = 9000
 # Stand-ins take whatever a gateway may send.
 STANDIN_LIMITS = CallerLimits(max_header_bytes=65_536, idle_timeout_s=10.0)
+# From a crash to the restart.
+BACK_S = 2.0
 OPERATOR = names.STREAMS[LogStream.OPERATOR]
 ENDPOINTS = names.STREAMS[LogStream.ENDPOINTS]
 OUTCOMES = names.STREAMS[LogStream.OUTCOMES]
@@ -63,6 +66,7 @@
     _servers: dict[str, asyncio.Server] = field(factory=dict)
     _connections: dict[str, set[FrontConnection]] = field(factory=dict)
     _tasks: dict[str, asyncio.Task[None]] = field(factory=dict)
+    _restarts: set[asyncio.Task[None]] = field(factory=set)
     _stops: dict[str, asyncio.Event] = field(factory=dict)
 
     def boot_time_s(self) -> float:
@@ -93,7 +97,12 @@
         self, report: EndpointReport, behaviour: EndpointBehaviour | None = None
     ) -> EndpointServer:
         """Start an endpoint and register it."""
-        server = EndpointServer(report, behaviour or EndpointBehaviour(), self.arrivals)
+        server = EndpointServer(
+            report,
+            behaviour or EndpointBehaviour(),
+            self.arrivals,
+            lambda: self.crash_for_a_while(report.instance),
+        )
         self.endpoints[report.instance] = server
         await self.listen(report.instance, report.host, report.port, server.serve)
         self.register(report)
@@ -114,6 +123,26 @@
         for connection in list(self._connections.pop(instance)):
             connection.abort()
 
+    def crash_for_a_while(self, instance: str) -> None:
+        """Crash an endpoint, and start it again later under a new name."""
+        if instance not in self._servers:
+            return
+        self.crash(instance)
+        loop = asyncio.get_running_loop()
+        loop.call_later(BACK_S, lambda: self._keep(self._start_again(instance)))
+
+    async def _start_again(self, instance: str) -> None:
+        before = self.endpoints.pop(instance)
+        name, _, life = instance.partition(".")
+        again = f"{name}.{int(life or 0) + 1}"
+        self.store.append(ENDPOINTS, instance, b"")
+        await self.add_endpoint(evolve(before.report, instance=again), before.behaviour)
+
+    def _keep(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     def cut_connections(self, instance: str) -> None:
         """Break an endpoint's connections; it goes on listening."""
         for connection in list(self._connections[instance]):
