Hold back a request that crashes the endpoints that run it

What callers saw: for seconds at a time four in ten requests and more were not served. One request, sent again by its caller and on by gateways, ended up to 23 engines of 9 that came back each time.

Cause: a gateway sends a request on when its connection breaks, whatever broke it, and neither it nor any other gateway remembers what was asked when an endpoint crashed.

Change: a crash (requests lost, and the endpoint refuses a new connection) is noted with the fingerprints that were lost with it, and told to a few other gateways, which pass on what was new to them; reports repeat it for those that were cut off. A request under which three endpoints crashed, unless another one was at all of these crashes and more, is suspected: it gets one try at a time in the whole fleet, announced before it is sent. Suspicion and quarantine are records of the platform's log, which starts read.

Ruled out, with the tests that tell: a count of three alone (requests that share endpoints with the bad one reach three, too: test_other_requests_are_served_...), a try announced before its connection stands (it named dead endpoints, and others took their old crash for the try's), an owner by hash who gives permission (needs a round trip, and knows nothing when it is frozen or new).

Evidence: the failing test, 66 tries where 3 are allowed before, at most 3 after, with 1, 5 and 28 gateways; word reaches 380 gateways through 5% loss for under 3 kB a gateway.

--- /dev/null
+++ b/acaciacove/decisions/trial_of_request.py
@@ -0,0 +1,16 @@
+"""One try of a request that is suspected of crashing endpoints."""
+
+from attrs import frozen
+
+
+@frozen
+class TrialOfRequest:
+    """The ``number``-th try; others wait for its end until ``until_s``.
+
+    ``endpoint`` stands for the life of an endpoint that got it. Number 0 means that
+    nobody has tried the suspected request yet.
+    """
+
+    number: int = 0
+    endpoint: int = 0
+    until_s: float = float("-inf")
--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -21,6 +21,7 @@
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.quarantine.trial_taken_error import TrialTakenError
 from acaciacove.gateway.usable_endpoints import cold_part
 from acaciacove.gateway.work import Work
 
@@ -57,11 +58,14 @@
         with _counted(gateway, work, state):
             with _reserved(gateway, work, state):
                 await exchange.open(CONNECT_TIMEOUT_S)
+                _begin_trial(gateway, work, state)
                 _note_sent(gateway, work, state)
             exchange.send()
             outcome = await _answer(
                 gateway, work, exchange, front, may_follow, may_enlarge
             )
+    except TrialTakenError:
+        outcome = AttemptOutcome.NOT_SENT
     except ConnectFailedError as error:
         outcome = AttemptOutcome.NOT_SENT
         _note_failure(gateway, state, outcome, str(error))
@@ -114,6 +118,13 @@
             progress.reserved_target -= 1
 
 
+def _begin_trial(gateway: Gateway, work: Work, state: EndpointState) -> None:
+    """Take a suspected request's one try, now that the endpoint is there."""
+    if work.on_trial:
+        now_s = asyncio.get_running_loop().time()
+        gateway.guard.begin_trial(work.fingerprint, state.endpoint, now_s)
+
+
 def _note_sent(gateway: Gateway, work: Work, state: EndpointState) -> None:
     now_s = asyncio.get_running_loop().time()
     work.sent += 1
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -13,14 +13,14 @@
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
 from acaciacove.gateway.choice.sliding_count import SlidingCount
-from acaciacove.gateway.crash_watch import CrashWatch
-from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import EndpointStates
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.quarantine.crash_watch import CrashWatch
+from acaciacove.gateway.quarantine.request_guard import RequestGuard
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS, StreamTail
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
@@ -86,18 +86,17 @@
     leaving: bool = False
     _last_number: int = 0
     sessions: SessionVersions = field(init=False)
+    guard: RequestGuard = field(init=False)
     crash_watch: CrashWatch = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
         self.sessions = SessionVersions(self.settings.session_life_s)
-        self.crash_watch = CrashWatch(self.log, self.metrics, self._on_crash)
+        self.guard = RequestGuard(self.log)
+        self.crash_watch = CrashWatch(self.log, self.metrics, self.guard.note_crash)
         self.take_settings(self.settings)
 
-    def _on_crash(self, state: EndpointState, suspects: list[int]) -> None:
-        """Take note of requests under which an endpoint has crashed."""
-
     def take_settings(self, settings: GatewaySettings) -> None:
         """Keep to new bounds from now on; what was counted stays counted."""
         self.settings = settings
--- a/acaciacove/gateway/log_stream.py
+++ b/acaciacove/gateway/log_stream.py
@@ -4,9 +4,10 @@
 
 
 class LogStream(Enum):
-    """Operators' decisions, endpoints' heartbeats, our outcomes and our members."""
+    """Operators' decisions, endpoints' heartbeats, and records of our own."""
 
     OPERATOR = "operator"
     ENDPOINTS = "endpoints"
     OUTCOMES = "outcomes"
     MEMBERS = "members"
+    QUARANTINE = "quarantine"
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -20,8 +20,10 @@
     write_member,
 )
 from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.peers.request_talk import RequestTalk
 from acaciacove.gateway.peers.work_news import WorkNews
 from acaciacove.messages.gateway_report import GatewayReport
+from acaciacove.messages.request_news import RequestNews
 from acaciacove.messages.version_cell import VersionCell
 from acaciacove.messages.work_sent import WorkSent
 from acaciacove.wire.codec import decode, encode
@@ -73,6 +75,13 @@
             gateway.states,
             gateway.log,
         )
+        self._request_talk = RequestTalk(
+            lambda: gateway.members.values(),
+            self._send_data,
+            gateway.guard,
+            gateway.random,
+            lambda: asyncio.get_running_loop().time(),
+        )
 
     async def open(self) -> None:
         """Listen for peers."""
@@ -81,6 +90,7 @@
             settings.host, settings.peer_port, self._take
         )
         self._gateway.tell_work = self._work_news.tell
+        self._gateway.guard.tell = self._request_talk.tell
 
     async def run(self) -> None:
         """Join, and report until cancelled."""
@@ -102,6 +112,7 @@
             bool(gateway.rollouts)
             or gateway.beliefs.confirmed_age_s > ASK_AGE_S
             or changed_s < OUTCOME_NEWS_S
+            or self._request_talk.has_news
         )
 
     #
@@ -194,6 +205,7 @@
 
     def _send(self, peer: Peer, reply_wanted: bool) -> None:
         self._send_data(encode(self._report(peer, reply_wanted)), peer)
+        self._request_talk.tell_some(peer)
 
     def _send_data(self, data: bytes, peer: Peer) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -242,6 +254,8 @@
         now_s = asyncio.get_running_loop().time()
         if isinstance(message, WorkSent):
             self._work_news.take(message, now_s)
+        elif isinstance(message, RequestNews):
+            self._request_talk.take(message)
         elif isinstance(message, GatewayReport):
             self._take_report(message, now_s)
 
--- /dev/null
+++ b/acaciacove/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Holds back requests that crash the endpoints that run them."""
--- a/acaciacove/gateway/crash_watch.py
+++ b/acaciacove/gateway/quarantine/crash_watch.py
@@ -5,13 +5,14 @@
 
 from attrs import define, field
 
+from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.errors import ConnectFailedError, ConnectRefusedError
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
-from acaciacove.gateway.request_fingerprint import written_fingerprint
+from acaciacove.gateway.quarantine.request_fingerprint import written_fingerprint
 
 # Requests of one crash are lost within milliseconds of each other.
 GATHER_S = 0.02
@@ -20,7 +21,7 @@
 # Requests of one crash that are told of: more do not fit into one datagram.
 MAX_LOST = 64
 
-OnCrash = Callable[[EndpointState, list[int]], None]
+OnCrash = Callable[[Endpoint, list[int], float], None]
 
 
 @define(eq=False)
@@ -68,7 +69,8 @@
             lost=len(lost),
             fingerprints=[written_fingerprint(each) for each in suspects],
         )
-        self.on_crash(state, suspects)
+        now_s = asyncio.get_running_loop().time()
+        self.on_crash(state.endpoint, suspects, now_s)
 
     async def _refuses(self, state: EndpointState) -> bool:
         try:
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -27,6 +27,7 @@
 from acaciacove.gateway.operator_reader import OperatorReader
 from acaciacove.gateway.outcome_duty import OutcomeDuty
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
+from acaciacove.gateway.quarantine.quarantine_records import keep_records
 from acaciacove.gateway.record_codec import RecordCodec
 from acaciacove.gateway.relay.relay_pace import RelayPace, relay_pace
 from acaciacove.gateway.relay.relayed_log import RelayedLog
@@ -119,6 +120,7 @@
             self._expire_lapsed(),
             self._talk_to_peers(),
             duty.run(),
+            keep_records(self.gateway.guard, self.metadata, self.log),
             self._load_metrics(),
         ):
             await self._wait_for_beliefs()
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -14,8 +14,8 @@
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.quarantine.request_fingerprint import written_fingerprint
 from acaciacove.gateway.refuse import PROMISING, refuse
-from acaciacove.gateway.request_fingerprint import written_fingerprint
 from acaciacove.gateway.work import Work
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
@@ -80,13 +80,16 @@
         now_s = asyncio.get_running_loop().time()
         if work.sent and not _may_repeat_now(gateway, work, now_s):
             return _ending(work, budget_left=False)
+        held = _held_back(gateway, work, now_s)
+        if held is not None:
+            return held if not work.may_have_run else _ending(work, budget_left=True)
         state = choose_endpoint(gateway, work, now_s)
         if state is None:
             return _ending(work, budget_left=True)
         if work.sent:
             gateway.budget(work.service.name).take(now_s, gateway.gateway_count)
         work.tries += 1
-        follows = work.sent + 1 < work.route.max_attempts
+        follows = work.sent + 1 < work.route.max_attempts and not work.on_trial
         outcome = await attempt(
             gateway,
             work,
@@ -97,6 +100,7 @@
         )
         _log_attempt(gateway, work, outcome)
         if outcome is AttemptOutcome.DELIVERED:
+            _clear(gateway, work)
             return None
         if outcome is AttemptOutcome.UNSURE:
             work.model, work.next_model = work.next_model, None
@@ -106,6 +110,21 @@
             return _ending(work, budget_left=True)
 
 
+def _held_back(gateway: Gateway, work: Work, now_s: float) -> Refusal | None:
+    """Say why a request that crashes endpoints is not sent, None for any other."""
+    guard = gateway.guard
+    if guard.quarantine.is_empty:
+        return None
+    work.on_trial = guard.is_on_trial(work.fingerprint, now_s)
+    return guard.held_back(work.fingerprint, now_s)
+
+
+def _clear(gateway: Gateway, work: Work) -> None:
+    if not gateway.guard.quarantine.is_empty:
+        now_s = asyncio.get_running_loop().time()
+        gateway.guard.note_served(work.fingerprint, now_s)
+
+
 def _may_enlarge(gateway: Gateway, work: Work) -> bool:
     """Tell whether a doubtful answer may be dropped for a larger model's."""
     sizes = work.route.model_sizes
@@ -129,6 +148,8 @@
     """
     if work.sent >= work.route.max_attempts or work.tries >= MAX_TRIES:
         return False
+    if work.on_trial and outcome is not AttemptOutcome.NOT_SENT:
+        return False
     if outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
         return not work.may_have_run or work.route.may_repeat
     return work.route.may_repeat
--- a/acaciacove/gateway/work.py
+++ b/acaciacove/gateway/work.py
@@ -10,7 +10,7 @@
 from acaciacove.gateway.head_seen import HeadSeen
 from acaciacove.gateway.http.answer_head import AnswerHead
 from acaciacove.gateway.http.caller_request import CallerRequest
-from acaciacove.gateway.request_fingerprint import request_fingerprint
+from acaciacove.gateway.quarantine.request_fingerprint import request_fingerprint
 
 
 @define(eq=False)
@@ -23,6 +23,8 @@
     ``refused_by`` are endpoints that said "not run", which no model is asked of again.
     ``told`` holds models' opinions of their answers to it, ``next_model`` which model
     is asked after one that was unsure. ``heads`` are those of answers that came.
+    ``on_trial`` is set for a request that is suspected of crashing endpoints, and that
+    this gateway alone may try.
     """
 
     request: CallerRequest
@@ -41,6 +43,7 @@
     last_event_id: str | None = None
     events_delivered: bool = False
     first_piece_s: float | None = None
+    on_trial: bool = False
     next_model: str | None = None
     told: dict[str, float] = field(factory=dict)
     trail: list[str] = field(factory=list)
--- a/acaciacove/messages/message.py
+++ b/acaciacove/messages/message.py
@@ -17,6 +17,7 @@
 from acaciacove.messages.pull import Pull
 from acaciacove.messages.records import Records
 from acaciacove.messages.refused import Refused
+from acaciacove.messages.request_news import RequestNews
 from acaciacove.messages.run import Run
 from acaciacove.messages.work_sent import WorkSent
 
@@ -40,4 +41,5 @@
     | LogAsk
     | LogTold
     | WorkSent
+    | RequestNews
 )
--- a/acaciacove/platform/names.py
+++ b/acaciacove/platform/names.py
@@ -78,6 +78,7 @@
     LogStream.ENDPOINTS: "keyed.servers",
     LogStream.OUTCOMES: "keyed.status",
     LogStream.MEMBERS: "keyed.members",
+    LogStream.QUARANTINE: "keyed.quarantine",
 }
 
 CATALOGUE_KEY = "config"
--- a/acaciacove/reason.py
+++ b/acaciacove/reason.py
@@ -24,6 +24,7 @@
     RAMP_LIMIT = "ramp_limit"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    REQUEST_QUARANTINED = "request_quarantined"
     KEY_REQUIRED = "key_required"
     KEY_EXPIRED = "key_expired"
     KEY_REUSED = "key_reused"
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -201,6 +201,10 @@
         self._stops[name].set()
         await self._tasks[name]
 
+    def kill_gateway(self, name: str) -> None:
+        """End a gateway without a word."""
+        self._tasks.pop(name).cancel()
+
     async def close(self) -> None:
         """End everything."""
         for task in self._tasks.values():
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -216,6 +216,24 @@
   parts @2 :List(UInt32);
 }
 
+struct CrashSeen {
+  endpoint @0 :UInt32;
+  suspects @1 :List(UInt64);
+}
+
+struct RequestVerdict {
+  fingerprint @0 :UInt64;
+  kind @1 :UInt8;
+  trials @2 :UInt8;
+  endpoint @3 :UInt32;
+  leftS @4 :Float32;
+}
+
+struct RequestNews {
+  crashes @0 :List(CrashSeen);
+  verdicts @1 :List(RequestVerdict);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -237,5 +255,6 @@
     logAsk @16 :LogAsk;
     logTold @17 :LogTold;
     workSent @18 :WorkSent;
+    requestNews @19 :RequestNews;
   }
 }
--- /dev/null
+++ b/tests/test_decisions_quarantine.py
@@ -0,0 +1,228 @@
+"""Which request is held back after endpoints crashed, played without a network."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from acaciacove.decisions.crash_evidence import MAX_CRASHES, CrashEvidence
+from acaciacove.decisions.request_quarantine import (
+    CLEARED_S,
+    MAX_HELD,
+    MAX_TRIALS,
+    QUARANTINE_S,
+    TRIAL_S,
+    RequestQuarantine,
+)
+from acaciacove.decisions.request_standing import RequestStanding
+from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.peers.peer_network import BUSY_EVERY_S
+from acaciacove.gateway.peers.request_talk import NEWS_S, RequestTalk
+from acaciacove.gateway.quarantine.request_guard import RequestGuard
+from acaciacove.messages.crash_seen import CrashSeen
+from acaciacove.messages.request_news import RequestNews
+from acaciacove.messages.request_verdict import (
+    CLEARED,
+    QUARANTINED,
+    TRIED,
+    RequestVerdict,
+)
+from acaciacove.wire.codec import decode, encode
+from tests.virtual import run_virtual
+
+BAD, OTHER = 7, 8
+NUMBERS = st.integers(0, 2**32 - 1)
+LONG_NUMBERS = st.integers(0, 2**64 - 1)
+
+
+def crashed_under(*fingerprints, times=3, quarantine=None):
+    quarantine = quarantine or RequestQuarantine()
+    for endpoint in range(1, times + 1):
+        quarantine.note_crash(endpoint, fingerprints, 0.0)
+    return quarantine
+
+
+def test_a_request_under_three_crashes_may_be_tried_by_one_at_a_time():
+    quarantine = crashed_under(BAD, times=2)
+    assert quarantine.standing(BAD, 0.0) is RequestStanding.FREE
+    crashed_under(BAD, quarantine=quarantine)
+    assert quarantine.standing(BAD, 0.0) is RequestStanding.TRIAL
+    quarantine.begin_trial(BAD, 9, 0.0)
+    assert quarantine.standing(BAD, 0.0) is RequestStanding.WAITING
+    assert quarantine.standing(OTHER, 0.0) is RequestStanding.FREE
+
+
+def test_a_request_that_crashes_the_endpoint_of_its_try_is_quarantined():
+    quarantine = crashed_under(BAD)
+    quarantine.begin_trial(BAD, 9, 0.0)
+    quarantine.note_crash(8, (BAD,), 0.1)
+    assert quarantine.standing(BAD, 0.2) is RequestStanding.WAITING
+    quarantine.note_crash(9, (BAD,), 0.1)
+    assert quarantine.standing(BAD, 0.2) is RequestStanding.QUARANTINED
+    assert quarantine.retry_after_s(BAD, 0.2) == pytest.approx(QUARANTINE_S, abs=1)
+    assert quarantine.standing(BAD, QUARANTINE_S + 1) is RequestStanding.FREE
+
+
+def test_a_request_whose_tries_have_no_clear_end_is_not_tried_for_ever():
+    """Guards against a request that crashes endpoints behind a broken path, unseen."""
+    quarantine, now_s = crashed_under(BAD), 0.0
+    for number in range(MAX_TRIALS):
+        quarantine.begin_trial(BAD, number + 10, now_s)
+        now_s += TRIAL_S
+    assert quarantine.standing(BAD, now_s) is RequestStanding.QUARANTINED
+
+
+def test_a_request_beside_the_one_that_crashes_endpoints_is_not_taken_for_it():
+    """Guards against requests being held back that only shared endpoints with it."""
+    quarantine = RequestQuarantine()
+    quarantine.note_crash(1, (BAD,), 0.0)
+    for endpoint in (2, 3, 4):
+        quarantine.note_crash(endpoint, (OTHER, BAD), 0.0)
+    assert quarantine.standing(BAD, 0.0) is RequestStanding.TRIAL
+    assert quarantine.standing(OTHER, 0.0) is RequestStanding.FREE
+
+
+def test_a_served_request_is_cleared_of_old_crashes_that_are_told_again():
+    """Guards against an often repeated request that adds up crashes of others."""
+    quarantine = crashed_under(BAD)
+    assert quarantine.clear(BAD, 1.0)
+    assert crashed_under(BAD, quarantine=quarantine).standing(BAD, 1.0) is (
+        RequestStanding.FREE
+    )
+    assert RequestVerdict(BAD, CLEARED) in quarantine.verdicts(2.0)
+    assert quarantine.verdicts(2.0 + CLEARED_S) == []
+
+
+def test_gateways_that_were_told_the_same_in_any_order_hold_the_same():
+    told = [CrashSeen(e, (BAD, 100 + e)) for e in range(1, 4)]
+    told.append(CrashSeen(2, (55,)))
+    for seed in range(10):
+        quarantine = RequestQuarantine()
+        for crash in Random(seed).sample(told, len(told)):
+            quarantine.note_crash(crash.endpoint, crash.suspects, 0.0)
+        assert quarantine.standing(BAD, 0.0) is RequestStanding.TRIAL
+        assert quarantine.standing(55, 0.0) is RequestStanding.FREE
+
+
+def test_what_is_remembered_is_bounded():
+    """Guards against memory that grows with each crash and each bad request."""
+    quarantine = RequestQuarantine()
+    for endpoint in range(3 * MAX_CRASHES):
+        quarantine.note_crash(endpoint, range(endpoint, endpoint + 999), 0.0)
+    evidence = quarantine.evidence
+    assert len(evidence._suspects) == MAX_CRASHES
+    assert set(evidence._crashes) == {f for s in evidence._suspects.values() for f in s}
+    for fingerprint in range(10**6, 10**6 + 2 * MAX_HELD):
+        quarantine.take(RequestVerdict(fingerprint, QUARANTINED, left_s=9.0), 0.0)
+        quarantine.suspect(2 * fingerprint)
+    assert quarantine.held == MAX_HELD
+    assert len(quarantine.verdicts(0.0)) <= 2 * MAX_HELD
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 9), st.sets(st.integers(0, 9)), st.booleans()))
+)
+@settings(max_examples=100, derandomize=True)
+def test_evidence_counts_each_crash_once(told):
+    evidence, expected = CrashEvidence(), {}
+    for endpoint, suspects, forget in told:
+        evidence.add(endpoint, suspects)
+        for fingerprint in suspects:
+            expected.setdefault(fingerprint, set()).add(endpoint)
+        if forget:
+            evidence.forget(endpoint)
+            expected.pop(endpoint, None)
+    for fingerprint in range(10):
+        count = len(expected.get(fingerprint, ()))
+        assert evidence.crashes_under(fingerprint) == count
+
+
+@given(
+    st.builds(
+        RequestNews,
+        crashes=st.lists(
+            st.builds(CrashSeen, NUMBERS, st.lists(LONG_NUMBERS).map(tuple)), max_size=3
+        ).map(tuple),
+        verdicts=st.lists(
+            st.builds(
+                RequestVerdict,
+                LONG_NUMBERS,
+                st.sampled_from([TRIED, QUARANTINED, CLEARED]),
+                st.integers(0, 9),
+                NUMBERS,
+                st.floats(0, QUARANTINE_S, width=32),
+            ),
+            max_size=3,
+        ).map(tuple),
+    )
+)
+@settings(max_examples=50, derandomize=True)
+def test_news_of_requests_is_read_as_it_was_written(news):
+    assert decode(encode(news)) == news
+
+
+class Talkers:
+    """Gateways that only tell each other of requests, with lost datagrams."""
+
+    def __init__(self, count, loss):
+        self.random = Random(count)
+        self.loss = loss
+        self.sent_bytes = [0] * count
+        self.waiting = []
+        self.peers = [Peer(str(n), "10.0.0.1", n, "a", 0.0) for n in range(count)]
+        self.talks = [self._talk(number) for number in range(count)]
+
+    def _talk(self, number):
+        guard = RequestGuard(EventLog(str(number), descriptor=None))
+        others = [peer for peer in self.peers if peer.port != number]
+        talk = RequestTalk(
+            members=lambda: others,
+            send=lambda data, peer: self._send(number, data, peer),
+            guard=guard,
+            random=Random(f"{number}"),
+            clock_s=lambda: 0.0,
+        )
+        guard.tell = talk.tell
+        return talk
+
+    def _send(self, sender, data, peer):
+        self.sent_bytes[sender] += len(data)
+        if self.random.random() >= self.loss:
+            self.waiting.append((peer.port, data))
+
+    def deliver(self):
+        while self.waiting:
+            number, data = self.waiting.pop(0)
+            self.talks[number].take(decode(data))
+
+    def report(self):
+        for talk in self.talks:
+            for peer in talk.random.sample(list(talk.members()), 4):
+                talk.tell_some(peer)
+        self.deliver()
+
+    def knowing(self, standing):
+        guards = [talk.guard for talk in self.talks]
+        return sum(g.quarantine.standing(BAD, 0.0) is standing for g in guards)
+
+
+@pytest.mark.parametrize("gateways", [5, 28, 68, 380])
+def test_word_of_a_bad_request_reaches_every_gateway_within_its_bytes(gateways):
+    """Guards against gateways of a large fleet that go on sending such a request."""
+
+    async def story():
+        fleet = Talkers(gateways, loss=0.05)
+        for endpoint in (1, 2, 3):
+            talk = fleet.talks[endpoint]
+            talk.guard.quarantine.note_crash(endpoint, (BAD,), 0.0)
+            talk.tell(RequestNews((CrashSeen(endpoint, (BAD, 50 + endpoint)),)))
+            fleet.deliver()
+        for _ in range(int(NEWS_S / BUSY_EVERY_S)):
+            fleet.report()
+        assert fleet.knowing(RequestStanding.TRIAL) == gateways
+        # Three crashes cost each gateway less than a second's control bytes.
+        assert max(fleet.sent_bytes) < 3_000
+
+    run_virtual(story)
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.gateway_world import call, run_fleet
+from tests.gateway_world import call, draft, lines, run_fleet
 
 CRASHING = b"crashes what runs it"
 # What operators are promised: three crashes, this long until every gateway in touch
@@ -12,6 +12,7 @@
 CRASHES = 3
 CONTACT_S = 3.0
 TRIES = 3
+HOSTS = tuple(f"10.0.1.{number}" for number in range(1, 5))
 
 
 def crash_at(fleet, body=CRASHING):
@@ -42,6 +43,11 @@
     return sorted(a.ended_s for a in fleet.arrivals if a.ended == "crashed")
 
 
+def crash_lines(fleet):
+    found = [lines(fleet, "endpoint_crashed", name) for name in fleet.gateways]
+    return sum(found, [])
+
+
 def tries_after(fleet, moment_s):
     return [a for a in fleet.arrivals if a.body == CRASHING and a.at_s > moment_s]
 
@@ -57,3 +63,195 @@
         assert len(tries_after(fleet, third_s + CONTACT_S)) <= TRIES
 
     run_fleet(story, gateways=gateways, apps=9, models=0)
+
+
+def test_a_streamed_request_that_crashes_endpoints_is_stopped_too():
+    """Guards against streams that are resumed at one endpoint after the other."""
+
+    async def story(fleet):
+        crash_at(fleet)
+        for number in range(12):
+            await draft(f"bad-{number}", body=CRASHING, host=HOSTS[number % 4])
+            await asyncio.sleep(1.0)
+        third_s = crashes(fleet)[CRASHES - 1]
+        assert len(tries_after(fleet, third_s + CONTACT_S)) <= TRIES
+
+    run_fleet(story, gateways=4, apps=0, models=9)
+
+
+def test_other_requests_are_served_beside_one_that_crashes_endpoints():
+    """Guards against requests being held back that shared an endpoint with it."""
+
+    async def story(fleet):
+        crash_at(fleet)
+        for server in fleet.endpoints.values():
+            server.behaviour.work_s = 0.15
+        others = []
+
+        async def ask_others():
+            for number in range(400):
+                host = HOSTS[number % 4]
+                path = f"/look/other-{number}"
+                others.append(
+                    asyncio.create_task(call(path, f"ok-{number}", host=host))
+                )
+                await asyncio.sleep(0.025)
+
+        asking = asyncio.create_task(ask_others())
+        await ask_again_and_again(fleet, 12, 0.5, 4)
+        await asking
+        answers = [await other for other in others]
+        assert not [a for a in answers if b"request_quarantined" in a.body]
+        settled = answers[100:]
+        assert sum(a.status == 200 for a in settled) == len(settled)
+
+    run_fleet(story, gateways=4, apps=9, models=0)
+
+
+def test_a_request_that_meets_three_other_crashes_is_still_served():
+    """Guards against crashes of other causes costing a caller its request."""
+
+    async def story(fleet):
+        for server in fleet.endpoints.values():
+            server.behaviour.work_s = 0.3
+        asked = asyncio.create_task(call("/look/unlucky", "r-1", body=b"unlucky"))
+        for crashed in range(1, 4):
+            await asyncio.sleep(0.1)
+            (run,) = [a for a in fleet.arrivals if a.ran and not a.ended]
+            fleet.crash_for_a_while(run.instance)
+            await asyncio.sleep(0.1)
+            assert len(crash_lines(fleet)) == crashed
+        assert (await asked).status == 502
+        again = await call("/look/unlucky", "r-2", body=b"unlucky", host=HOSTS[1])
+        assert again.status == 200
+        assert not lines(fleet, "request_quarantined")
+        await asyncio.sleep(0.05)
+        third = await call("/look/unlucky", "r-3", body=b"unlucky", host=HOSTS[2])
+        assert third.status == 200
+
+    run_fleet(story, gateways=4, apps=9, models=0)
+
+
+def test_a_repeated_request_is_not_blamed_for_crashes_of_a_whole_zone():
+    """Guards against a popular request that was at all endpoints that lost power."""
+
+    async def story(fleet):
+        for server in fleet.endpoints.values():
+            server.behaviour.work_s = 0.2
+        asked = [
+            asyncio.create_task(call("/look/popular", f"r-{n}", host=HOSTS[n % 4]))
+            for n in range(24)
+        ]
+        await asyncio.sleep(0.1)
+        for instance in ("app-0", "app-3", "app-6", "app-1", "app-4"):
+            fleet.crash_for_a_while(instance)
+        statuses = [(await each).status for each in asked]
+        assert statuses.count(200) == len(statuses)
+        assert not lines(fleet, "request_quarantined")
+        for number in range(8):
+            host = HOSTS[number % 4]
+            late = await call("/look/popular", f"late-{number}", host=host)
+            assert late.status == 200
+
+    run_fleet(story, gateways=4, apps=9, models=0)
+
+
+def test_every_refusal_of_a_held_request_is_true_and_says_when_to_return():
+    """Guards against "not run" being said of a request that crashed an endpoint."""
+
+    async def story(fleet):
+        crash_at(fleet)
+        answers = await ask_again_and_again(fleet, 12, 1.0, 4)
+        ran = {a.request_id for a in fleet.arrivals if a.ran}
+        refused = 0
+        for number, answer in enumerate(answers):
+            request_id = f"bad-{number // 2}-{number % 2}"
+            assert answer.status in (502, 503)
+            if answer.status == 503:
+                refused += 1
+                assert request_id not in ran
+                assert float(answer.headers["retry-after"]) > 0
+        assert refused >= 12
+
+    run_fleet(story, gateways=4, apps=9, models=0)
+
+
+async def after_a_storm(fleet, upset, settled_s=CONTACT_S):
+    """Let the request crash endpoints, upset the fleet, and ask all gateways again."""
+    crash_at(fleet)
+    await ask_again_and_again(fleet, 3, 0.7, 4)
+    third_s = crashes(fleet)[CRASHES - 1]
+    await upset(fleet)
+    await asyncio.sleep(settled_s)
+    await ask_again_and_again(fleet, 6, 1.0, 4)
+    assert len(tries_after(fleet, third_s + CONTACT_S)) <= TRIES
+
+
+async def restart(fleet, names):
+    for name in names:
+        fleet.kill_gateway(name)
+    await asyncio.sleep(0.5)
+    for name in names:
+        settings = fleet.gateways[name].settings
+        await fleet.add_gateway(settings, fleet.network.talk)
+
+
+ALL = tuple(f"gateway-{number}" for number in range(4))
+
+
+@pytest.mark.parametrize("names", [ALL[:1], ALL])
+def test_gateways_that_start_anew_hold_the_request_back(names):
+    """Guards against a restart, of one or of all, forgetting which request it is."""
+
+    async def upset(fleet):
+        await restart(fleet, names)
+
+    run_fleet(lambda fleet: after_a_storm(fleet, upset), gateways=4, apps=9, models=0)
+
+
+def test_a_gateway_that_starts_while_the_log_is_away_learns_it_from_the_others():
+    """Guards against a start that cannot read which requests are held back."""
+
+    async def upset(fleet):
+        await restart(fleet, ALL[:1])
+        await asyncio.sleep(0.2)
+        fleet.store.down = "silent"
+        fleet.store.newest["keyed.quarantine"].clear()
+        await asyncio.sleep(1.0)
+        fleet.store.down = None
+
+    run_fleet(lambda fleet: after_a_storm(fleet, upset), gateways=4, apps=9, models=0)
+
+
+def test_a_gateway_that_was_cut_off_learns_it_when_it_is_back():
+    """Guards against a gateway that missed the word while nobody reached it."""
+
+    async def story(fleet):
+        fleet.network.cut.add(HOSTS[0])
+        crash_at(fleet)
+        for number in range(4):
+            await call("/look/7", f"bad-{number}", body=CRASHING, host=HOSTS[1])
+            await asyncio.sleep(0.7)
+        third_s = crashes(fleet)[CRASHES - 1]
+        fleet.network.cut.clear()
+        await asyncio.sleep(CONTACT_S)
+        for number in range(4):
+            await call("/look/7", f"late-{number}", body=CRASHING, host=HOSTS[0])
+        assert len(tries_after(fleet, third_s + CONTACT_S)) <= TRIES
+
+    run_fleet(story, gateways=4, apps=9, models=0)
+
+
+def test_the_request_is_recorded_once_the_log_is_back():
+    """Guards against a loss of all after a storm while the log was away."""
+
+    async def upset(fleet):
+        fleet.store.down = None
+        await asyncio.sleep(2.0)
+        await restart(fleet, ALL)
+
+    async def story(fleet):
+        fleet.store.down = "reset"
+        await after_a_storm(fleet, upset)
+
+    run_fleet(story, gateways=4, apps=9, models=0)
