Soak: draw requests that crash endpoints, and check how often they are sent

A tenth of the calls are one more of such a request from the fault on; an endpoint that begins to run it ends with all its connections and is replaced 2 s later. Checked: three tries at most reach endpoints later than 3 s after the third crash, sent by gateways that nothing befell for 3 s; no other request is answered as held back. Both checks have tests of what they find and what they pass.

--- a/acaciacove/soak/call_record.py
+++ b/acaciacove/soak/call_record.py
@@ -9,6 +9,7 @@
 class CallRecord:
     """One request. Times are of the soak's loop.
 
+    ``sent_body`` is what the caller sent, ``body`` what it got.
     ``status`` is None while no answer came; ``complete`` tells that the answer's
     framing was whole. ``closed`` is set if the connection ended before that.
     """
@@ -23,4 +24,5 @@
     complete: bool = False
     closed: bool = False
     receipt: str = ""
+    sent_body: bytes = b"body"
     body: bytes = b""
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -32,6 +32,8 @@
     ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_LOSES_ANSWERS = "endpoint_loses_answers"
     ENDPOINT_CUTS = "endpoint_cuts"
+    # A request that crashes endpoints; callers send it until the end of the run.
+    REQUEST_CRASHES = "request_crashes"
     # What an operator does; the target is drawn from what there is.
     KEY_REVOKED = "key_revoked"
     ZONE_OUT = "zone_out"
@@ -69,5 +71,6 @@
         FaultKind.ENDPOINT_CRASHES,
         FaultKind.ENDPOINT_LOSES_ANSWERS,
         FaultKind.KEY_REVOKED,
+        FaultKind.REQUEST_CRASHES,
     }
 )
--- a/acaciacove/soak/play_faults.py
+++ b/acaciacove/soak/play_faults.py
@@ -49,6 +49,8 @@
         await _on_log(world, fault)
     elif fault.kind is FaultKind.KEY_REVOKED:
         _revoke_key(world)
+    elif fault.kind is FaultKind.REQUEST_CRASHES:
+        _let_crash(world, fault)
     elif fault.kind is FaultKind.ZONE_OUT:
         await _zone_out(world, fault)
     else:
@@ -146,6 +148,14 @@
     world.faults.append(PlayedFault(FaultKind.KEY_REVOKED, key, now_s, now_s))
 
 
+def _let_crash(world: SoakWorld, fault: PlannedFault) -> None:
+    """Have callers send a request that ends each endpoint that begins to run it."""
+    body = f"crash-{fault.number}".encode()
+    world.crashing[body] = world.keys[fault.target % len(world.keys)]
+    now_s = asyncio.get_running_loop().time()
+    world.faults.append(PlayedFault(fault.kind, body.decode(), now_s, now_s))
+
+
 async def _zone_out(world: SoakWorld, fault: PlannedFault) -> None:
     zone = ZONES[fault.target % len(ZONES)]
     if world.zones_out:
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -10,6 +10,7 @@
 from acaciacove.settings.soak_settings import SoakSettings
 from acaciacove.soak.addresses import READINESS_PORT
 from acaciacove.soak.check_answers import check_answers
+from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_plan import plan_faults
 from acaciacove.soak.planned_fault import PlannedFault
@@ -118,7 +119,11 @@
         arrivals=len(trace.arrivals),
         stalls=len(trace.stalls),
         served_after=(served, len(late)),
-        violations=(*check_answers(trace), *check_operations(trace)),
+        violations=(
+            *check_answers(trace),
+            *check_operations(trace),
+            *check_crashes(trace),
+        ),
         log_folder=str(world.folder),
     )
 
@@ -131,6 +136,7 @@
         stalls=world.stalls,
         zone_of=world.zone_of,
         revoked_s=world.revoked_s,
+        crashing=frozenset(world.crashing),
         settled_s=settled_s,
         exits=[
             f"{gateway.settings.name} ended by itself, {gateway.exits_of_its_own} times"
--- a/acaciacove/soak/soak_caller.py
+++ b/acaciacove/soak/soak_caller.py
@@ -19,6 +19,8 @@
 THINK_S = 0.08
 # Some callers go on with a key that was taken away.
 REVOKED_SHARE = 0.15
+# Calls that are one more of a request that crashes endpoints.
+CRASHING_SHARE = 0.1
 READ_BYTES = 65_536
 MS = 1000.0
 
@@ -73,6 +75,7 @@
             gateway=self._gateway,
             sent_s=loop.time(),
         )
+        self._let_crash(call)
         self._world.calls.append(call)
         try:
             async with asyncio.timeout(DEADLINE_S + PATIENCE_S):
@@ -99,6 +102,14 @@
             return self._random.choice(revoked)
         return self._random.choice(self._world.keys or list(KEYS))
 
+    def _let_crash(self, call: CallRecord) -> None:
+        """Make of some calls one more of a request that crashes endpoints."""
+        crashing = list(self._world.crashing.items())
+        if not crashing or self._random.random() >= CRASHING_SHARE:
+            return
+        call.sent_body, call.key = self._random.choice(crashing)
+        call.kind = CallKind.LOOK
+
     def _send(self, call: CallRecord) -> None:
         assert self._writer is not None
         headers = [
@@ -106,7 +117,7 @@
             (names.REQUEST_ID, call.request_id.encode()),
             (names.AUTHORIZATION, f"Bearer {call.key}".encode()),
             (names.DEADLINE_MS, str(int(DEADLINE_S * MS)).encode()),
-            (b"Content-Length", b"4"),
+            (b"Content-Length", str(len(call.sent_body)).encode()),
         ]
         if call.kind is CallKind.DRAFT:
             subject = self._random.randrange(20)
@@ -116,13 +127,18 @@
                 (names.TOKENS, b"1000,40"),
                 (names.PROMPT_PARTS, parts.encode()),
             ]
-        target = f"/{call.kind.value}/{self._sent}"
+        target = f"/{call.kind.value}/{self._target_of(call)}"
         request = h11.Request(method="POST", target=target, headers=headers)
         data = self._connection.send(request) or b""
-        data += self._connection.send(h11.Data(data=b"body")) or b""
+        data += self._connection.send(h11.Data(data=call.sent_body)) or b""
         data += self._connection.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
 
+    def _target_of(self, call: CallRecord) -> str:
+        if call.sent_body in self._world.crashing:
+            return call.sent_body.decode()
+        return f"{self._number}/{self._sent}"
+
     async def _read(self, call: CallRecord) -> None:
         assert self._reader is not None
         while True:
--- a/acaciacove/soak/soak_trace.py
+++ b/acaciacove/soak/soak_trace.py
@@ -17,6 +17,7 @@
 class SoakTrace:
     """Calls, arrivals at endpoints, faults and stalls of one run, in loop time.
 
+    ``crashing`` are bodies of requests that end what runs them.
     ``zone_of`` maps endpoints, ``revoked_s`` keys to when they were taken away.
     ``settled_s`` is when all was back and had time to recover.
     """
@@ -27,6 +28,7 @@
     stalls: list[tuple[float, float]] = field(factory=list)
     zone_of: dict[str, str] = field(factory=dict)
     revoked_s: dict[str, float] = field(factory=dict)
+    crashing: frozenset[bytes] = frozenset()
     settled_s: float = float("inf")
     exits: list[str] = field(factory=list)
     faulty_lines: list[str] = field(factory=list)
@@ -48,7 +50,9 @@
         return [
             call
             for call in self.calls
-            if call.sent_s > self.settled_s and call.key not in self.revoked_s
+            if call.sent_s > self.settled_s
+            and call.key not in self.revoked_s
+            and call.sent_body not in self.crashing
         ]
 
     def is_in_touch(self, gateway: int, from_s: float, to_s: float) -> bool:
--- a/acaciacove/soak/soak_world.py
+++ b/acaciacove/soak/soak_world.py
@@ -28,13 +28,14 @@
     REVOCATION_S,
 )
 from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.fault_kind import FaultKind
 from acaciacove.soak.gateway_process import GatewayProcess
 from acaciacove.soak.played_fault import PlayedFault
 from acaciacove.soak.proxy import Proxy
 from acaciacove.soak.soak_catalogue import APP, KEYS, MODEL, SIZES, soak_catalogue
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
 from acaciacove.standins.endpoint_server import EndpointServer
-from acaciacove.standins.gateway_fleet import ENDPOINTS, GatewayFleet
+from acaciacove.standins.gateway_fleet import BACK_S, ENDPOINTS, GatewayFleet
 
 ZONES = ("a", "b", "c")
 HEARTBEAT_S = 1.2
@@ -46,7 +47,11 @@
 
 @define(eq=False)
 class SoakWorld:
-    """The stand-in platform, gateways, their links, and the record of the run."""
+    """The stand-in platform, gateways, their links, and the record of the run.
+
+    ``crashing`` are bodies of requests that end what runs them, with the keys that
+    callers send them with.
+    """
 
     settings: SoakSettings
     folder: Path
@@ -63,9 +68,11 @@
     stalls: list[tuple[float, float]] = field(factory=list)
     keys: list[str] = field(factory=lambda: list(KEYS))
     revoked_s: dict[str, float] = field(factory=dict)
+    crashing: dict[bytes, str] = field(factory=dict)
     zones_out: set[str] = field(factory=set)
     versions: int = 1
     _endpoints_made: int = 0
+    _restarts: set[asyncio.Task[None]] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
@@ -102,9 +109,15 @@
             cold_remaining_s=0.0,
         )
         behaviour = EndpointBehaviour(
-            confidence=dict(zip(SIZES, (40, 99), strict=True))
+            confidence=dict(zip(SIZES, (40, 99), strict=True)),
+            crashing_bodies=self.crashing,
+        )
+        server = EndpointServer(
+            report,
+            behaviour,
+            self.fleet.arrivals,
+            lambda: self._crash_under_request(report.instance),
         )
-        server = EndpointServer(report, behaviour, self.fleet.arrivals, lambda: None)
         own = (self.addresses.endpoint(number), ENDPOINT_PORT)
         await self.fleet.listen(report.instance, *own, server.serve)
         link = Proxy((report.host, report.port), own)
@@ -114,6 +127,25 @@
         self.zone_of[report.instance] = report.availability_zone
         self.fleet.register(report)
 
+    def _crash_under_request(self, instance: str) -> None:
+        """End an endpoint; another takes its place after a while."""
+        server = self.servers.get(instance)
+        if server is None:
+            return
+        loop = asyncio.get_running_loop()
+        crashed = PlayedFault(
+            FaultKind.ENDPOINT_CRASHES, instance, loop.time(), loop.time()
+        )
+        self.faults.append(crashed)
+        self.remove_endpoint(instance)
+        restart = loop.create_task(self._replace(server.report.service))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _replace(self, service: str) -> None:
+        await asyncio.sleep(BACK_S)
+        await self.add_endpoint(service)
+
     def remove_endpoint(self, instance: str) -> None:
         """End an endpoint with its connections; its record goes, too."""
         if self.servers.pop(instance, None) is None:
--- a/acaciacove/soak/violation.py
+++ b/acaciacove/soak/violation.py
@@ -16,6 +16,8 @@
     DRAINED = "a leaving endpoint gets no new work"
     ZONE_OUT = "a zone that is out gets no new work"
     BUDGET = "repeats keep to their budget over all processes"
+    CRASHING = "a request that crashes endpoints is sent on three times more at most"
+    NOT_HELD = "a request that crashes nothing is not held back"
     STOPPED = "a planned stop cuts no request"
     RECOVERED = "requests are served again once all is back"
     ALIVE = "no process ends by itself or logs a fault"
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -1,5 +1,7 @@
 """How a stand-in for an endpoint of the users' platform behaves."""
 
+from collections.abc import Container
+
 from attrs import define
 
 
@@ -15,7 +17,8 @@
     request's answer first, ``unsigned`` leaves the receipt out, ``confidence`` by
     model is told with the head. ``lost_answers`` requests are run, and their
     connections closed without an answer. ``early_end`` ends a body short of its
-    length. A run of a request with ``crashing_body`` ends the endpoint.
+    length. A run of a request with one of ``crashing_bodies`` ends the
+    endpoint.
     """
 
     work_s: float = 0.02
@@ -31,5 +34,5 @@
     unsigned: bool = False
     early_end: bool = False
     lost_answers: int = 0
-    crashing_body: bytes | None = None
+    crashing_bodies: Container[bytes] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -82,7 +82,7 @@
         behaviour = self.behaviour
         if behaviour.mute:
             await asyncio.Event().wait()
-        if arrival.body == behaviour.crashing_body:
+        if arrival.body in behaviour.crashing_bodies:
             await self._crash(arrival)
         await asyncio.sleep(behaviour.work_s)
         if behaviour.lost_answers or behaviour.cut_after == 0:
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -17,7 +17,7 @@
 
 def crash_at(fleet, body=CRASHING):
     for server in fleet.endpoints.values():
-        server.behaviour.crashing_body = body
+        server.behaviour.crashing_bodies = (body,)
 
 
 async def ask_again_and_again(fleet, times, every_s, gateways, path="/look/7"):
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,6 +6,7 @@
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.check_answers import check_answers
+from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_kind import FaultKind
 from acaciacove.soak.played_fault import PlayedFault
@@ -219,3 +220,43 @@
 def test_processes_that_end_or_fail_are_found():
     assert promises_broken(exits=["gateway-0"]) == {Promise.ALIVE}
     assert promises_broken(faulty_lines=["Traceback"]) == {Promise.ALIVE}
+
+
+def a_crash(number, at_s, ended="crashed"):
+    """An arrival of a request that crashes endpoints, and its call."""
+    call = a_call(number, CallKind.LOOK, sent_s=at_s, status=502, sent_body=CRASHING)
+    run = an_arrival(number, at_s=at_s, ended_s=at_s, ended=ended, body=CRASHING)
+    return call, run
+
+
+CRASHING = b"crash-1"
+
+
+def crashes_broken(moments, **trace):
+    pairs = [a_crash(number, at_s) for number, at_s in enumerate(moments)]
+    seen = SoakTrace(
+        calls=[call for call, _ in pairs],
+        arrivals=[run for _, run in pairs],
+        crashing=frozenset({CRASHING}),
+        **trace,
+    )
+    return {violation.promise for violation in check_crashes(seen)}
+
+
+def test_a_request_that_goes_on_crashing_endpoints_is_found():
+    """Guards against a fleet that sends such a request on and on."""
+    early = [10.0, 10.1, 10.2, 12.0, 13.1]
+    assert crashes_broken([*early, 20.0, 21.0, 22.0]) == set()
+    assert crashes_broken([*early, 20.0, 21.0, 22.0, 23.0]) == {Promise.CRASHING}
+    frozen = PlayedFault(FaultKind.PAUSE, 0, 18.0, 19.0)
+    assert crashes_broken([*early, 20.0, 21.0, 23.0, 24.0], faults=[frozen]) == set()
+
+
+def test_a_held_request_that_crashes_nothing_is_found():
+    """Guards against a caller losing a request for what another one did."""
+    held = a_call(status=503, body=b'{"reason":"request_quarantined"}')
+    found = [v.promise for v in check_crashes(SoakTrace(calls=[held]))]
+    assert found == [Promise.NOT_HELD]
+    bad = a_call(status=503, body=held.body, sent_body=CRASHING)
+    crashing = frozenset({CRASHING})
+    assert not list(check_crashes(SoakTrace(calls=[bad], crashing=crashing)))
