Log what limits endpoints state, and count those that do

The logs could not tell whether gateways pass over a stated limit, keep to it each alone, or never get the answers that name it. An answer to what was asked before the limit was seen does not lift it: answers overtake each other. Nothing is decided by it yet. Stand-in endpoints learn to state a limit.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -179,6 +179,8 @@
     if head.load is not None:
         running, waiting, _ = head.load
         state.load.report(running, waiting, now_s)
+    if not head.misdirected:
+        _note_limit(gateway, exchange, head, now_s)
     assert exchange.connection is not None
     if head.idle_timeout_s is not None:
         exchange.connection.idle_timeout_s = head.idle_timeout_s
@@ -206,6 +208,20 @@
     return await _whole(gateway, work, exchange, head, front)
 
 
+def _note_limit(
+    gateway: Gateway, exchange: Exchange, head: AnswerHead, now_s: float
+) -> None:
+    """Take the endpoint's word on how many requests it takes."""
+    state, per_s = exchange.state, head.rate_limit_per_s
+    if state.limit.hear(per_s, exchange.began_s, now_s):
+        gateway.log.write(
+            Event.ENDPOINT_LIMITED,
+            endpoint=state.endpoint.instance,
+            per_s=per_s,
+            lifted=True if per_s is None else None,
+        )
+
+
 def _head_seen(exchange: Exchange, head: AnswerHead, now_s: float) -> HeadSeen:
     return HeadSeen(
         endpoint=exchange.state.endpoint.instance,
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -11,6 +11,7 @@
 from acaciacove.gateway.choice.endpoint_health import EndpointHealth
 from acaciacove.gateway.choice.endpoint_load import EndpointLoad
 from acaciacove.gateway.choice.stable_hash import stable_hash
+from acaciacove.gateway.choice.stated_limit import StatedLimit
 from acaciacove.gateway.http.connection_pool import ConnectionPool
 
 # Prompt parts that one gateway believes to be in an endpoint's memory; parts
@@ -32,6 +33,7 @@
     backlog: EndpointBacklog = field(factory=EndpointBacklog)
     health: EndpointHealth = field(factory=EndpointHealth)
     cold: ColdLimiter = field(factory=ColdLimiter)
+    limit: StatedLimit = field(factory=StatedLimit)
     parts: OrderedDict[int, None] = field(factory=OrderedDict)
     crashed: bool = False
     rank: int = field(init=False)
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -29,6 +29,9 @@
             (): min(beliefs.confirmed_age_s, 1e9)
         },
         ("endpoints", "endpoints by state"): _endpoint_states(gateway, now_s),
+        ("limited_endpoints", "endpoints that state a limit"): {
+            (): float(sum(s.limit.per_s is not None for s in gateway.states.all()))
+        },
         ("requests_in_flight", "requests at endpoints"): {
             (): float(sum(s.load.in_flight for s in gateway.states.all()))
         },
--- a/acaciacove/gateway/http/answer_head.py
+++ b/acaciacove/gateway/http/answer_head.py
@@ -11,6 +11,8 @@
     is the endpoint's word that it has not run the request. ``confidence`` is
     the model's own opinion, 0 to 100. ``load`` is (running, waiting, slots).
     ``idle_timeout_s`` is how long the endpoint keeps an idle connection.
+    ``misdirected`` tells that another endpoint than the one meant has answered.
+    ``rate_limit_per_s`` are the requests that it takes from all gateways together.
     """
 
     status: int
@@ -23,6 +25,8 @@
     load: tuple[int, int, int] | None
     idle_timeout_s: float | None
     encoded: bool
+    misdirected: bool
+    rate_limit_per_s: float | None
 
     @property
     def is_success(self) -> bool:
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -28,6 +28,7 @@
     ENDPOINT_LAPSED = "endpoint_lapsed"
     ENDPOINT_GONE = "endpoint_gone"
     ENDPOINT_EJECTED = "endpoint_ejected"
+    ENDPOINT_LIMITED = "endpoint_limited"
     ENDPOINT_CRASHED = "endpoint_crashed"
     CRASH_UNCERTAIN = "crash_uncertain"
     REQUESTS_CUT = "requests_cut"
--- a/acaciacove/platform/header_fields.py
+++ b/acaciacove/platform/header_fields.py
@@ -86,6 +86,8 @@
         load=_load(fields.get(names.LOAD)),
         idle_timeout_s=_idle_timeout_s(fields.get(names.KEEP_ALIVE)),
         encoded=names.CONTENT_ENCODING in fields,
+        misdirected=status == MISDIRECTED,
+        rate_limit_per_s=_rate(fields.get(names.RATE_LIMIT)),
     )
 
 
@@ -114,6 +116,11 @@
     return value if value is not None and math.isfinite(value) else None
 
 
+def _rate(text: str | None) -> float | None:
+    value = _number(text)
+    return value if value is not None and value >= 0 else None
+
+
 def _deadline_s(text: str | None) -> float | None:
     value = _number(text)
     return None if value is None else max(0.0, value / MS)
--- a/acaciacove/platform/names.py
+++ b/acaciacove/platform/names.py
@@ -33,6 +33,8 @@
 NOT_RUN = b"acaciacove-not-executed"
 LOAD = b"acaciacove-replica-load"
 CONFIDENCE = b"acaciacove-confidence"
+# Requests a second that the endpoint takes from all gateways together.
+RATE_LIMIT = b"server-limit"
 KEEP_ALIVE = b"keep-alive"
 CONTENT_ENCODING = b"content-encoding"
 
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -18,7 +18,7 @@
     model is told with the head. ``lost_answers`` requests are run, and their
     connections closed without an answer. ``early_end`` ends a body short of its
     length. A run of a request with one of ``crashing_bodies`` ends the
-    endpoint.
+    endpoint. ``limit_per_s`` is stated in each answer.
     """
 
     work_s: float = 0.02
@@ -34,5 +34,6 @@
     unsigned: bool = False
     early_end: bool = False
     lost_answers: int = 0
+    limit_per_s: float | None = None
     crashing_bodies: Container[bytes] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -115,10 +115,13 @@
 
     def _fields(self, arrival: EndpointArrival) -> Fields:
         load = f"{self.running},0,{self.report.slots}"
-        return [
+        fields = [
             (names.REQUEST_ID, arrival.request_id.encode()),
             (names.LOAD, load.encode()),
         ]
+        if self.behaviour.limit_per_s is not None:
+            fields.append((names.RATE_LIMIT, f"{self.behaviour.limit_per_s}".encode()))
+        return fields
 
     def _receipt(self, arrival: EndpointArrival) -> bytes:
         return f"{self.report.instance}/{arrival.request_id}".encode()
