Split the telling of a few gateways from what is told of requests

Pure move: the fan-out and its budget of bytes become TellFew, the number of an endpoint's life moves beside the endpoint's other number, so that other news can use both. Behaviour stays; tests of the quarantine, of crashing requests and of peers pass.

--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -13,6 +13,11 @@
     return stable_number(instance)
 
 
+def life_number(endpoint: Endpoint) -> int:
+    """Return the number by which gateways name one life of an endpoint."""
+    return stable_number("/".join(endpoint.key))
+
+
 class EndpointStates:
     """One state for each life of an endpoint."""
 
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -21,6 +21,7 @@
 )
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.peers.request_talk import RequestTalk
+from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.gateway.peers.work_news import WorkNews
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.request_news import RequestNews
@@ -51,6 +52,10 @@
 MAX_NONCES = 512
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class PeerNetwork:
     """Sends and takes reports, and keeps the list of peers."""
 
@@ -75,13 +80,10 @@
             gateway.states,
             gateway.log,
         )
-        self._request_talk = RequestTalk(
-            lambda: gateway.members.values(),
-            self._send_data,
-            gateway.guard,
-            gateway.random,
-            lambda: asyncio.get_running_loop().time(),
+        few = TellFew(
+            lambda: gateway.members.values(), self._send_data, gateway.random, _now_s
         )
+        self._request_talk = RequestTalk(few, gateway.guard, gateway.random, _now_s)
 
     async def open(self) -> None:
         """Listen for peers."""
--- a/acaciacove/gateway/peers/request_talk.py
+++ b/acaciacove/gateway/peers/request_talk.py
@@ -5,23 +5,18 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, field
 
-from acaciacove.gateway.choice.sliding_count import SlidingCount
 from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
 from acaciacove.messages.crash_seen import CrashSeen
 from acaciacove.messages.request_news import RequestNews
 from acaciacove.wire.codec import encode
 
-# Others that news is passed on to at once.
-FANOUT = 3
-# Of what a process may send to others for control, over the time below.
-TOLD_BYTES = 60_000
-TOLD_WINDOW_S = 20.0
 # For this long after something new, reports follow each other fast.
 NEWS_S = 0.7
 # Crashes go along with reports for this long after they were told here.
@@ -34,39 +29,24 @@
 
 @define(eq=False)
 class RequestTalk:
-    """Sends news of requests to peers and takes theirs.
+    """Sends news of requests to peers and takes theirs."""
 
-    ``send`` puts one datagram on its way; ``members`` are the receivers.
-    """
-
-    members: Callable[[], Iterable[Peer]]
-    send: Callable[[bytes, Peer], None]
+    few: TellFew
     guard: RequestGuard
     random: Random
     clock_s: Callable[[], float]
     _news_s: float = float("-inf")
     _fresh: OrderedDict[int, float] = field(factory=OrderedDict)
-    _told: SlidingCount = field(factory=lambda: SlidingCount(TOLD_WINDOW_S))
 
     def tell(self, news: RequestNews) -> None:
-        """Tell a few others at once, while the bytes for that last.
-
-        What is left out goes along with later reports.
-        """
+        """Tell a few others at once."""
         self._news_s = self.clock_s()
         for crash in news.crashes:
             self._fresh[crash.endpoint] = self.clock_s() + FRESH_S
             self._fresh.move_to_end(crash.endpoint)
         while len(self._fresh) > MAX_CRASHES:
             self._fresh.popitem(last=False)
-        members = list(self.members())
-        data = encode(news)
-        for peer in self.random.sample(members, min(FANOUT, len(members))):
-            now_s = self.clock_s()
-            if self._told.total(now_s) + len(data) > TOLD_BYTES:
-                return
-            self._told.add(now_s, len(data))
-            self.send(data, peer)
+        self.few.tell(encode(news))
 
     @property
     def has_news(self) -> bool:
@@ -87,7 +67,7 @@
             verdicts = self.random.sample(verdicts, MAX_VERDICTS)
         crashes = self._fresh_crashes()
         if crashes or verdicts:
-            self.send(encode(RequestNews(tuple(crashes), tuple(verdicts))), peer)
+            self.few.send(encode(RequestNews(tuple(crashes), tuple(verdicts))), peer)
 
     def _fresh_crashes(self) -> list[CrashSeen]:
         now_s = self.clock_s()
--- /dev/null
+++ b/acaciacove/gateway/peers/tell_few.py
@@ -0,0 +1,39 @@
+"""Tells a few other gateways at once, within what may be spent on that."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from attrs import define, field
+
+from acaciacove.gateway.choice.sliding_count import SlidingCount
+from acaciacove.gateway.peers.peer import Peer
+
+# Others that news is passed on to; each passes on what is new to it.
+FANOUT = 3
+# Of what a process may send to others for control, over the time below.
+TOLD_BYTES = 60_000
+TOLD_WINDOW_S = 20.0
+
+
+@define(eq=False)
+class TellFew:
+    """``send`` puts one datagram on its way; ``members`` are the receivers."""
+
+    members: Callable[[], Iterable[Peer]]
+    send: Callable[[bytes, Peer], None]
+    random: Random
+    clock_s: Callable[[], float]
+    _told: SlidingCount = field(factory=lambda: SlidingCount(TOLD_WINDOW_S))
+
+    def tell(self, data: bytes) -> None:
+        """Send a datagram to a few, while the bytes for that last.
+
+        What is left out goes along with later reports.
+        """
+        members = list(self.members())
+        for peer in self.random.sample(members, min(FANOUT, len(members))):
+            now_s = self.clock_s()
+            if self._told.total(now_s) + len(data) > TOLD_BYTES:
+                return
+            self._told.add(now_s, len(data))
+            self.send(data, peer)
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -11,7 +11,7 @@
 from acaciacove.decisions.request_quarantine import QUARANTINE_S, RequestQuarantine
 from acaciacove.decisions.request_standing import RequestStanding
 from acaciacove.gateway.catalogue.endpoint import Endpoint
-from acaciacove.gateway.choice.stable_hash import stable_number
+from acaciacove.gateway.endpoint_states import life_number
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.quarantine.request_fingerprint import written_fingerprint
@@ -184,8 +184,3 @@
             name = written_fingerprint(dropped)
             self.log.write(Event.REQUEST_NOT_RECORDED, fingerprint=name)
         self.to_record.set()
-
-
-def life_number(endpoint: Endpoint) -> int:
-    """Return the number by which gateways name one life of an endpoint."""
-    return stable_number("/".join(endpoint.key))
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -20,6 +20,7 @@
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.peers.peer_network import BUSY_EVERY_S
 from acaciacove.gateway.peers.request_talk import NEWS_S, RequestTalk
+from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
 from acaciacove.messages.crash_seen import CrashSeen
 from acaciacove.messages.request_news import RequestNews
@@ -177,13 +178,13 @@
     def _talk(self, number):
         guard = RequestGuard(EventLog(str(number), descriptor=None))
         others = [peer for peer in self.peers if peer.port != number]
-        talk = RequestTalk(
+        few = TellFew(
             members=lambda: others,
             send=lambda data, peer: self._send(number, data, peer),
-            guard=guard,
             random=Random(f"{number}"),
             clock_s=lambda: 0.0,
         )
+        talk = RequestTalk(few, guard, few.random, few.clock_s)
         guard.tell = talk.tell
         return talk
 
@@ -199,7 +200,7 @@
 
     def report(self):
         for talk in self.talks:
-            for peer in talk.random.sample(list(talk.members()), 4):
+            for peer in talk.random.sample(list(talk.few.members()), 4):
                 talk.tell_some(peer)
         self.deliver()
 
