Keep to the limits that endpoints state to all gateways together

What callers and endpoints saw: engines that said they take 1.1 and 1.7 requests a second got 23 and 22 in 4 s, as many as before they said so.

Cause: nothing read the field. Ruled out: each gateway keeping to the whole limit alone (no code did), answers that nobody reads (request lines show ordinary answers of both engines at all gateways).

Change: a limit is split into whole requests of a window (4 s, longer for low rates) and shared out by a hash of endpoint and gateway, so that the parts of all known gateways add up to just the limit without asking anybody, also while they are cut off from each other or the log. Places are kept while connections are made. Word of a limit and of its end goes to a few gateways at once, which pass it on, and along with reports; without it a gateway that has no share would never hear of the end. Unconfirmed for 30 s it is forgotten. An answer lifts a limit only if it was asked for after the limit was seen. A request for which limits leave no room is refused at once, with the time at which the next place is free.

Weighed: a token bucket of limit / gateways each (28 full buckets make 28 requests at once where 14 are allowed), permits from one gateway (a round trip, and nobody to ask when it is frozen).

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -108,12 +108,14 @@
     progress = gateway.rollouts.get(work.service.name)
     is_target = progress is not None and state.endpoint.version == progress.order.target
     state.cold.reserve()
+    state.limit.reserve()
     if progress is not None and is_target:
         progress.reserved_target += 1
     try:
         yield
     finally:
         state.cold.release()
+        state.limit.release()
         if progress is not None and is_target:
             progress.reserved_target -= 1
 
@@ -132,6 +134,7 @@
     work.trail.append(f"{state.endpoint.instance}@{state.endpoint.version}")
     service = work.service.name
     gateway.note_sent(service, now_s)
+    state.limit.count(now_s)
     if cold_part(gateway, work, state, now_s) is not None:
         state.cold.count(now_s)
     progress = gateway.rollouts.get(service)
@@ -220,6 +223,7 @@
             per_s=per_s,
             lifted=True if per_s is None else None,
         )
+        gateway.tell_limit(state)
 
 
 def _head_seen(exchange: Exchange, head: AnswerHead, now_s: float) -> HeadSeen:
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -10,6 +10,7 @@
 from acaciacove.gateway.choice.cold_limiter import ColdLimiter
 from acaciacove.gateway.choice.endpoint_health import EndpointHealth
 from acaciacove.gateway.choice.endpoint_load import EndpointLoad
+from acaciacove.gateway.choice.limit_share import LimitShare
 from acaciacove.gateway.choice.stable_hash import stable_hash
 from acaciacove.gateway.choice.stated_limit import StatedLimit
 from acaciacove.gateway.http.connection_pool import ConnectionPool
@@ -34,6 +35,7 @@
     health: EndpointHealth = field(factory=EndpointHealth)
     cold: ColdLimiter = field(factory=ColdLimiter)
     limit: StatedLimit = field(factory=StatedLimit)
+    limit_share: LimitShare = field(factory=LimitShare)
     parts: OrderedDict[int, None] = field(factory=OrderedDict)
     crashed: bool = False
     rank: int = field(init=False)
--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -25,6 +25,7 @@
         """Begin without endpoints."""
         self._states: dict[tuple[str, str], EndpointState] = {}
         self._by_id: dict[int, EndpointState] = {}
+        self._by_life: dict[int, EndpointState] = {}
 
     def of(self, endpoint: Endpoint) -> EndpointState:
         """Return the state of an endpoint, with its newest report."""
@@ -34,6 +35,7 @@
             state = EndpointState(endpoint=endpoint, pool=pool)
             self._states[endpoint.key] = state
             self._by_id[endpoint_id(endpoint.instance)] = state
+            self._by_life[life_number(endpoint)] = state
         state.endpoint = endpoint
         return state
 
@@ -41,6 +43,10 @@
         """Return the newest life of the endpoint with an id, None if unknown."""
         return self._by_id.get(number)
 
+    def find_life(self, number: int) -> EndpointState | None:
+        """Return the one life of an endpoint with a number, None if unknown."""
+        return self._by_life.get(number)
+
     def keep_to(self, endpoints: Iterable[Endpoint]) -> None:
         """Have a state for each known endpoint, and forget those that are gone.
 
@@ -62,6 +68,7 @@
         number = endpoint_id(state.endpoint.instance)
         if self._by_id.get(number) is state:
             del self._by_id[number]
+        self._by_life.pop(life_number(state.endpoint), None)
 
     def all(self) -> Iterable[EndpointState]:
         """Return every state."""
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -13,6 +13,7 @@
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
 from acaciacove.gateway.choice.sliding_count import SlidingCount
+from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import EndpointStates
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
@@ -41,12 +42,17 @@
 
 
 TellWork = Callable[[WorkSent, float], None]
+TellLimit = Callable[[EndpointState], None]
 
 
 def tell_nobody(sent: WorkSent, now_s: float) -> None:
     """Stand in until the other gateways can be told."""
 
 
+def tell_no_limit(state: EndpointState) -> None:
+    """Stand in until the other gateways can be told."""
+
+
 def _told_tails() -> dict[LogStream, StreamTail]:
     return {stream: StreamTail() for stream in TOLD_STREAMS}
 
@@ -57,7 +63,8 @@
 
     ``members`` are the other gateways that are or may be alive, and ``tails`` hold
     what is told to them. ``members_known`` is set once their list has been read.
-    ``tell_work`` tells them of a prompt that has just been sent. Outcomes of roll-outs
+    ``tell_work`` tells them of a prompt that has just been sent, ``tell_limit`` of what
+    an endpoint says of its limit. Outcomes of roll-outs
     have been read here up to ``outcomes_offset``, last with news at
     ``outcomes_changed_s``, and by some other gateway up to ``outcomes_told``.
     """
@@ -83,6 +90,7 @@
     outcomes_told: int = -1
     outcomes_changed_s: float = -1e9
     tell_work: TellWork = tell_nobody
+    tell_limit: TellLimit = tell_no_limit
     leaving: bool = False
     _last_number: int = 0
     sessions: SessionVersions = field(init=False)
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -14,6 +14,7 @@
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.peers.datagrams import Datagrams, OpenDatagrams, open_udp
+from acaciacove.gateway.peers.limit_talk import LimitTalk
 from acaciacove.gateway.peers.member_record import (
     MemberRecord,
     read_member,
@@ -24,6 +25,7 @@
 from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.gateway.peers.work_news import WorkNews
 from acaciacove.messages.gateway_report import GatewayReport
+from acaciacove.messages.limit_news import LimitNews
 from acaciacove.messages.request_news import RequestNews
 from acaciacove.messages.version_cell import VersionCell
 from acaciacove.messages.work_sent import WorkSent
@@ -84,6 +86,9 @@
             lambda: gateway.members.values(), self._send_data, gateway.random, _now_s
         )
         self._request_talk = RequestTalk(few, gateway.guard, gateway.random, _now_s)
+        self._limit_talk = LimitTalk(
+            few, gateway.states, gateway.log, gateway.random, _now_s
+        )
 
     async def open(self) -> None:
         """Listen for peers."""
@@ -93,6 +98,7 @@
         )
         self._gateway.tell_work = self._work_news.tell
         self._gateway.guard.tell = self._request_talk.tell
+        self._gateway.tell_limit = self._limit_talk.tell
 
     async def run(self) -> None:
         """Join, and report until cancelled."""
@@ -208,6 +214,7 @@
     def _send(self, peer: Peer, reply_wanted: bool) -> None:
         self._send_data(encode(self._report(peer, reply_wanted)), peer)
         self._request_talk.tell_some(peer)
+        self._limit_talk.tell_some(peer)
 
     def _send_data(self, data: bytes, peer: Peer) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -258,6 +265,8 @@
             self._work_news.take(message, now_s)
         elif isinstance(message, RequestNews):
             self._request_talk.take(message)
+        elif isinstance(message, LimitNews):
+            self._limit_talk.take(message)
         elif isinstance(message, GatewayReport):
             self._take_report(message, now_s)
 
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -16,6 +16,7 @@
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.quarantine.request_fingerprint import written_fingerprint
 from acaciacove.gateway.refuse import PROMISING, refuse
+from acaciacove.gateway.usable_endpoints import room_in_s
 from acaciacove.gateway.work import Work
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
@@ -27,6 +28,7 @@
 # about a request's time.
 FULL_RETRY_S = 0.4
 NO_ENDPOINT_RETRY_S = 0.8
+SHORTEST_RETRY_S = 0.1
 
 
 async def serve_request(
@@ -85,7 +87,7 @@
             return held if not work.may_have_run else _ending(work, budget_left=True)
         state = choose_endpoint(gateway, work, now_s)
         if state is None:
-            return _ending(work, budget_left=True)
+            return _nobody(gateway, work, now_s)
         if work.sent:
             gateway.budget(work.service.name).take(now_s, gateway.gateway_count)
         work.tries += 1
@@ -169,6 +171,15 @@
     return Refusal(reason, True, "no endpoint took the request", FULL_RETRY_S)
 
 
+def _nobody(gateway: Gateway, work: Work, now_s: float) -> Ending:
+    """End a request that no endpoint may be sent now."""
+    wait_s = room_in_s(gateway, work, now_s)
+    if work.tries or work.kept_failure is not None or wait_s is None:
+        return _ending(work, budget_left=True)
+    detail = "endpoints have stated limits, which are reached"
+    return Refusal(Reason.OVERLOADED, True, detail, max(wait_s, SHORTEST_RETRY_S))
+
+
 def _contradicts(work: Work) -> bool:
     """Tell whether a kept failure promises "not run" of what may have run."""
     assert work.kept_failure is not None
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -5,6 +5,7 @@
 from acaciacove.gateway.choose_version import admissible
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.keep_limit import may_send, own_share
 from acaciacove.gateway.work import Work
 
 # Of what a cold endpoint is promised to bear with the allowed overage, the share
@@ -30,6 +31,17 @@
     return sound or fresh or usable
 
 
+def room_in_s(gateway: Gateway, work: Work, now_s: float) -> float | None:
+    """Return when a limited endpoint takes one more from here; None if none does."""
+    states = [gateway.states.of(each) for each in _allowed(gateway, work)]
+    waits = [
+        state.limit.room_in_s(now_s, own_share(gateway, state, now_s))
+        for state in states
+        if state.limit.is_set(now_s)
+    ]
+    return min((wait_s for wait_s in waits if wait_s is not None), default=None)
+
+
 def _allowed(gateway: Gateway, work: Work) -> list[Endpoint]:
     """List the service's endpoints that the operator's decisions allow."""
     service, zones_out = work.service.name, gateway.beliefs.zones_out
@@ -62,6 +74,7 @@
     if limit:
         own = max(2.0, CONNECTION_MARGIN * limit / gateway.gateway_count)
         states = [state for state in states if state.load.in_flight + 1 <= own]
+    states = [state for state in states if may_send(gateway, state, now_s)]
     if work.service.cold_rate_per_s <= 0:
         return states
     return [state for state in states if _bears_more(gateway, work, state, now_s)]
--- a/acaciacove/messages/message.py
+++ b/acaciacove/messages/message.py
@@ -11,6 +11,7 @@
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.head import Head
 from acaciacove.messages.hello import Hello
+from acaciacove.messages.limit_news import LimitNews
 from acaciacove.messages.load import Load
 from acaciacove.messages.log_ask import LogAsk
 from acaciacove.messages.log_told import LogTold
@@ -42,4 +43,5 @@
     | LogTold
     | WorkSent
     | RequestNews
+    | LimitNews
 )
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -234,6 +234,16 @@
   verdicts @1 :List(RequestVerdict);
 }
 
+struct LimitSeen {
+  endpoint @0 :UInt32;
+  ageS @1 :Float32;
+  perS @2 :Float64;
+}
+
+struct LimitNews {
+  limits @0 :List(LimitSeen);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -256,5 +266,6 @@
     logTold @17 :LogTold;
     workSent @18 :WorkSent;
     requestNews @19 :RequestNews;
+    limitNews @20 :LimitNews;
   }
 }
