Soak: draw endpoints that state a limit, and check that all gateways keep to it

An endpoint states 2 requests a second for 10 s, by the stand-in's answers. The check has a test of what it finds and what it passes.

--- a/acaciacove/soak/bounds.py
+++ b/acaciacove/soak/bounds.py
@@ -6,6 +6,12 @@
 GRACE_S = 8.0
 CRASHES = 3
 TRIES_AFTER_CRASHES = 3
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_EXTRA = 5
+# What a gateway sends later than this after it got an answer counts as told.
+TOLD_S = 0.5
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 10.0
 RETRY_WINDOW_S = 10.0
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -30,6 +30,7 @@
     ENDPOINT_LEAVES = "endpoint_leaves"
     ENDPOINT_FAILS = "endpoint_fails"
     ENDPOINT_FULL = "endpoint_full"
+    ENDPOINT_LIMITS = "endpoint_limits"
     ENDPOINT_LOSES_ANSWERS = "endpoint_loses_answers"
     ENDPOINT_CUTS = "endpoint_cuts"
     # A request that crashes endpoints; callers send it until the end of the run.
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -18,6 +18,8 @@
 BLIND_SHARE = 0.3
 BLIND_S = 9.0
 BLIND_BEFORE_S = 0.3
+# Long enough for all to know of a limit, and for windows in which it must hold.
+LIMITED_S = 10.0
 # Restarts come in series, each shortly after the one before, and overlap with others.
 SERIES_SHARE = 0.2
 SERIES_LENGTH = 3
@@ -38,6 +40,8 @@
             for_s = BLIND_S
             missed = (at_s + BLIND_BEFORE_S, FaultKind.KEY_REVOKED, target, 0.0)
             drawn.append(missed)
+        if kind is FaultKind.ENDPOINT_LIMITS:
+            for_s = LIMITED_S
         drawn.append((at_s, kind, target, for_s))
         if kind is FaultKind.TERMINATE and random.random() < SERIES_SHARE:
             drawn += [
--- a/acaciacove/soak/play_faults.py
+++ b/acaciacove/soak/play_faults.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable, Sequence
 
+from acaciacove.soak.bounds import LIMIT_PER_S
 from acaciacove.soak.fault_kind import (
     AT_ONCE,
     DELAYING,
@@ -179,8 +180,11 @@
         await _leave(world, fault, instance)
     elif fault.kind in MISBEHAVIOURS:
         behaviour = world.servers[instance].behaviour
+        if behaviour.limit_per_s is not None and fault.kind in HEALS:
+            return
         MISBEHAVIOURS[fault.kind](behaviour)
-        await _lasting(world, fault, instance, lambda: _heal(behaviour))
+        heal = HEALS.get(fault.kind, _heal)
+        await _lasting(world, fault, instance, lambda: heal(behaviour))
     else:
         await _on_link(world, fault, world.endpoint_links[instance], instance)
 
@@ -193,6 +197,10 @@
     behaviour.full = True
 
 
+def _limit(behaviour: EndpointBehaviour) -> None:
+    behaviour.limit_per_s = LIMIT_PER_S
+
+
 def _cut(behaviour: EndpointBehaviour) -> None:
     behaviour.cut_after = EVENTS_BEFORE_CUT
 
@@ -204,6 +212,7 @@
 MISBEHAVIOURS: dict[FaultKind, Callable[[EndpointBehaviour], None]] = {
     FaultKind.ENDPOINT_FAILS: _fail,
     FaultKind.ENDPOINT_FULL: _fill,
+    FaultKind.ENDPOINT_LIMITS: _limit,
     FaultKind.ENDPOINT_CUTS: _cut,
     FaultKind.ENDPOINT_LOSES_ANSWERS: _lose_answers,
 }
@@ -215,6 +224,15 @@
     behaviour.cut_after = None
 
 
+def _lift(behaviour: EndpointBehaviour) -> None:
+    behaviour.limit_per_s = None
+
+
+HEALS: dict[FaultKind, Callable[[EndpointBehaviour], None]] = {
+    FaultKind.ENDPOINT_LIMITS: _lift,
+}
+
+
 async def _crash(world: SoakWorld, fault: PlannedFault, instance: str) -> None:
     """Replace an endpoint without a word by one with another name."""
     service = world.servers[instance].report.service
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -11,6 +11,7 @@
 from acaciacove.soak.addresses import READINESS_PORT
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
+from acaciacove.soak.check_limits import check_limits
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_plan import plan_faults
 from acaciacove.soak.planned_fault import PlannedFault
@@ -123,6 +124,7 @@
             *check_answers(trace),
             *check_operations(trace),
             *check_crashes(trace),
+            *check_limits(trace),
         ),
         log_folder=str(world.folder),
     )
--- a/acaciacove/soak/violation.py
+++ b/acaciacove/soak/violation.py
@@ -18,6 +18,7 @@
     BUDGET = "repeats keep to their budget over all processes"
     CRASHING = "a request that crashes endpoints is sent on three times more at most"
     NOT_HELD = "a request that crashes nothing is not held back"
+    LIMITED = "an endpoint gets no more than it states, from all that were told"
     STOPPED = "a planned stop cuts no request"
     RECOVERED = "requests are served again once all is back"
     ALIVE = "no process ends by itself or logs a fault"
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,10 +3,12 @@
 import pytest
 
 from acaciacove.platform import names
+from acaciacove.soak.bounds import LIMIT_OVERAGE
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
+from acaciacove.soak.check_limits import check_limits
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_kind import FaultKind
 from acaciacove.soak.played_fault import PlayedFault
@@ -260,3 +262,28 @@
     bad = a_call(status=503, body=held.body, sent_body=CRASHING)
     crashing = frozenset({CRASHING})
     assert not list(check_crashes(SoakTrace(calls=[bad], crashing=crashing)))
+
+
+def limits_broken(per_s, gateways=2, told_s=0.1, **trace):
+    """Send at an even pace to an endpoint that states its limit at 20 s."""
+    limited = PlayedFault(FaultKind.ENDPOINT_LIMITS, "i-0", 20.0, 30.0)
+    calls, arrivals = [], []
+    for number in range(int(12 * per_s)):
+        at_s = 19.0 + number / per_s
+        times = {"sent_s": at_s, "ended_s": at_s + told_s}
+        calls.append(a_call(number, CallKind.LOOK, gateway=number % gateways, **times))
+        arrivals.append(an_arrival(number, at_s=at_s))
+    faults = [limited, *trace.pop("faults", [])]
+    seen = SoakTrace(calls=calls, arrivals=arrivals, faults=faults)
+    return {violation.promise for violation in check_limits(seen)}
+
+
+def test_an_endpoint_that_gets_more_than_it_states_is_found():
+    """Guards against gateways that together send more than an endpoint takes."""
+    assert limits_broken(2.0 * LIMIT_OVERAGE) == set()
+    assert limits_broken(6.0) == {Promise.LIMITED}
+    # Answers that take nearly all the time have told nobody yet.
+    assert limits_broken(6.0, told_s=9.0) == set()
+    frozen = [PlayedFault(FaultKind.PAUSE, n, 22.0, 29.0) for n in (0, 1)]
+    assert limits_broken(6.0, faults=frozen) == set()
+    assert limits_broken(12.0, faults=frozen[:1]) == {Promise.LIMITED}
