Tell the most suspicious requests of a crash first, and keep all others at home

Read in the diff: of more than 64 requests that one gateway lost with an endpoint, those cut from the evidence were any. Test with 300 lost at once; it fails on the code before (the bad one is the last of the list).

--- a/acaciacove/decisions/crash_evidence.py
+++ b/acaciacove/decisions/crash_evidence.py
@@ -30,9 +30,13 @@
         return bool(self._crashes)
 
     def add(self, endpoint: int, suspects: Iterable[int]) -> list[int]:
-        """Note a crash; returns the suspects that were not known of it."""
+        """Note a crash; returns the suspects that were not known of it.
+
+        Those that most endpoints crashed under come first, and are kept if there are
+        too many.
+        """
         known = self._suspects.setdefault(endpoint, set())
-        new = [each for each in suspects if each not in known]
+        new = sorted(set(suspects) - known, key=self.crashes_under, reverse=True)
         new = new[: MAX_SUSPECTS - len(known)]
         known.update(new)
         for fingerprint in new:
--- a/acaciacove/gateway/quarantine/crash_watch.py
+++ b/acaciacove/gateway/quarantine/crash_watch.py
@@ -18,8 +18,8 @@
 GATHER_S = 0.02
 # A machine that answers nothing within this is out of reach, which proves no crash.
 CHECK_TIMEOUT_S = 0.4
-# Requests of one crash that are told of: more do not fit into one datagram.
-MAX_LOST = 64
+# Of the requests of one crash, those that are named in the log.
+MAX_LOGGED = 16
 
 OnCrash = Callable[[Endpoint, list[int], float], None]
 
@@ -62,15 +62,14 @@
         if not state.crashed:
             self.log.write(Event.REQUESTS_CUT, endpoint=endpoint, lost=len(lost))
             return
-        suspects = lost[-MAX_LOST:]
         self.log.write(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint,
             lost=len(lost),
-            fingerprints=[written_fingerprint(each) for each in suspects],
+            fingerprints=[written_fingerprint(each) for each in lost[:MAX_LOGGED]],
         )
         now_s = asyncio.get_running_loop().time()
-        self.on_crash(state.endpoint, suspects, now_s)
+        self.on_crash(state.endpoint, lost, now_s)
 
     async def _refuses(self, state: EndpointState) -> bool:
         try:
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -25,6 +25,9 @@
 
 # Requests lost with an endpoint of this gateway's, the oldest forgotten first.
 MAX_LOST = 1024
+# Of the requests of one crash, those under which most endpoints crashed are told to
+# others: more do not fit into one datagram.
+MAX_TOLD_SUSPECTS = 64
 # Requests whose standing has been logged.
 MAX_TOLD = 4096
 # Records that wait for the log; one that is full drops the oldest.
@@ -63,7 +66,8 @@
         new = self.quarantine.note_crash(life, suspects, now_s)
         if new:
             verdicts = self._verdicts_on(new, now_s)
-            self.tell(RequestNews((CrashSeen(life, tuple(new)),), verdicts))
+            seen = CrashSeen(life, tuple(new[:MAX_TOLD_SUSPECTS]))
+            self.tell(RequestNews((seen,), verdicts))
 
     def held_back(self, fingerprint: int, now_s: float) -> Refusal | None:
         """Return why a request is not sent now; None where it may be."""
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -16,6 +16,7 @@
     RequestQuarantine,
 )
 from acaciacove.decisions.request_standing import RequestStanding
+from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.peers.peer_network import BUSY_EVERY_S
@@ -227,3 +228,36 @@
         assert max(fleet.sent_bytes) < 3_000
 
     run_virtual(story)
+
+
+def test_a_bad_request_among_hundreds_that_were_lost_with_an_endpoint_is_told():
+    """Guards against the one that matters being cut from a datagram that is full."""
+
+    async def story():
+        told = []
+        guard = RequestGuard(EventLog("g", descriptor=None), tell=told.append)
+        for number in range(3):
+            endpoint = an_endpoint(number)
+            others = range(1000 * number, 1000 * number + 99)
+            guard.note_crash(endpoint, [*others, *range(9000, 9200), BAD + 10**6], 0.0)
+        crash = told[-1].crashes[0]
+        assert crash.suspects[0] == BAD + 10**6
+        assert len(encode(told[-1])) < 1_400
+        assert guard.quarantine.standing(BAD + 10**6, 0.0) is RequestStanding.TRIAL
+
+    run_virtual(story)
+
+
+def an_endpoint(number):
+    return Endpoint(
+        instance=f"i-{number}",
+        generation="1",
+        service="app",
+        host="10.0.2.1",
+        port=9000,
+        availability_zone="a",
+        version="v1",
+        slots=6,
+        leaving=False,
+        cold_until_s=0.0,
+    )
