Split an endpoint's connections over any number of gateways

Found when looking for bounds that one gateway keeps and all must: each took two connections at the least, whatever the limit. With 68 gateways that is 136 where an endpoint takes 96, with 380 it is 760 of 96 or 360 (worked out by the old formula); beyond the limit an endpoint resets connections.

With 1 to 31 gateways parts differ from before by one at most. The test sums the parts of 1, 5, 28, 68 and 380 gateways; pytest of limits, requests, heavy load and large services: pass.

--- a/acaciacove/gateway/choice/limit_share.py
+++ b/acaciacove/gateway/choice/limit_share.py
@@ -1,4 +1,4 @@
-"""This gateway's share of an endpoint's limit, as it was last worked out."""
+"""This gateway's share of a bound on an endpoint, as it was last worked out."""
 
 from attrs import define
 
--- a/acaciacove/gateway/keep_limit.py
+++ b/acaciacove/gateway/keep_limit.py
@@ -1,11 +1,14 @@
-"""Keeps to the limits that endpoints state to all gateways together."""
+"""Keeps to bounds on an endpoint that hold over all gateways together."""
 
+from acaciacove.gateway.choice.limit_share import LimitShare
 from acaciacove.gateway.choice.share_of import share_of
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 
 # How often it is checked whether members have come or gone.
 CHECK_EVERY_S = 1.0
+# The part of an endpoint's connections that gateways use, all together.
+CONNECTION_MARGIN = 0.8
 
 
 def may_send(gateway: Gateway, state: EndpointState, now_s: float) -> bool:
@@ -20,7 +23,27 @@
     if not gateway.members_known:
         # How many share the limit is not known yet; others keep to it meanwhile.
         return 0
-    total, share = state.limit.per_window, state.limit_share
+    total = state.limit.per_window
+    return _share_now(gateway, state, state.limit_share, total, now_s)
+
+
+def own_connections(
+    gateway: Gateway, state: EndpointState, limit: int, now_s: float
+) -> int:
+    """Return how many of an endpoint's connections this gateway may use at once."""
+    total = int(CONNECTION_MARGIN * limit)
+    if not gateway.members_known:
+        return max(1, total // gateway.gateway_count)
+    return _share_now(gateway, state, state.connection_share, total, now_s)
+
+
+def _share_now(
+    gateway: Gateway,
+    state: EndpointState,
+    share: LimitShare,
+    total: int,
+    now_s: float,
+) -> int:
     if share.total == total and now_s - share.checked_s < CHECK_EVERY_S:
         return share.own
     gateways = gateway.peers
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -5,7 +5,7 @@
 from acaciacove.gateway.choose_version import admissible
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
-from acaciacove.gateway.keep_limit import may_send, own_share
+from acaciacove.gateway.keep_limit import may_send, own_connections, own_share
 from acaciacove.gateway.work import Work
 
 # Of what a cold endpoint is promised to bear with the allowed overage, the share
@@ -17,8 +17,6 @@
 # new record being read here: a restart, the record's way, and one pause between
 # two reads of heartbeats.
 BROKEN_DOUBT_S = 2.1
-# The share of an endpoint's connections that one gateway may take for itself.
-CONNECTION_MARGIN = 0.8
 
 
 def usable_endpoints(gateway: Gateway, work: Work, now_s: float) -> list[EndpointState]:
@@ -72,8 +70,11 @@
     """Leave endpoints to which this gateway's parts of the limits let it send."""
     limit = work.service.connection_limit
     if limit:
-        own = max(2.0, CONNECTION_MARGIN * limit / gateway.gateway_count)
-        states = [state for state in states if state.load.in_flight + 1 <= own]
+        states = [
+            state
+            for state in states
+            if state.load.in_flight < own_connections(gateway, state, limit, now_s)
+        ]
     states = [state for state in states if may_send(gateway, state, now_s)]
     if work.service.cold_rate_per_s <= 0:
         return states
--- a/tests/test_gateway_large_service.py
+++ b/tests/test_gateway_large_service.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from random import Random
 
+import pytest
+
 from acaciacove.decisions.endpoint_backlog import EndpointBacklog
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.catalogue.endpoint import Endpoint
@@ -14,6 +16,7 @@
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.caller_hints import CallerHints
 from acaciacove.gateway.http.caller_request import CallerRequest
+from acaciacove.gateway.keep_limit import own_connections
 from acaciacove.gateway.work import Work
 from acaciacove.platform.header_fields import DIALECT
 from acaciacove.standins.gateway_fleet import gateway_settings
@@ -103,3 +106,17 @@
         for gateway in gateways
     }
     assert len(chosen) == 1
+
+
+@pytest.mark.parametrize("gateways", [1, 5, 28, 68, 380])
+@pytest.mark.parametrize("limit", [96, 360])
+def test_all_gateways_together_keep_to_an_endpoints_connections(gateways, limit):
+    """Guards against many gateways whose least parts add up to more than there are."""
+    everyone = [f"gateway-{number}" for number in range(gateways)]
+    parts = []
+    for name in everyone:
+        gateway = a_gateway(1, name)
+        gateway.members = {other: None for other in everyone if other != name}
+        (state,) = states_of(gateway)
+        parts.append(own_connections(gateway, state, limit, 0.0))
+    assert 0.75 * limit <= sum(parts) <= limit
