End the word of a cleared request, and take its record off the log

Read in the diff, each with a test that was red: gateways whose word of a cleared request had ended took it up again from those where it had not, for ever, and passed over new crashes under it all the while; it carries now for how long it goes on. A record of a suspected request was taken off the log only by a gateway that had lost it with an endpoint; after a restart nobody was: who serves it does. Whether a request was at a crash is looked up instead of sorted out. pytest of the quarantine and of crashing requests: pass.

--- a/acaciacove/decisions/crash_evidence.py
+++ b/acaciacove/decisions/crash_evidence.py
@@ -62,6 +62,10 @@
         """Return how many endpoints crashed while the request was there."""
         return len(self._crashes.get(fingerprint, ()))
 
+    def was_at(self, endpoint: int, fingerprint: int) -> bool:
+        """Tell whether the request was at an endpoint when it crashed."""
+        return endpoint in self._crashes.get(fingerprint, ())
+
     def suspects_of(self, endpoint: int) -> list[int]:
         """Return the requests that were at an endpoint when it crashed.
 
--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -93,11 +93,12 @@
         """Suspect a request, or quarantine one that crashed the endpoint of its try."""
         trial = self._trials.get(fingerprint)
         if trial is not None:
-            if fingerprint in self.evidence.suspects_of(trial.endpoint):
+            if self.evidence.was_at(trial.endpoint, fingerprint):
                 self._hold(fingerprint, now_s + QUARANTINE_S)
-        elif self.evidence.crashes_under(
-            fingerprint
-        ) >= SUSPICIOUS_CRASHES and not self.evidence.is_explained(fingerprint):
+            return
+        crashes = self.evidence.crashes_under(fingerprint)
+        is_many = crashes >= SUSPICIOUS_CRASHES
+        if is_many and not self.evidence.is_explained(fingerprint):
             self.suspect(fingerprint)
 
     def _hold(self, fingerprint: int, until_s: float) -> None:
@@ -131,7 +132,7 @@
         matters = held or self.evidence.crashes_under(fingerprint) > 1
         self.evidence.forget(fingerprint)
         if matters:
-            self._cleared[fingerprint] = now_s + CLEARED_S
+            self._note_cleared(fingerprint, now_s + CLEARED_S)
         return matters
 
     def take(self, verdict: RequestVerdict, now_s: float) -> bool:
@@ -141,9 +142,7 @@
         if fingerprint in self._cleared:
             return False
         if verdict.kind == CLEARED:
-            self.clear(fingerprint, now_s)
-            self._cleared[fingerprint] = now_s + CLEARED_S
-            return True
+            return self._take_cleared(verdict, now_s)
         if fingerprint in self._quarantined:
             return False
         if verdict.kind == QUARANTINED:
@@ -151,6 +150,19 @@
             return True
         return self._take_trial(verdict, now_s)
 
+    def _take_cleared(self, verdict: RequestVerdict, now_s: float) -> bool:
+        if verdict.left_s <= 0:
+            return False
+        self.clear(verdict.fingerprint, now_s)
+        until_s = now_s + min(verdict.left_s, CLEARED_S)
+        self._note_cleared(verdict.fingerprint, until_s)
+        return True
+
+    def _note_cleared(self, fingerprint: int, until_s: float) -> None:
+        self._cleared[fingerprint] = until_s
+        while len(self._cleared) > MAX_HELD:
+            self._cleared.popitem(last=False)
+
     def _take_trial(self, verdict: RequestVerdict, now_s: float) -> bool:
         known = self._trials.get(verdict.fingerprint)
         if known is not None and known.number >= verdict.trials:
@@ -174,7 +186,10 @@
             RequestVerdict(each, TRIED, trial.number, trial.endpoint)
             for each, trial in self._trials.items()
         ]
-        return found + [RequestVerdict(each, CLEARED) for each in self._cleared]
+        return found + [
+            RequestVerdict(each, CLEARED, left_s=until_s - now_s)
+            for each, until_s in self._cleared.items()
+        ]
 
     def _forget_old(self, now_s: float) -> None:
         for ends in (self._cleared, self._quarantined):
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -8,7 +8,11 @@
 
 from attrs import define, field
 
-from acaciacove.decisions.request_quarantine import QUARANTINE_S, RequestQuarantine
+from acaciacove.decisions.request_quarantine import (
+    CLEARED_S,
+    QUARANTINE_S,
+    RequestQuarantine,
+)
 from acaciacove.decisions.request_standing import RequestStanding
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.endpoint_states import life_number
@@ -106,8 +110,11 @@
         """Clear a request whose whole answer an endpoint has given."""
         if not self.quarantine.clear(fingerprint, now_s):
             return
-        self._note_cleared(fingerprint)
-        self.tell(RequestNews((), (RequestVerdict(fingerprint, CLEARED),)))
+        if self._note_cleared(fingerprint):
+            # Who served it does, so that not every gateway does.
+            self._record(fingerprint, None)
+        verdict = RequestVerdict(fingerprint, CLEARED, left_s=CLEARED_S)
+        self.tell(RequestNews((), (verdict,)))
 
     def take(self, news: RequestNews, now_s: float) -> RequestNews:
         """Take another gateway's word; returns what of it was new."""
@@ -173,13 +180,13 @@
         if len(self._told) > MAX_TOLD:
             self._told.popitem(last=False)
 
-    def _note_cleared(self, fingerprint: int) -> None:
+    def _note_cleared(self, fingerprint: int) -> bool:
+        """Log the end of a suspicion; tells whether there was one."""
         if self._told.pop(fingerprint, None) is None:
-            return
+            return False
         name = written_fingerprint(fingerprint)
         self.log.write(Event.REQUEST_CLEARED, fingerprint=name)
-        if fingerprint in self._lost_here:
-            self._record(fingerprint, None)
+        return True
 
     def _record(self, fingerprint: int, record: RequestRecord | None) -> None:
         self.records[fingerprint] = record
--- a/acaciacove/messages/request_verdict.py
+++ b/acaciacove/messages/request_verdict.py
@@ -12,7 +12,7 @@
 class RequestVerdict:
     """``trials`` counts the tries since it was suspected, ``endpoint`` is the last's.
 
-    ``left_s`` is for how long a quarantine goes on.
+    ``left_s`` is for how long a quarantine, or the word that it is over, goes on.
     """
 
     fingerprint: int
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -1,5 +1,6 @@
 """Which request is held back after endpoints crashed, played without a network."""
 
+import time
 from random import Random
 
 import pytest
@@ -23,6 +24,7 @@
 from acaciacove.gateway.peers.request_talk import NEWS_S, RequestTalk
 from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
+from acaciacove.gateway.quarantine.request_record import RequestRecord
 from acaciacove.messages.crash_seen import CrashSeen
 from acaciacove.messages.request_news import RequestNews
 from acaciacove.messages.request_verdict import (
@@ -93,7 +95,8 @@
     assert crashed_under(BAD, quarantine=quarantine).standing(BAD, 1.0) is (
         RequestStanding.FREE
     )
-    assert RequestVerdict(BAD, CLEARED) in quarantine.verdicts(2.0)
+    (verdict,) = quarantine.verdicts(2.0)
+    assert verdict == RequestVerdict(BAD, CLEARED, left_s=CLEARED_S - 1.0)
     assert quarantine.verdicts(2.0 + CLEARED_S) == []
 
 
@@ -261,3 +264,28 @@
         leaving=False,
         cold_until_s=0.0,
     )
+
+
+def test_word_of_a_cleared_request_ends():
+    """Guards against gateways that keep telling each other, deaf to new crashes."""
+    one, other = crashed_under(BAD), crashed_under(BAD)
+    one.clear(BAD, 0.0)
+    for tenth in range(int(20 * CLEARED_S)):
+        now_s = tenth / 10.0
+        for teller, told in ((one, other), (other, one)):
+            for verdict in teller.verdicts(now_s):
+                told.take(verdict, now_s + 0.05)
+    assert one.verdicts(now_s) == other.verdicts(now_s) == []
+
+
+def test_who_serves_a_request_takes_its_record_off_the_log():
+    """Guards against records of requests that were cleared after a restart."""
+
+    async def story():
+        guard = RequestGuard(EventLog("g", descriptor=None))
+        guard.restore(RequestRecord(BAD, False, time.time() + 99.0), 0.0)
+        assert guard.quarantine.standing(BAD, 0.0) is RequestStanding.TRIAL
+        guard.note_served(BAD, 1.0)
+        assert guard.records == {BAD: None}
+
+    run_virtual(story)
