Let one gateway alone try a suspected request that reaches all at one moment

Found by asking what copies at all gateways within a millisecond do, as callers that repeat at once may bring about: each saw the try free, announced it and sent.

Change: a try is claimed with a number that is drawn, told to all gateways, and sent 10 ms later if no lower claim has come by then. Ruled out: delays by the gateways' rank (seconds at 380). Only requests that are suspected wait these 10 ms.

--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -107,13 +107,23 @@
         while len(self._quarantined) > MAX_HELD:
             self._quarantined.popitem(last=False)
 
-    def begin_trial(
-        self, fingerprint: int, endpoint: int, now_s: float
+    def claim_trial(
+        self, fingerprint: int, endpoint: int, claim: int, now_s: float
     ) -> RequestVerdict:
-        """Take the one try that a suspected request has; returns what to tell."""
+        """Claim the one try that a suspected request has; returns what to tell.
+
+        Others may claim it at the same moment: it is had by who still has it once
+        word of theirs would have come.
+        """
         number = self._trials.get(fingerprint, TrialOfRequest()).number + 1
-        self._try(fingerprint, TrialOfRequest(number, endpoint, now_s + TRIAL_S))
-        return RequestVerdict(fingerprint, TRIED, number, endpoint)
+        trial = TrialOfRequest(number, endpoint, claim, now_s + TRIAL_S)
+        self._try(fingerprint, trial)
+        return _verdict_of(fingerprint, trial)
+
+    def has_trial(self, fingerprint: int, claim: int) -> bool:
+        """Tell whether the try is still that of a claim."""
+        trial = self._trials.get(fingerprint)
+        return trial is not None and trial.claim == claim
 
     def suspect(self, fingerprint: int) -> None:
         """Hold a request back but for tries of one at a time."""
@@ -165,12 +175,14 @@
 
     def _take_trial(self, verdict: RequestVerdict, now_s: float) -> bool:
         known = self._trials.get(verdict.fingerprint)
-        if known is not None and known.number >= verdict.trials:
+        if known is not None and _is_ahead(known, verdict):
             return False
         if not verdict.trials:
             self.suspect(verdict.fingerprint)
             return True
-        trial = TrialOfRequest(verdict.trials, verdict.endpoint, now_s + TRIAL_S)
+        trial = TrialOfRequest(
+            verdict.trials, verdict.endpoint, verdict.claim, now_s + TRIAL_S
+        )
         self._try(verdict.fingerprint, trial)
         self._judge(verdict.fingerprint, now_s)
         return True
@@ -182,10 +194,7 @@
             RequestVerdict(each, QUARANTINED, left_s=until_s - now_s)
             for each, until_s in self._quarantined.items()
         ]
-        found += [
-            RequestVerdict(each, TRIED, trial.number, trial.endpoint)
-            for each, trial in self._trials.items()
-        ]
+        found += [_verdict_of(each, trial) for each, trial in self._trials.items()]
         return found + [
             RequestVerdict(each, CLEARED, left_s=until_s - now_s)
             for each, until_s in self._cleared.items()
@@ -195,3 +204,16 @@
         for ends in (self._cleared, self._quarantined):
             while ends and next(iter(ends.values())) <= now_s:
                 ends.popitem(last=False)
+
+
+def _verdict_of(fingerprint: int, trial: TrialOfRequest) -> RequestVerdict:
+    return RequestVerdict(
+        fingerprint, TRIED, trial.number, trial.endpoint, claim=trial.claim
+    )
+
+
+def _is_ahead(known: TrialOfRequest, told: RequestVerdict) -> bool:
+    """Tell whether a trial is as good as another gateway's word, or better."""
+    return known.number > told.trials or (
+        known.number == told.trials and known.claim <= told.claim
+    )
--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -58,7 +58,8 @@
         with _counted(gateway, work, state):
             with _reserved(gateway, work, state):
                 await exchange.open(CONNECT_TIMEOUT_S)
-                _begin_trial(gateway, work, state)
+                if work.on_trial:
+                    await gateway.guard.take_trial(work.fingerprint, state.endpoint)
                 _note_sent(gateway, work, state)
             exchange.send()
             outcome = await _answer(
@@ -120,13 +121,6 @@
             progress.reserved_target -= 1
 
 
-def _begin_trial(gateway: Gateway, work: Work, state: EndpointState) -> None:
-    """Take a suspected request's one try, now that the endpoint is there."""
-    if work.on_trial:
-        now_s = asyncio.get_running_loop().time()
-        gateway.guard.begin_trial(work.fingerprint, state.endpoint, now_s)
-
-
 def _note_sent(gateway: Gateway, work: Work, state: EndpointState) -> None:
     now_s = asyncio.get_running_loop().time()
     work.sent += 1
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -101,7 +101,7 @@
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
         self.sessions = SessionVersions(self.settings.session_life_s)
-        self.guard = RequestGuard(self.log)
+        self.guard = RequestGuard(self.log, random=self.random)
         self.crash_watch = CrashWatch(self.log, self.metrics, self.guard.note_crash)
         self.take_settings(self.settings)
 
--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -98,6 +98,7 @@
         )
         self._gateway.tell_work = self._work_news.tell
         self._gateway.guard.tell = self._request_talk.tell
+        self._gateway.guard.tell_all = self._request_talk.tell_all
         self._gateway.tell_limit = self._limit_talk.tell
 
     async def run(self) -> None:
--- a/acaciacove/gateway/peers/request_talk.py
+++ b/acaciacove/gateway/peers/request_talk.py
@@ -48,6 +48,11 @@
             self._fresh.popitem(last=False)
         self.few.tell(encode(news))
 
+    def tell_all(self, news: RequestNews) -> None:
+        """Tell all others, of what must not happen twice."""
+        self._news_s = self.clock_s()
+        self.few.tell_all(encode(news))
+
     @property
     def has_news(self) -> bool:
         """Tell whether others may not have heard yet of what is new here."""
--- a/acaciacove/gateway/peers/tell_few.py
+++ b/acaciacove/gateway/peers/tell_few.py
@@ -31,7 +31,14 @@
         What is left out goes along with later reports.
         """
         members = list(self.members())
-        for peer in self.random.sample(members, min(FANOUT, len(members))):
+        self._tell(data, self.random.sample(members, min(FANOUT, len(members))))
+
+    def tell_all(self, data: bytes) -> None:
+        """Send a datagram to all, while the bytes for that last."""
+        self._tell(data, self.members())
+
+    def _tell(self, data: bytes, peers: Iterable[Peer]) -> None:
+        for peer in peers:
             now_s = self.clock_s()
             if self._told.total(now_s) + len(data) > TOLD_BYTES:
                 return
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -5,6 +5,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from random import Random
 
 from attrs import define, field
 
@@ -34,6 +35,9 @@
 MAX_TOLD_SUSPECTS = 64
 # Requests whose standing has been logged.
 MAX_TOLD = 4096
+# In which word of another gateway's claim arrives.
+CLAIM_S = 0.01
+CLAIM_BITS = 32
 # Records that wait for the log; one that is full drops the oldest.
 MAX_RECORDS = 256
 
@@ -48,13 +52,16 @@
 class RequestGuard:
     """One gateway's quarantine, with what others and the log are to be told.
 
-    ``tell`` sends news to other gateways. ``records`` are to be written to the log:
-    the newest for each request, None where it is to be removed.
+    ``tell`` sends news to a few other gateways, ``tell_all`` to all. ``records`` are
+    to be written to the log: the newest for each request, None where it is to be
+    removed.
     """
 
     log: EventLog
     quarantine: RequestQuarantine = field(factory=RequestQuarantine)
     tell: Tell = tell_nobody
+    tell_all: Tell = tell_nobody
+    random: Random = field(factory=Random)
     records: OrderedDict[int, RequestRecord | None] = field(factory=OrderedDict)
     to_record: asyncio.Event = field(factory=asyncio.Event)
     _lost_here: OrderedDict[int, None] = field(factory=OrderedDict)
@@ -89,22 +96,27 @@
         standing = self.quarantine.standing(fingerprint, now_s)
         return standing is RequestStanding.TRIAL
 
-    def begin_trial(self, fingerprint: int, endpoint: Endpoint, now_s: float) -> None:
-        """Take a suspected request's try, and let the others wait for its end.
+    async def take_trial(self, fingerprint: int, endpoint: Endpoint) -> None:
+        """Take a suspected request's one try, and let the others wait for its end.
 
-        Raises TrialTakenError if somebody has taken it.
+        Raises TrialTakenError if somebody else has taken it, or does so meanwhile.
         """
+        now_s = asyncio.get_running_loop().time()
         if not self.is_on_trial(fingerprint, now_s):
             raise TrialTakenError(written_fingerprint(fingerprint))
+        claim = self.random.getrandbits(CLAIM_BITS)
         life = life_number(endpoint)
-        verdict = self.quarantine.begin_trial(fingerprint, life, now_s)
+        verdict = self.quarantine.claim_trial(fingerprint, life, claim, now_s)
+        self.tell_all(RequestNews((), (verdict,)))
+        await asyncio.sleep(CLAIM_S)
+        if not self.quarantine.has_trial(fingerprint, claim):
+            raise TrialTakenError(written_fingerprint(fingerprint))
         self.log.write(
             Event.REQUEST_TRIED,
             fingerprint=written_fingerprint(fingerprint),
             endpoint=endpoint.instance,
             number=verdict.trials,
         )
-        self.tell(RequestNews((), (verdict,)))
 
     def note_served(self, fingerprint: int, now_s: float) -> None:
         """Clear a request whose whole answer an endpoint has given."""
--- a/acaciacove/messages/request_verdict.py
+++ b/acaciacove/messages/request_verdict.py
@@ -12,6 +12,7 @@
 class RequestVerdict:
     """``trials`` counts the tries since it was suspected, ``endpoint`` is the last's.
 
+    Of two gateways that claim the same try the one with the lower ``claim`` has it.
     ``left_s`` is for how long a quarantine, or the word that it is over, goes on.
     """
 
@@ -20,3 +21,4 @@
     trials: int = 0
     endpoint: int = 0
     left_s: float = 0.0
+    claim: int = 0
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -189,7 +189,7 @@
             clock_s=self.boot_time_s,
             open_peers=talk,
         )
-        running.gateway.random = Random(seed)
+        running.gateway.random = running.gateway.guard.random = Random(seed)
         stop = asyncio.Event()
         self.gateways[settings.name] = running
         self._stops[settings.name] = stop
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -227,6 +227,7 @@
   trials @2 :UInt8;
   endpoint @3 :UInt32;
   leftS @4 :Float32;
+  claim @5 :UInt32;
 }
 
 struct RequestNews {
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -53,14 +53,14 @@
     assert quarantine.standing(BAD, 0.0) is RequestStanding.FREE
     crashed_under(BAD, quarantine=quarantine)
     assert quarantine.standing(BAD, 0.0) is RequestStanding.TRIAL
-    quarantine.begin_trial(BAD, 9, 0.0)
+    quarantine.claim_trial(BAD, 9, 1, 0.0)
     assert quarantine.standing(BAD, 0.0) is RequestStanding.WAITING
     assert quarantine.standing(OTHER, 0.0) is RequestStanding.FREE
 
 
 def test_a_request_that_crashes_the_endpoint_of_its_try_is_quarantined():
     quarantine = crashed_under(BAD)
-    quarantine.begin_trial(BAD, 9, 0.0)
+    quarantine.claim_trial(BAD, 9, 1, 0.0)
     quarantine.note_crash(8, (BAD,), 0.1)
     assert quarantine.standing(BAD, 0.2) is RequestStanding.WAITING
     quarantine.note_crash(9, (BAD,), 0.1)
@@ -73,7 +73,7 @@
     """Guards against a request that crashes endpoints behind a broken path, unseen."""
     quarantine, now_s = crashed_under(BAD), 0.0
     for number in range(MAX_TRIALS):
-        quarantine.begin_trial(BAD, number + 10, now_s)
+        quarantine.claim_trial(BAD, number + 10, 1, now_s)
         now_s += TRIAL_S
     assert quarantine.standing(BAD, now_s) is RequestStanding.QUARANTINED
 
@@ -289,3 +289,15 @@
         assert guard.records == {BAD: None}
 
     run_virtual(story)
+
+
+def test_the_lower_of_two_claims_has_the_try_in_whatever_order_they_are_told():
+    one, other = crashed_under(BAD), crashed_under(BAD)
+    first = one.claim_trial(BAD, 11, 500, 0.0)
+    second = other.claim_trial(BAD, 12, 400, 0.0)
+    assert one.take(second, 0.001) and not other.take(first, 0.001)
+    assert not one.has_trial(BAD, 500) and other.has_trial(BAD, 400)
+    third = crashed_under(BAD)
+    third.take(first, 0.0)
+    third.take(second, 0.0)
+    assert third.has_trial(BAD, 400)
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -255,3 +255,24 @@
         await after_a_storm(fleet, upset)
 
     run_fleet(story, gateways=4, apps=9, models=0)
+
+
+@pytest.mark.parametrize("gateways", [5, 28])
+def test_copies_that_reach_all_gateways_at_one_moment_are_not_all_tried(gateways):
+    """Guards against gateways that try it before they hear of each other."""
+
+    async def story(fleet):
+        crash_at(fleet)
+        await call("/look/7", "bad-0", body=CRASHING)
+        assert len(crashes(fleet)) == CRASHES
+        await asyncio.sleep(2 * CONTACT_S)
+        began_s = asyncio.get_running_loop().time()
+        await asyncio.gather(
+            *(
+                call("/look/7", f"late-{n}", body=CRASHING, host=f"10.0.1.{n + 1}")
+                for n in range(gateways)
+            )
+        )
+        assert 1 <= len(tries_after(fleet, began_s - 0.1)) <= TRIES
+
+    run_fleet(story, gateways=gateways, apps=9, models=0)
