Keep the members' names once, and an endpoint's connections without a look at all of them

Each endpoint's state kept a set of all members' names of its own, and its share of connections was worked out with a hash of each member whenever one came or went.

Change: the names are one object as long as they are the same. Parts of connections are drawn, not ranked: each gateway's part is the whole quotient, and one more by a draw of endpoint and gateway, so that they add up in the mean at a cost that does not grow. That bound is soft and has a fifth to spare; stated limits stay exact, and are worked out for limited endpoints alone. Tests of limits, large services, peers: pass, the sums of 1 to 380 gateways with their bounds as they were.

--- a/acaciacove/gateway/choice/share_of.py
+++ b/acaciacove/gateway/choice/share_of.py
@@ -6,6 +6,7 @@
 
 # Names whose hash is kept.
 MAX_NAMES = 4096
+DRAW_BITS = 64
 
 
 def share_of(total: int, subject: int, gateway: str, gateways: frozenset[str]) -> int:
@@ -24,6 +25,17 @@
     return whole + (before < rest)
 
 
+def rough_share_of(total: int, subject: int, gateway: str, count: int) -> int:
+    """Return about a gateway's part of ``total``, without looking at the others.
+
+    The parts of ``count`` gateways add up to ``total`` in the mean only, at a cost that
+    does not grow with them.
+    """
+    whole, rest = divmod(total, count)
+    draw = mixed(subject ^ _number(gateway))
+    return whole + (draw * count < rest << DRAW_BITS)
+
+
 @lru_cache(MAX_NAMES)
 def _number(name: str) -> int:
     return int.from_bytes(stable_hash(name))
--- a/acaciacove/gateway/choice/stated_limit.py
+++ b/acaciacove/gateway/choice/stated_limit.py
@@ -1,7 +1,5 @@
 """The rate that one endpoint says it takes from all gateways together."""
 
-from collections import deque
-
 from attrs import define, field
 
 # Over which time a gateway keeps to its share; longer for a rate so low that not even
@@ -29,7 +27,7 @@
 
     per_s: float | None = None
     seen_s: float = float("-inf")
-    _sent: deque[float] = field(factory=deque)
+    _sent: list[float] = field(factory=list)
     _reserved: int = 0
 
     def hear(self, per_s: float | None, asked_s: float, now_s: float) -> bool:
@@ -100,4 +98,4 @@
     def _forget(self, now_s: float) -> None:
         since_s = now_s - self.window_s - WINDOW_MARGIN_S
         while self._sent and self._sent[0] <= since_s:
-            self._sent.popleft()
+            del self._sent[0]
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -36,7 +36,6 @@
     cold: ColdLimiter = field(factory=ColdLimiter)
     limit: StatedLimit = field(factory=StatedLimit)
     limit_share: LimitShare = field(factory=LimitShare)
-    connection_share: LimitShare = field(factory=LimitShare)
     parts: OrderedDict[int, None] = field(factory=OrderedDict)
     crashed: bool = False
     rank: int = field(init=False)
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -93,6 +93,8 @@
     tell_limit: TellLimit = tell_no_limit
     leaving: bool = False
     _last_number: int = 0
+    _peers: frozenset[str] = frozenset()
+    _peers_of: dict[str, Peer] | None = None
     sessions: SessionVersions = field(init=False)
     guard: RequestGuard = field(init=False)
     crash_watch: CrashWatch = field(init=False)
@@ -124,13 +126,21 @@
 
     @property
     def peers(self) -> frozenset[str]:
-        """Names of the other gateways that are or may be alive."""
-        return frozenset(self.members)
+        """Names of the other gateways that are or may be alive.
+
+        The same object as long as they are the same.
+        """
+        if self._peers_of is not self.members:
+            names = frozenset(self.members)
+            if names != self._peers:
+                self._peers = names
+            self._peers_of = self.members
+        return self._peers
 
     @property
     def gateway_count(self) -> int:
         """How many gateways share the promised bounds."""
-        known = len(self.peers | {self.settings.name})
+        known = len(self.peers) + (self.settings.name not in self.peers)
         return known if self.members_known else max(known, ASSUMED_GATEWAYS)
 
     def next_number(self) -> int:
--- a/acaciacove/gateway/keep_limit.py
+++ b/acaciacove/gateway/keep_limit.py
@@ -1,7 +1,6 @@
 """Keeps to bounds on an endpoint that hold over all gateways together."""
 
-from acaciacove.gateway.choice.limit_share import LimitShare
-from acaciacove.gateway.choice.share_of import share_of
+from acaciacove.gateway.choice.share_of import rough_share_of, share_of
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 
@@ -23,32 +22,21 @@
     if not gateway.members_known:
         # How many share the limit is not known yet; others keep to it meanwhile.
         return 0
-    total = state.limit.per_window
-    return _share_now(gateway, state, state.limit_share, total, now_s)
-
-
-def own_connections(
-    gateway: Gateway, state: EndpointState, limit: int, now_s: float
-) -> int:
-    """Return how many of an endpoint's connections this gateway may use at once."""
-    total = int(CONNECTION_MARGIN * limit)
-    if not gateway.members_known:
-        return max(1, total // gateway.gateway_count)
-    return _share_now(gateway, state, state.connection_share, total, now_s)
-
-
-def _share_now(
-    gateway: Gateway,
-    state: EndpointState,
-    share: LimitShare,
-    total: int,
-    now_s: float,
-) -> int:
+    total, share = state.limit.per_window, state.limit_share
     if share.total == total and now_s - share.checked_s < CHECK_EVERY_S:
         return share.own
     gateways = gateway.peers
-    if share.total != total or share.gateways != gateways:
+    if share.total != total or share.gateways is not gateways:
         share.own = share_of(total, state.rank, gateway.settings.name, gateways)
         share.total, share.gateways = total, gateways
     share.checked_s = now_s
     return share.own
+
+
+def own_connections(gateway: Gateway, state: EndpointState, limit: int) -> int:
+    """Return how many of an endpoint's connections this gateway may use at once."""
+    total = int(CONNECTION_MARGIN * limit)
+    count, name = gateway.gateway_count, gateway.settings.name
+    if not gateway.members_known:
+        return max(1, total // count)
+    return rough_share_of(total, state.rank, name, count)
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -73,7 +73,7 @@
         states = [
             state
             for state in states
-            if state.load.in_flight < own_connections(gateway, state, limit, now_s)
+            if state.load.in_flight < own_connections(gateway, state, limit)
         ]
     states = [state for state in states if may_send(gateway, state, now_s)]
     if work.service.cold_rate_per_s <= 0:
--- a/tests/test_gateway_large_service.py
+++ b/tests/test_gateway_large_service.py
@@ -118,5 +118,5 @@
         gateway = a_gateway(1, name)
         gateway.members = {other: None for other in everyone if other != name}
         (state,) = states_of(gateway)
-        parts.append(own_connections(gateway, state, limit, 0.0))
+        parts.append(own_connections(gateway, state, limit))
     assert 0.75 * limit <= sum(parts) <= limit
