Let the pause of a failing endpoint stop growing before it is no number any more

The pause doubles with each ejection in a row without a bound on the exponent; when all endpoints are gone, all are tried again by each request, and 1,024 ejections come together in seconds. The test counts 10,000 failures: red before, green after.

--- a/acaciacove/gateway/choice/endpoint_health.py
+++ b/acaciacove/gateway/choice/endpoint_health.py
@@ -7,6 +7,8 @@
 FAILURES_IN_A_ROW = 3
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
+# Beyond this many in a row the pause grows no more.
+MOST_EJECTIONS = 16
 # A share of failures over the last answers above which an endpoint that answers
 # some requests well is left out too; the memory fades with each answer.
 BAD_SHARE = 0.35
@@ -47,7 +49,7 @@
         if self.failures_in_a_row < FAILURES_IN_A_ROW and not is_bad:
             return False
         pause_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self.ejections)
-        self.ejections += 1
+        self.ejections = min(self.ejections + 1, MOST_EJECTIONS)
         self.failures_in_a_row = 0
         self.ejected_until_s = now_s + pause_s
         return True
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,11 +1,15 @@
 """Limits that hold over all gateways together, whatever each of them knows."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from acaciacove.gateway.catalogue.rollout_order import RolloutOrder
 from acaciacove.gateway.choice.cold_limiter import ColdLimiter, own_part
-from acaciacove.gateway.choice.endpoint_health import EndpointHealth
+from acaciacove.gateway.choice.endpoint_health import (
+    LONGEST_EJECTION_S,
+    EndpointHealth,
+)
 from acaciacove.gateway.choice.endpoint_load import REPORT_LIFE_S, EndpointLoad
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
@@ -125,6 +129,14 @@
     assert health.ejections == 0
 
 
+def test_an_endpoint_that_fails_for_ever_is_left_out_for_the_longest_pause():
+    """Guards against a pause that grows beyond what a number holds."""
+    health = EndpointHealth()
+    for number in range(10_000):
+        health.count_failure(float(number), True)
+    assert health.ejected_until_s == pytest.approx(9_999.0 + LONGEST_EJECTION_S, abs=2)
+
+
 def test_an_endpoint_that_fails_every_other_request_is_left_out():
     health = EndpointHealth()
     left_out = 0
