--- a/acaciacove/gateway/choice/share_of.py
+++ b/acaciacove/gateway/choice/share_of.py
@@ -20,22 +20,17 @@
     whole, rest = divmod(total, len(everyone))
     if not rest:
         return whole
-    own = mixed(subject ^ _number(gateway))
-    before = sum(mixed(subject ^ _number(name)) < own for name in everyone)
+    own = mixed(subject ^ name_number(gateway))
+    before = sum(mixed(subject ^ name_number(name)) < own for name in everyone)
     return whole + (before < rest)
 
 
-def rough_share_of(total: int, subject: int, gateway: str, count: int) -> int:
-    """Return about a gateway's part of ``total``, without looking at the others.
-
-    The parts of ``count`` gateways add up to ``total`` in the mean only, at a cost that
-    does not grow with them.
-    """
-    whole, rest = divmod(total, count)
-    draw = mixed(subject ^ _number(gateway))
-    return whole + (draw * count < rest << DRAW_BITS)
+def draws(rest: int, count: int, pair: int) -> bool:
+    """Tell whether a pair is among the ``rest`` of ``count`` that get one more."""
+    return mixed(pair) * count < rest << DRAW_BITS
 
 
 @lru_cache(MAX_NAMES)
-def _number(name: str) -> int:
+def name_number(name: str) -> int:
+    """Return a number of 64 bits that stands for a gateway's name."""
     return int.from_bytes(stable_hash(name))
--- a/acaciacove/gateway/keep_limit.py
+++ b/acaciacove/gateway/keep_limit.py
@@ -1,6 +1,6 @@
 """Keeps to bounds on an endpoint that hold over all gateways together."""
 
-from acaciacove.gateway.choice.share_of import rough_share_of, share_of
+from acaciacove.gateway.choice.share_of import draws, name_number, share_of
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 
@@ -33,10 +33,22 @@
     return share.own
 
 
-def own_connections(gateway: Gateway, state: EndpointState, limit: int) -> int:
-    """Return how many of an endpoint's connections this gateway may use at once."""
-    total = int(CONNECTION_MARGIN * limit)
-    count, name = gateway.gateway_count, gateway.settings.name
+def with_free_connections(
+    gateway: Gateway, limit: int, states: list[EndpointState]
+) -> list[EndpointState]:
+    """Leave endpoints of whose connections this gateway may use one more.
+
+    Parts of an endpoint's connections add up to its limit in the mean only, at a cost
+    that does not grow with the gateways.
+    """
+    count = gateway.gateway_count
+    whole, rest = divmod(int(CONNECTION_MARGIN * limit), count)
     if not gateway.members_known:
-        return max(1, total // count)
-    return rough_share_of(total, state.rank, name, count)
+        whole, rest = max(1, whole), 0
+    own = name_number(gateway.settings.name)
+    return [
+        state
+        for state in states
+        if state.load.in_flight < whole
+        or (state.load.in_flight == whole and draws(rest, count, state.rank ^ own))
+    ]
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -5,7 +5,11 @@
 from acaciacove.gateway.choose_version import admissible
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
-from acaciacove.gateway.keep_limit import may_send, own_connections, own_share
+from acaciacove.gateway.keep_limit import (
+    may_send,
+    own_share,
+    with_free_connections,
+)
 from acaciacove.gateway.work import Work
 
 # Of what a cold endpoint is promised to bear with the allowed overage, the share
@@ -68,14 +72,13 @@
     gateway: Gateway, work: Work, states: list[EndpointState], now_s: float
 ) -> list[EndpointState]:
     """Leave endpoints to which this gateway's parts of the limits let it send."""
-    limit = work.service.connection_limit
-    if limit:
-        states = [
-            state
-            for state in states
-            if state.load.in_flight < own_connections(gateway, state, limit)
-        ]
-    states = [state for state in states if may_send(gateway, state, now_s)]
+    if work.service.connection_limit:
+        states = with_free_connections(gateway, work.service.connection_limit, states)
+    states = [
+        state
+        for state in states
+        if state.limit.per_s is None or may_send(gateway, state, now_s)
+    ]
     if work.service.cold_rate_per_s <= 0:
         return states
     return [state for state in states if _bears_more(gateway, work, state, now_s)]
--- a/tests/test_gateway_large_service.py
+++ b/tests/test_gateway_large_service.py
@@ -16,7 +16,7 @@
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.caller_hints import CallerHints
 from acaciacove.gateway.http.caller_request import CallerRequest
-from acaciacove.gateway.keep_limit import own_connections
+from acaciacove.gateway.keep_limit import with_free_connections
 from acaciacove.gateway.work import Work
 from acaciacove.platform.header_fields import DIALECT
 from acaciacove.standins.gateway_fleet import gateway_settings
@@ -118,5 +118,8 @@
         gateway = a_gateway(1, name)
         gateway.members = {other: None for other in everyone if other != name}
         (state,) = states_of(gateway)
-        parts.append(own_connections(gateway, state, limit))
+        state.load.in_flight = 0
+        while with_free_connections(gateway, limit, [state]):
+            state.load.in_flight += 1
+        parts.append(state.load.in_flight)
     assert 0.75 * limit <= sum(parts) <= limit
