Let a gateway without a part of any connections use one where it uses none

Read in the diff, with a test that was red: since connections are split over any number of gateways, four in five of 380 have no part of an endpoint's 96; before few endpoints many have none at all, and refused everything. A caller is worth more than the bound on connections, which resets what is over it.

Where a gateway has no part anywhere it may use one connection at an endpoint where it uses none.

--- a/acaciacove/gateway/keep_limit.py
+++ b/acaciacove/gateway/keep_limit.py
@@ -39,16 +39,20 @@
     """Leave endpoints of whose connections this gateway may use one more.
 
     Parts of an endpoint's connections add up to its limit in the mean only, at a cost
-    that does not grow with the gateways.
+    that does not grow with the gateways. One that has no part at any may use one where
+    it uses none: it would refuse all its callers.
     """
     count = gateway.gateway_count
     whole, rest = divmod(int(CONNECTION_MARGIN * limit), count)
     if not gateway.members_known:
         whole, rest = max(1, whole), 0
     own = name_number(gateway.settings.name)
-    return [
+    free = [
         state
         for state in states
         if state.load.in_flight < whole
         or (state.load.in_flight == whole and draws(rest, count, state.rank ^ own))
     ]
+    if free or whole:
+        return free
+    return [state for state in states if not state.load.in_flight]
--- a/tests/test_gateway_large_service.py
+++ b/tests/test_gateway_large_service.py
@@ -123,3 +123,11 @@
             state.load.in_flight += 1
         parts.append(state.load.in_flight)
     assert 0.75 * limit <= sum(parts) <= limit
+
+
+def test_a_gateway_without_a_part_of_any_connections_still_serves():
+    """Guards against gateways that refuse everything since their part is none."""
+    for number in range(380):
+        gateway = a_gateway(3, f"gateway-{number}")
+        gateway.members = {f"gateway-{n}": None for n in range(380) if n != number}
+        assert with_free_connections(gateway, 96, list(states_of(gateway)))
