Write the log line on an endpoint's limit in one place

Found on the last read of the diff: the attempt that gets an answer and the word of another gateway built the same line each. Behaviour stays: fields and their order are the same, told stands only where another gateway got the answer.

Ruled out as duplicates: the other pairs of like shape, which build messages with other fields or check other numbers.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -20,6 +20,7 @@
 from acaciacove.gateway.http.event_splitter import EventSplitter
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_limit import log_limit
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.quarantine.trial_taken_error import TrialTakenError
 from acaciacove.gateway.usable_endpoints import cold_part
@@ -209,14 +210,9 @@
     gateway: Gateway, exchange: Exchange, head: AnswerHead, now_s: float
 ) -> None:
     """Take the endpoint's word on how many requests it takes."""
-    state, per_s = exchange.state, head.rate_limit_per_s
-    if state.limit.hear(per_s, exchange.began_s, now_s):
-        gateway.log.write(
-            Event.ENDPOINT_LIMITED,
-            endpoint=state.endpoint.instance,
-            per_s=per_s,
-            lifted=True if per_s is None else None,
-        )
+    state = exchange.state
+    if state.limit.hear(head.rate_limit_per_s, exchange.began_s, now_s):
+        log_limit(gateway.log, state, told=False)
         gateway.tell_limit(state)
 
 
--- /dev/null
+++ b/acaciacove/gateway/log_limit.py
@@ -0,0 +1,17 @@
+"""The log line for what an endpoint says of its limit."""
+
+from acaciacove.gateway.endpoint_state import EndpointState
+from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.log_events import Event
+
+
+def log_limit(log: EventLog, state: EndpointState, told: bool) -> None:
+    """Log a limit or its end; ``told`` where another gateway got the answer."""
+    per_s = state.limit.per_s
+    log.write(
+        Event.ENDPOINT_LIMITED,
+        endpoint=state.endpoint.instance,
+        per_s=per_s,
+        lifted=True if per_s is None else None,
+        told=True if told else None,
+    )
--- a/acaciacove/gateway/peers/limit_talk.py
+++ b/acaciacove/gateway/peers/limit_talk.py
@@ -15,6 +15,7 @@
 from acaciacove.gateway.endpoint_states import EndpointStates, life_number
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_limit import log_limit
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.peers.tell_few import TellFew
 from acaciacove.messages.limit_news import LimitNews
@@ -53,7 +54,7 @@
                 continue
             if state.limit.hear_told(seen.per_s, now_s - seen.age_s):
                 changed.append(seen)
-                self._log(state)
+                log_limit(self.log, state, told=True)
         if changed:
             self.few.tell(encode(LimitNews(tuple(changed))))
 
@@ -71,16 +72,6 @@
         limit = state.limit
         return LimitSeen(life_number(state.endpoint), limit.per_s, now_s - limit.seen_s)
 
-    def _log(self, state: EndpointState) -> None:
-        per_s = state.limit.per_s
-        self.log.write(
-            Event.ENDPOINT_LIMITED,
-            endpoint=state.endpoint.instance,
-            per_s=per_s,
-            lifted=True if per_s is None else None,
-            told=True,
-        )
-
 
 def _is_sound(seen: LimitSeen) -> bool:
     per_s = 0.0 if seen.per_s is None else seen.per_s
