Say how old the knowledge was with which an endpoint's entry went

Cause: the lines endpoint_lapsed and endpoint_gone told neither how old the gateway's knowledge was when it read a removal, nor whether an entry had been removed or had not come back. So the incident's first two hypotheses (a departure not believed, a departure read late) looked alike where both happen.

Change: both lines carry known_age_s, endpoint_gone a reason (removed, not_back), log_regained for how long calls had failed, and a gauge shows the age of the entries' knowledge. A look at a stream is one value now (LogReading) with the moments at which it was due, asked and complete; what is decided stays as it was.

--- a/acaciacove/gateway/beliefs.py
+++ b/acaciacove/gateway/beliefs.py
@@ -26,7 +26,8 @@
 
     ``confirmed_boot_s`` is when the question was asked whose answer showed that
     ``operator_revision`` is the newest decision: whatever was decided before it
-    is known here.
+    is known here. ``endpoints_confirmed_boot_s`` is the same for the entries of
+    endpoints.
     """
 
     clock_s: Callable[[], float] = boot_time_s
@@ -39,11 +40,23 @@
     outcomes_known: bool = False
     operator_revision: int = -1
     confirmed_boot_s: float = float("-inf")
+    endpoints_confirmed_boot_s: float = float("-inf")
 
     def confirm(self, asked_boot_s: float) -> None:
         """Take note that the decisions were complete at ``asked_boot_s``."""
         self.confirmed_boot_s = max(self.confirmed_boot_s, asked_boot_s)
 
+    def confirm_endpoints(self, complete_boot_s: float) -> None:
+        """Take note that the endpoints' entries were complete then."""
+        self.endpoints_confirmed_boot_s = max(
+            self.endpoints_confirmed_boot_s, complete_boot_s
+        )
+
+    @property
+    def endpoints_age_s(self) -> float:
+        """How long ago the endpoints' entries were last known to be complete."""
+        return self.clock_s() - self.endpoints_confirmed_boot_s
+
     @property
     def confirmed_age_s(self) -> float:
         """How long ago the decisions were last known to be complete."""
--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -10,6 +10,7 @@
 from acaciacove.gateway.endpoint_report import EndpointReport
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.record_codec import RecordCodec
 
@@ -43,6 +44,15 @@
         for instance in self._lapsed:
             self._lapsed[instance] = self.outage_s + LAPSE_GRACE_S
 
+    def apply_reading(self, reading: LogReading) -> None:
+        """Take what one look at the stream has shown."""
+        if reading.is_newest:
+            self.apply_newest(reading.page.records)
+        else:
+            for record in reading.page.records:
+                self.apply(record)
+        self.beliefs.confirm_endpoints(reading.complete_boot_s)
+
     def apply_newest(self, records: tuple[LogRecord, ...]) -> None:
         """Take the newest of each key; keys that are missing were removed."""
         listed = {record.key for record in records}
@@ -113,9 +123,13 @@
             return
         if self._may_have_lapsed(instance, now_s):
             self._lapsed[instance] = now_s + LAPSE_GRACE_S
-            self.log.write(Event.ENDPOINT_LAPSED, endpoint=instance)
+            self.log.write(
+                Event.ENDPOINT_LAPSED,
+                endpoint=instance,
+                known_age_s=self._known_age_s(),
+            )
             return
-        self._drop(instance)
+        self._drop(instance, "removed")
 
     def _may_have_lapsed(self, instance: str, now_s: float) -> bool:
         """Tell whether an entry may have gone with an outage, and not by its endpoint.
@@ -134,9 +148,18 @@
         for instance, until_s in list(self._lapsed.items()):
             if now_s >= until_s:
                 del self._lapsed[instance]
-                self._drop(instance)
+                self._drop(instance, "not_back")
 
-    def _drop(self, instance: str) -> None:
+    def _drop(self, instance: str, reason: str) -> None:
         self.beliefs.endpoints.pop(instance, None)
         self._heard_s.pop(instance, None)
-        self.log.write(Event.ENDPOINT_GONE, endpoint=instance)
+        self.log.write(
+            Event.ENDPOINT_GONE,
+            endpoint=instance,
+            reason=reason,
+            known_age_s=self._known_age_s(),
+        )
+
+    def _known_age_s(self) -> float:
+        """How long ago the entries were last known to be complete."""
+        return round(self.beliefs.endpoints_age_s, 3)
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -10,6 +10,7 @@
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import MetadataLog
 
@@ -26,18 +27,18 @@
 
     ``wait_s`` tells how long the log may hold a read that finds nothing,
     ``pause_s`` tells how long the follower rests between reads, so that many small
-    records come in one answer. ``on_page`` gets (page, whether it is the newest
-    of each key, boot time at which the page was complete); ``on_failure`` is told
-    of each failed call.
+    records come in one answer. ``on_reading`` gets each successful look,
+    ``on_failure`` is told of each failed call.
     """
 
     stream: LogStream
     wait_s: Callable[[], float]
     pause_s: Callable[[], float]
-    on_page: Callable[[LogPage, bool, float], None]
+    on_reading: Callable[[LogReading], None]
     on_failure: Callable[[], None]
     next_offset: int = -1
     next_wait_s: float = 0.0
+    due_boot_s: float | None = None
 
 
 async def follow_log(
@@ -51,7 +52,7 @@
     failures = 0
     while True:
         try:
-            is_told = await _read_once(followed, metadata, clock_s, random)
+            reading = await _read_once(followed, metadata, clock_s, random)
         except OffsetExpiredError:
             followed.next_offset = -1
             continue
@@ -67,10 +68,13 @@
             continue
         if failures:
             log.write(
-                Event.LOG_REGAINED, stream=followed.stream.value, failures=failures
+                Event.LOG_REGAINED,
+                stream=followed.stream.value,
+                failures=failures,
+                failed_s=round(reading.failed_s, 3),
             )
             failures = 0
-        if not is_told:
+        if not reading.page.is_told:
             await asyncio.sleep(followed.pause_s())
 
 
@@ -79,17 +83,24 @@
     metadata: MetadataLog,
     clock_s: Callable[[], float],
     random: Random,
-) -> bool:
-    """Read a page and hand it on; tells whether another gateway told it."""
+) -> LogReading:
+    """Read a page and hand it on."""
     asked_boot_s = clock_s()
-    if followed.next_offset < 0:
+    if followed.due_boot_s is None:
+        followed.due_boot_s = asked_boot_s
+    is_newest = followed.next_offset < 0
+    complete_boot_s = asked_boot_s
+    if is_newest:
         page = await metadata.newest(followed.stream)
-        followed.on_page(page, True, asked_boot_s)
     else:
         wait_s = followed.next_wait_s or followed.wait_s()
         page = await metadata.read(followed.stream, followed.next_offset, wait_s)
         complete_boot_s = _complete_since(page, asked_boot_s, wait_s, clock_s())
-        followed.on_page(page, False, complete_boot_s)
+    reading = LogReading(
+        page, is_newest, followed.due_boot_s, asked_boot_s, complete_boot_s
+    )
+    followed.due_boot_s = None
+    followed.on_reading(reading)
     # One record ends the waits of all gateways at once. Reads that go on in step
     # would all be as old when the log goes away; drawn apart, one of them is
     # fresh, and the others learn it from their peers.
@@ -97,7 +108,7 @@
     if page.records:
         followed.next_wait_s = random.uniform(SHORTEST_WAIT, 1.0) * followed.wait_s()
     followed.next_offset = page.next_offset
-    return page.is_told
+    return reading
 
 
 def _complete_since(
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -28,6 +28,9 @@
         ("confirmed_age_seconds", "since decisions were known complete"): {
             (): min(beliefs.confirmed_age_s, 1e9)
         },
+        ("endpoints_age_seconds", "since endpoints' entries were known complete"): {
+            (): min(beliefs.endpoints_age_s, 1e9)
+        },
         ("endpoints", "endpoints by state"): _endpoint_states(gateway, now_s),
         ("limited_endpoints", "endpoints that state a limit"): {
             (): float(sum(s.limit.per_s is not None for s in gateway.states.all()))
--- a/acaciacove/gateway/operator_reader.py
+++ b/acaciacove/gateway/operator_reader.py
@@ -10,6 +10,7 @@
 from acaciacove.gateway.catalogue.rollout_order import RolloutOrder
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.operator_decision import RolloutWish, ZoneOut
 from acaciacove.gateway.record_codec import RecordCodec
@@ -24,6 +25,15 @@
     log: EventLog
     _offsets: dict[str, int] = field(factory=dict)
 
+    def apply_reading(self, reading: LogReading) -> None:
+        """Take what one look at the stream has shown."""
+        if reading.is_newest:
+            self.apply_newest(reading.page.records)
+        else:
+            for record in reading.page.records:
+                self.apply(record)
+        self.beliefs.confirm(reading.complete_boot_s)
+
     def apply_newest(self, records: tuple[LogRecord, ...]) -> None:
         """Take the newest of each key; keys that are missing were removed."""
         listed = {record.key for record in records}
--- a/acaciacove/gateway/relay/stream_tail.py
+++ b/acaciacove/gateway/relay/stream_tail.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 
@@ -37,9 +37,10 @@
     _records: deque[LogRecord] = field(factory=deque)
     _size_bytes: int = 0
 
-    def take(self, page: LogPage, is_newest: bool, complete_boot_s: float) -> None:
+    def take(self, reading: LogReading) -> None:
         """Take a page that was read here or told by another gateway."""
-        if is_newest or self.next_offset < 0:
+        page = reading.page
+        if reading.is_newest or self.next_offset < 0:
             self._restart(page.next_offset)
         else:
             for record in page.records:
@@ -48,7 +49,7 @@
         if not page.is_told:
             # Freshness that was told is not told on. Two gateways that have both lost
             # the log would otherwise assure each other, and miss what is written.
-            self.complete_boot_s = max(self.complete_boot_s, complete_boot_s)
+            self.complete_boot_s = max(self.complete_boot_s, reading.complete_boot_s)
         if page.records:
             self.changed.set()
             self.changed = asyncio.Event()
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -21,7 +21,7 @@
 from acaciacove.gateway.http.errors import CallerGoneError, ConnectionLostError
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.log_events import Event
-from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.operator_reader import OperatorReader
@@ -255,28 +255,15 @@
         is_asked = self.clock_s() - last_boot_s < ASKED_MEMORY_S
         return min(ALONE_WAIT_S, asked_s) if is_asked else ALONE_WAIT_S
 
-    def _on_decisions(
-        self, page: LogPage, is_newest: bool, complete_boot_s: float
-    ) -> None:
-        self.gateway.tails[LogStream.OPERATOR].take(page, is_newest, complete_boot_s)
-        if is_newest:
-            self.operator.apply_newest(page.records)
-        else:
-            for record in page.records:
-                self.operator.apply(record)
-        self.gateway.beliefs.confirm(complete_boot_s)
-
-    def _on_endpoints(
-        self, page: LogPage, is_newest: bool, complete_boot_s: float
-    ) -> None:
+    def _on_decisions(self, reading: LogReading) -> None:
+        self.gateway.tails[LogStream.OPERATOR].take(reading)
+        self.operator.apply_reading(reading)
+
+    def _on_endpoints(self, reading: LogReading) -> None:
         beliefs = self.gateway.beliefs
-        self.gateway.tails[LogStream.ENDPOINTS].take(page, is_newest, complete_boot_s)
+        self.gateway.tails[LogStream.ENDPOINTS].take(reading)
         was_known = beliefs.endpoints_known
-        if is_newest:
-            self.endpoints.apply_newest(page.records)
-        else:
-            for record in page.records:
-                self.endpoints.apply(record)
+        self.endpoints.apply_reading(reading)
         if not was_known:
             self.log.write(Event.READY, endpoints=len(beliefs.endpoints))
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -8,6 +8,7 @@
 
 from acaciacove.errors import PlatformUnavailableError
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.outcome_duty import FLEET_READS_PER_S, OutcomeDuty
@@ -48,6 +49,10 @@
     return [name for name in fleet.gateways if name != reader_of(fleet)]
 
 
+def reading(page, is_newest, complete_s):
+    return LogReading(page, is_newest, complete_s, complete_s, complete_s)
+
+
 def versions(fleet, names):
     return [fleet.gateways[n].gateway.beliefs.catalogue.version for n in names]
 
@@ -138,14 +143,14 @@
 
     async def story():
         tail = StreamTail()
-        tail.take(LogPage((), start), True, 0.0)
+        tail.take(reading(LogPage((), start), True, 0.0))
         end = start
         for count in pages:
             records = tuple(
                 LogRecord("k", b"v", offset) for offset in range(end, end + count)
             )
             end += count
-            tail.take(LogPage(records, end), False, 0.0)
+            tail.take(reading(LogPage(records, end), False, 0.0))
         if not tail.covers(asked):
             kept = min(end - start, KEPT_RECORDS)
             assert asked > end or asked < end - kept
@@ -360,12 +365,12 @@
     async def story():
         now_s = asyncio.get_running_loop().time
         tail = StreamTail()
-        tail.take(LogPage((), 7), True, now_s())
+        tail.take(reading(LogPage((), 7), True, now_s()))
         oldest_s = relay_pace(2.0, 2.0).oldest_told_s
         told = await answer(LogAsk("operator", 7, 0.5), tail, now_s, oldest_s)
         assert told.known and told.records == () and told.held_s >= 0.5
         # What others tell does not count as an own look.
-        tail.take(LogPage((), 7, complete_after_s=0.0), False, now_s())
+        tail.take(reading(LogPage((), 7, complete_after_s=0.0), False, now_s()))
         await asyncio.sleep(oldest_s)
         told = await answer(LogAsk("operator", 7, 0.5), tail, now_s, oldest_s)
         assert not told.known
@@ -426,14 +431,14 @@
     rest_s = relay_pace(3.0, 3.0).rest_s(endpoints)
     in_a_rest = int(rest_s * endpoints / beat_s)
     tail = StreamTail()
-    tail.take(LogPage((), 0), True, 0.0)
+    tail.take(reading(LogPage((), 0), True, 0.0))
     asked_from = tail.next_offset
     for _ in range(2):
         begin = tail.next_offset
         records = tuple(
             LogRecord(f"i-{n}", b"x" * 250, begin + n) for n in range(in_a_rest)
         )
-        tail.take(LogPage(records, begin + in_a_rest), False, 0.0)
+        tail.take(reading(LogPage(records, begin + in_a_rest), False, 0.0))
     assert tail.covers(asked_from)
 
 
