Tell a lapse from a departure by what the log was seen to do

Cause: an entry that was removed within a second of an own failed call was taken for one that lapsed with the log and kept for 2.2 s, looked at each 0.2 s. A failed call stood for an absence of the log, and the grace was longer than the bound that it eats. The calls that fail this late are those that hung when the log went silent (they end 2.5 s after its return), and tries that were put off and never made.

Change: an entry may have lapsed only if calls failed for half a heartbeat's pause or longer and, where another gateway answers, that one saw the log go away, too. Gateways tell each other since when the log has been there. Such an entry is kept for 2.2 s after the log's return only if calls failed for longer than a leaving endpoint serves; else for no longer than 0.85 of that time after it was last known to stand. An endpoint that was written after the return has left when its entry goes. Lapsed entries outlast a second absence. The heartbeat's pause is a setting.

--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -1,56 +1,56 @@
-"""Folds endpoints' heartbeats into beliefs."""
+"""Folds endpoints' records into beliefs."""
 
 import asyncio
 
 from attrs import define, field
 
+from acaciacove.decisions.entry_lapses import EntryLapses
 from acaciacove.errors import MalformedMessageError
 from acaciacove.gateway.beliefs import Beliefs
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.endpoint_report import EndpointReport
 from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
+from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.record_codec import RecordCodec
 
-# Entries lapse while the log is away, without their endpoints having left. Those
-# that live are back within two seconds of its return; until then a removal that
-# came with an outage is kept open. Counted from the first call that succeeds.
-LAPSE_GRACE_S = 2.2
-# A removal this soon after a failed call belongs to the outage.
-OUTAGE_MEMORY_S = 1.0
-
 
 @define(eq=False)
 class EndpointReader:
-    """Applies heartbeats and removals in offset order.
-
-    ``outage_s`` is when a call to the log last failed. ``_lapsed`` holds until when
-    entries may come back that went with an outage.
-    """
+    """Applies records and removals in offset order."""
 
-    beliefs: Beliefs
+    gateway: Gateway
     codec: RecordCodec
-    log: EventLog
-    outage_s: float = -1e9
+    _lapses: EntryLapses = field(factory=EntryLapses)
     _offsets: dict[str, int] = field(factory=dict)
-    _lapsed: dict[str, float] = field(factory=dict)
-    _heard_s: dict[str, float] = field(factory=dict)
 
-    def note_outage(self) -> None:
-        """Note a failed call; entries that lapsed wait for the log's return anew."""
-        self.outage_s = asyncio.get_running_loop().time()
-        for instance in self._lapsed:
-            self._lapsed[instance] = self.outage_s + LAPSE_GRACE_S
+    @property
+    def beliefs(self) -> Beliefs:
+        """What the records are folded into."""
+        return self.gateway.beliefs
+
+    @property
+    def log(self) -> EventLog:
+        """Where changes of belief are told."""
+        return self.gateway.log
 
     def apply_reading(self, reading: LogReading) -> None:
         """Take what one look at the stream has shown."""
+        returned_s = reading.returned_boot_s(self.gateway.settings.heartbeat_s)
+        self._lapses.begin_look(
+            self.beliefs.clock_s(), returned_s, reading.failing_boot_s
+        )
+        if returned_s is not None:
+            self.gateway.tails[LogStream.ENDPOINTS].returned_boot_s = returned_s
         if reading.is_newest:
             self.apply_newest(reading.page.records)
         else:
             for record in reading.page.records:
                 self.apply(record)
+        self._lapses.end_look(reading.complete_boot_s)
         self.beliefs.confirm_endpoints(reading.complete_boot_s)
 
     def apply_newest(self, records: tuple[LogRecord, ...]) -> None:
@@ -84,8 +84,7 @@
 
     def _take(self, report: EndpointReport) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._lapsed.pop(report.instance, None)
-        self._heard_s[report.instance] = now_s
+        self._lapses.note_written(report.instance)
         before = self.beliefs.endpoints.get(report.instance)
         endpoint = Endpoint(
             instance=report.instance,
@@ -118,11 +117,10 @@
             )
 
     def _remove(self, instance: str) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if instance not in self.beliefs.endpoints or instance in self._lapsed:
+        if instance not in self.beliefs.endpoints or self._lapses.is_kept(instance):
             return
-        if self._may_have_lapsed(instance, now_s):
-            self._lapsed[instance] = now_s + LAPSE_GRACE_S
+        now_s, drain_s = self.beliefs.clock_s(), self.gateway.settings.drain_s
+        if self._lapses.keep_removed(instance, now_s, drain_s):
             self.log.write(
                 Event.ENDPOINT_LAPSED,
                 endpoint=instance,
@@ -131,28 +129,13 @@
             return
         self._drop(instance, "removed")
 
-    def _may_have_lapsed(self, instance: str, now_s: float) -> bool:
-        """Tell whether an entry may have gone with an outage, and not by its endpoint.
-
-        An endpoint whose heartbeat was read after the last failed call had an entry
-        then: what removes it later is its departure. Taken for a lapse, it would get
-        requests for two seconds after it has left.
-        """
-        if now_s - self.outage_s >= OUTAGE_MEMORY_S:
-            return False
-        return self._heard_s.get(instance, -1e9) <= self.outage_s
-
     def expire(self) -> None:
-        """Drop entries that lapsed with an outage and have not come back."""
-        now_s = asyncio.get_running_loop().time()
-        for instance, until_s in list(self._lapsed.items()):
-            if now_s >= until_s:
-                del self._lapsed[instance]
-                self._drop(instance, "not_back")
+        """Drop entries that may have lapsed with an outage and have not come back."""
+        for instance in self._lapses.take_overdue(self.beliefs.clock_s()):
+            self._drop(instance, "not_back")
 
     def _drop(self, instance: str, reason: str) -> None:
         self.beliefs.endpoints.pop(instance, None)
-        self._heard_s.pop(instance, None)
         self.log.write(
             Event.ENDPOINT_GONE,
             endpoint=instance,
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -27,18 +27,17 @@
 
     ``wait_s`` tells how long the log may hold a read that finds nothing,
     ``pause_s`` tells how long the follower rests between reads, so that many small
-    records come in one answer. ``on_reading`` gets each successful look,
-    ``on_failure`` is told of each failed call.
+    records come in one answer. ``on_reading`` gets each successful look, and
+    calls have failed since ``failing_boot_s``.
     """
 
     stream: LogStream
     wait_s: Callable[[], float]
     pause_s: Callable[[], float]
     on_reading: Callable[[LogReading], None]
-    on_failure: Callable[[], None]
     next_offset: int = -1
     next_wait_s: float = 0.0
-    due_boot_s: float | None = None
+    failing_boot_s: float | None = None
 
 
 async def follow_log(
@@ -58,7 +57,6 @@
             continue
         except PlatformUnavailableError as error:
             failures += 1
-            followed.on_failure()
             if failures == 1:
                 log.write(
                     Event.LOG_LOST, stream=followed.stream.value, detail=str(error)
@@ -86,20 +84,24 @@
 ) -> LogReading:
     """Read a page and hand it on."""
     asked_boot_s = clock_s()
-    if followed.due_boot_s is None:
-        followed.due_boot_s = asked_boot_s
     is_newest = followed.next_offset < 0
-    complete_boot_s = asked_boot_s
-    if is_newest:
-        page = await metadata.newest(followed.stream)
-    else:
-        wait_s = followed.next_wait_s or followed.wait_s()
-        page = await metadata.read(followed.stream, followed.next_offset, wait_s)
-        complete_boot_s = _complete_since(page, asked_boot_s, wait_s, clock_s())
+    wait_s = 0.0 if is_newest else followed.next_wait_s or followed.wait_s()
+    try:
+        if is_newest:
+            page = await metadata.newest(followed.stream)
+        else:
+            page = await metadata.read(followed.stream, followed.next_offset, wait_s)
+    except PlatformUnavailableError:
+        _note_failure(followed, asked_boot_s + wait_s, clock_s())
+        raise
     reading = LogReading(
-        page, is_newest, followed.due_boot_s, asked_boot_s, complete_boot_s
+        page=page,
+        is_newest=is_newest,
+        failing_boot_s=followed.failing_boot_s,
+        asked_boot_s=asked_boot_s,
+        complete_boot_s=_complete_since(page, asked_boot_s, wait_s, clock_s()),
     )
-    followed.due_boot_s = None
+    followed.failing_boot_s = None
     followed.on_reading(reading)
     # One record ends the waits of all gateways at once. Reads that go on in step
     # would all be as old when the log goes away; drawn apart, one of them is
@@ -111,6 +113,14 @@
     return reading
 
 
+def _note_failure(
+    followed: FollowedStream, due_boot_s: float, now_boot_s: float
+) -> None:
+    """Note since when calls fail: an answer was due, or a failure was told, by then."""
+    if followed.failing_boot_s is None:
+        followed.failing_boot_s = min(due_boot_s, now_boot_s)
+
+
 def _complete_since(
     page: LogPage, asked_boot_s: float, wait_s: float, now_boot_s: float
 ) -> float:
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -72,4 +72,5 @@
         records=records,
         next_offset=told.next_offset,
         complete_after_s=held_s - max(0.0, told.age_s),
+        returned_after_s=None if told.present_s is None else held_s - told.present_s,
     )
--- a/acaciacove/gateway/relay/stream_tail.py
+++ b/acaciacove/gateway/relay/stream_tail.py
@@ -26,13 +26,15 @@
 
     Times are of the clock that goes on while the machine is suspended:
     ``complete_boot_s`` is when, by an own look, nothing else had been written,
-    ``asked_boot_s`` when another gateway last asked.
+    ``asked_boot_s`` when another gateway last asked, and ``returned_boot_s`` when the
+    log last came back from an absence, if one is known.
     """
 
     first_offset: int = -1
     next_offset: int = -1
     complete_boot_s: float = float("-inf")
     asked_boot_s: float = float("-inf")
+    returned_boot_s: float | None = None
     changed: asyncio.Event = field(factory=asyncio.Event)
     _records: deque[LogRecord] = field(factory=deque)
     _size_bytes: int = 0
--- a/acaciacove/gateway/relay/tell_records.py
+++ b/acaciacove/gateway/relay/tell_records.py
@@ -65,9 +65,15 @@
         held_s=now_boot_s - asked_boot_s,
         age_s=now_boot_s - tail.complete_boot_s,
         records=tuple(map(_told, tail.since(ask.offset))) if known else (),
+        present_s=_present_s(tail, now_boot_s),
     )
 
 
+def _present_s(tail: StreamTail, now_boot_s: float) -> float | None:
+    returned_s = tail.returned_boot_s
+    return None if returned_s is None else now_boot_s - returned_s
+
+
 async def _news(tail: StreamTail, wait_s: float) -> None:
     try:
         async with asyncio.timeout(wait_s):
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -94,7 +94,7 @@
         self.gateway = Gateway(self.settings, self.dialect, beliefs, self.log)
         self.metadata = self._relayed(CountedLog(self.metadata, self.gateway.metrics))
         self.operator = OperatorReader(beliefs, self.codec, self.log)
-        self.endpoints = EndpointReader(beliefs, self.codec, self.log)
+        self.endpoints = EndpointReader(self.gateway, self.codec)
 
     def _relayed(self, metadata: MetadataLog) -> RelayedLog:
         gateway = self.gateway
@@ -222,14 +222,12 @@
                 lambda: self._wait_s(LogStream.OPERATOR, self._pace.held_s),
                 lambda: 0.0,
                 self._on_decisions,
-                self._note_outage,
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
                 lambda: self._wait_s(LogStream.ENDPOINTS, self._endpoints_held_s()),
                 self._rest_s,
                 self._on_endpoints,
-                self._note_outage,
             ),
         )
         random = self.gateway.random
@@ -267,15 +265,6 @@
         if not was_known:
             self.log.write(Event.READY, endpoints=len(beliefs.endpoints))
 
-    def _note_outage(self) -> None:
-        """Note an own failure; another gateway's says nothing of the log.
-
-        The log may turn away the reader alone. Taken over from it, its outage would
-        keep departures open that are certain, and leaving endpoints would get
-        requests for two seconds more.
-        """
-        self.endpoints.note_outage()
-
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(TRIM_EVERY_S)
--- a/acaciacove/messages/log_told.py
+++ b/acaciacove/messages/log_told.py
@@ -11,7 +11,8 @@
 
     ``known`` is false when the teller cannot answer: it lacks the offset, or its
     knowledge is too old. ``held_s`` is how long it held the question, and ``age_s``
-    how long before this answer it knew that nothing else had been written.
+    how long before this answer it knew that nothing else had been written. The log
+    has been there for ``present_s``; None where the teller knows of no absence.
     """
 
     known: bool
@@ -19,3 +20,4 @@
     held_s: float
     age_s: float
     records: tuple[ToldRecord, ...]
+    present_s: float | None
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -93,6 +93,7 @@
     "cold_extra": ("bounds.coldTolerance", float),
     "propagation_s": ("bounds.configPropagationMs", _seconds),
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
+    "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
 }
 _REQUIRED = frozenset(
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -30,7 +30,8 @@
     hold over all gateways together; what one gateway does within them is decided
     in ``acaciacove.gateway``. ``propagation_s`` is the time within which a decision is
     in force everywhere, ``drain_s`` that after which a leaving endpoint is sent nothing
-    more. ``answer_value_per_1k_tokens`` is what a good answer is
+    more. Endpoints send a heartbeat each ``heartbeat_s``; their entries lapse after
+    three that are missing. ``answer_value_per_1k_tokens`` is what a good answer is
     worth for each 1,000 tokens that it is charged for, in the unit of the catalogue's
     prices: what a model's price is weighed against. ``region_of_zone`` maps
     availability zones. Metrics are served on ``host:metrics_port``, the port that
@@ -60,6 +61,7 @@
     answer_value_per_1k_tokens: float = field(default=1.0, metadata=check(is_positive))
     propagation_s: float = field(default=2.0, metadata=check(is_positive))
     drain_s: float = field(default=2.0, metadata=check(is_positive))
+    heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
 
     @property
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -208,6 +208,7 @@
   heldS @2 :Float64;
   ageS @3 :Float64;
   records @4 :List(ToldRecord);
+  presentS @5 :Float64 = nan;
 }
 
 struct WorkSent {
