Have the log back at all gateways soon after its return

What endpoints saw: after a silent outage some gateways learned of a departure 0.9 and 1.4 s after it, up to 4.4 s after the log's return, when the others were held to their bounds long since; with a drain time of 1 s that alone is too late. What callers saw: refusals for as long, since keys could not be told from revoked ones.

Gateways that may ask many others asked all of them in turn, 0.8 s for each that is silent. All these graces stood against no stated bound.

Change: while calls fail, reads are not held. Streams are put off and refused each for itself, and one success ends all refusals. After one silent gateway the asker looks itself. What is told of endpoints, how long a question is held and its answer awaited, and how long own tries rest follow from the drain time (RelayPace).

A test that counted on a second question after a silent reader has a reader that knows too little instead; what it guards against is the same. The bounds on the pace are checked for drain times from 0.2 s on, silent readers among them.

--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -85,7 +85,7 @@
     """Read a page and hand it on."""
     asked_boot_s = clock_s()
     is_newest = followed.next_offset < 0
-    wait_s = 0.0 if is_newest else followed.next_wait_s or followed.wait_s()
+    wait_s = 0.0 if is_newest else _wait_s(followed)
     try:
         if is_newest:
             page = await metadata.newest(followed.stream)
@@ -113,6 +113,16 @@
     return reading
 
 
+def _wait_s(followed: FollowedStream) -> float:
+    """Return how long to be held: not at all while it is open whether the log is there.
+
+    A call that the log takes and never answers would hide its return for that long.
+    """
+    if followed.failing_boot_s is not None:
+        return 0.0
+    return followed.next_wait_s or followed.wait_s()
+
+
 def _note_failure(
     followed: FollowedStream, due_boot_s: float, now_boot_s: float
 ) -> None:
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -22,6 +22,7 @@
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.quarantine.crash_watch import CrashWatch
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
+from acaciacove.gateway.relay.relay_pace import RelayPace, relay_pace
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS, StreamTail
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
@@ -99,6 +100,7 @@
     guard: RequestGuard = field(init=False)
     crash_watch: CrashWatch = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
+    pace: RelayPace = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Make what depends on the settings."""
@@ -111,6 +113,7 @@
         """Keep to new bounds from now on; what was counted stays counted."""
         self.settings = settings
         self.sessions.life_s = settings.session_life_s
+        self.pace = relay_pace(settings.propagation_s, settings.drain_s)
         self.rollout_settings = RolloutSettings(
             exposure_share=settings.exposure_share,
             exposure_extra=settings.exposure_extra,
--- a/acaciacove/gateway/peers/talk_to_peers.py
+++ b/acaciacove/gateway/peers/talk_to_peers.py
@@ -5,7 +5,6 @@
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.peers.datagrams import OpenDatagrams
 from acaciacove.gateway.peers.peer_network import PeerNetwork
-from acaciacove.gateway.relay.relay_pace import relay_pace
 from acaciacove.gateway.relay.tell_records import tell_records
 from acaciacove.wire.connection import Connection
 
@@ -17,10 +16,11 @@
 ) -> None:
     """Listen for peers and report to them until cancelled."""
     settings = gateway.settings
-    oldest_s = relay_pace(settings.propagation_s, settings.drain_s).oldest_told_s
 
     async def tell(connection: Connection) -> None:
-        await tell_records(connection, gateway.tails, gateway.beliefs.clock_s, oldest_s)
+        await tell_records(
+            connection, gateway.tails, gateway.beliefs.clock_s, gateway.pace
+        )
 
     peers = PeerNetwork(gateway, metadata, open_datagrams)
     async with message_server((settings.host, settings.peer_port), tell):
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -5,25 +5,28 @@
 
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_record import LogRecord
+from acaciacove.gateway.relay.relay_pace import RelayPace
 from acaciacove.messages.log_ask import LogAsk
 from acaciacove.messages.log_told import LogTold
 from acaciacove.wire.connection import Connection, connect
 
-# How long the other may hold a question: long enough that two questions a second
-# suffice, short enough that a reader that went silent is noticed in time.
-HOLD_S = 0.5
-# Beyond the hold, an answer takes a millisecond, or some tens on a slowed machine.
-ANSWER_MARGIN_S = 0.3
 CONNECT_TIMEOUT_S = 0.25
 
 
 class ReaderLink:
     """One kept connection; a question at a time."""
 
-    def __init__(self, host: str, port: int, clock_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        clock_s: Callable[[], float],
+        pace: Callable[[], RelayPace],
+    ) -> None:
         """Begin unconnected; ``clock_s`` goes on while the machine is suspended."""
         self.address = (host, port)
         self._clock_s = clock_s
+        self._pace = pace
         self._connection: Connection | None = None
 
     async def ask(self, stream: str, offset: int, wait_s: float) -> LogPage | None:
@@ -31,14 +34,15 @@
 
         Raises OSError or TimeoutError when it cannot be reached.
         """
-        hold_s = min(wait_s, HOLD_S)
+        pace = self._pace()
+        hold_s = min(wait_s, pace.question_s)
         answered = False
         asked_boot_s = self._clock_s()
         try:
             if self._connection is None:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     self._connection = await connect(*self.address)
-            async with asyncio.timeout(hold_s + ANSWER_MARGIN_S):
+            async with asyncio.timeout(hold_s + pace.late_answer_s):
                 await self._connection.send(LogAsk(stream, offset, hold_s))
                 told = await self._connection.receive()
             if not isinstance(told, LogTold):
--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -16,24 +16,45 @@
 LONGEST_HELD_S = 1.5
 LONGEST_TOLD_S = 2.1
 LONGEST_PAUSE_S = 0.5
+# Of the time in which a leaving endpoint still serves: how old knowledge of endpoints
+# may be that is told, how long a question is held, how long its answer may take beyond
+# that, and how long own tries rest while the log turns a gateway away. Refused calls
+# are paid for, and readers, who try twice a second, tell the others.
+TOLD_DRAIN_SHARE = 0.5
+QUESTION_SHARE = 0.25
+LATE_ANSWER_SHARE = 0.15
+TURNED_AWAY_SHARE = 0.5
+LONGEST_QUESTION_S = 0.5
+# An answer takes a millisecond, or some tens on a slowed machine.
+LONGEST_LATE_ANSWER_S = 0.3
+LONGEST_TURNED_AWAY_S = 2.0
 # A few endpoints end a read seldom: resting longer would save no call and only make
 # their news older.
 LEAST_PAUSE_S = 0.2
 PAUSE_PER_ENDPOINT_S = 0.025
-# What an answer of the log may take beyond the time that it is held.
+# What an answer of the log may take beyond the time that it is held, at most this part
+# of the time for which it is told.
 ANSWER_MARGIN_S = 0.2
+ANSWER_SHARE = 0.25
 
 
 @frozen
 class RelayPace:
     """``held_s`` bounds a reader's calls, ``oldest_told_s`` what it tells.
 
-    Between two reads of endpoints it rests for ``pause_s`` at most.
+    Between two reads of endpoints it rests for ``pause_s`` at most, and tells of them
+    what is no older than ``oldest_endpoints_s``. A question to it is held for
+    ``question_s`` at most, and given up ``late_answer_s`` later. Own tries rest for
+    ``turned_away_s`` while the log turns a gateway away.
     """
 
     held_s: float
     pause_s: float
     oldest_told_s: float
+    oldest_endpoints_s: float
+    question_s: float
+    late_answer_s: float
+    turned_away_s: float
 
     def rest_s(self, endpoints: int) -> float:
         """Return the rest between two reads of so many endpoints' heartbeats."""
@@ -42,8 +63,9 @@
 
     def endpoints_held_s(self, endpoints: int) -> float:
         """Return how long a read after such a rest may be held, and still be told."""
-        left_s = self.oldest_told_s - self.rest_s(endpoints) - ANSWER_MARGIN_S
-        return min(self.held_s, left_s)
+        oldest_s = self.oldest_endpoints_s
+        answer_s = min(ANSWER_MARGIN_S, ANSWER_SHARE * oldest_s)
+        return min(self.held_s, oldest_s - answer_s - self.rest_s(endpoints))
 
 
 def relay_pace(propagation_s: float, drain_s: float) -> RelayPace:
@@ -54,8 +76,14 @@
     """
     held_s = min(LONGEST_HELD_S, HELD_SHARE * propagation_s)
     pause_s = min(LONGEST_PAUSE_S, PAUSE_SHARE * drain_s, held_s / 2.0)
+    oldest_told_s = min(LONGEST_TOLD_S, TOLD_SHARE * propagation_s)
+    turned_away_s = TURNED_AWAY_SHARE * min(drain_s, propagation_s)
     return RelayPace(
         held_s=held_s,
         pause_s=pause_s,
-        oldest_told_s=min(LONGEST_TOLD_S, TOLD_SHARE * propagation_s),
+        oldest_told_s=oldest_told_s,
+        oldest_endpoints_s=min(oldest_told_s, TOLD_DRAIN_SHARE * drain_s),
+        question_s=min(LONGEST_QUESTION_S, QUESTION_SHARE * drain_s),
+        late_answer_s=min(LONGEST_LATE_ANSWER_S, LATE_ANSWER_SHARE * drain_s),
+        turned_away_s=min(LONGEST_TURNED_AWAY_S, turned_away_s),
     )
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -15,6 +15,7 @@
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.relay.reading_order import reading_group, whom_to_ask
+from acaciacove.gateway.relay.relay_pace import RelayPace
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS
 
 if TYPE_CHECKING:
@@ -25,9 +26,6 @@
 UNREACHED_PAUSE_S = 3.0
 # The same for one that is there and has lost the log, which may end at any moment.
 STALE_PAUSE_S = 0.4
-# Between own tries while the log turns this gateway away and others can be asked:
-# refused calls are paid for, and readers, who try twice a second, tell the others.
-TURNED_AWAY_PAUSE_S = 2.0
 THE_LOG = "log"
 
 Members = Callable[[], dict[str, Peer]]
@@ -48,10 +46,11 @@
     clock_s: Callable[[], float]
     log: EventLog
     metrics: GatewayMetrics
+    pace: Callable[[], RelayPace]
     _links: dict[tuple[str, LogStream], "ReaderLink"] = field(factory=dict)
-    _not_before_s: dict[str, float] = field(factory=dict)
+    _not_before_s: dict[tuple[str, LogStream], float] = field(factory=dict)
     _sources: dict[LogStream, str] = field(factory=dict)
-    _refused_s: float = float("-inf")
+    _refused_s: dict[LogStream, float] = field(factory=dict)
 
     async def newest(self, stream: LogStream) -> LogPage:
         """Return the newest record of each key."""
@@ -66,22 +65,53 @@
     async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
         """Return records from an offset on, told by a gateway or by the log."""
         if stream in TOLD_STREAMS:
-            for name in self._whom_to_ask():
-                page = await self._ask(name, stream, offset, wait_s)
-                if page is not None:
-                    self._note_source(stream, name)
-                    return page
+            page = await self._ask_others(stream, offset, wait_s)
+            if page is not None:
+                return page
         return await self._read_log(stream, offset, wait_s)
 
-    def _whom_to_ask(self) -> list[str]:
+    async def _ask_others(
+        self, stream: LogStream, offset: int, wait_s: float
+    ) -> LogPage | None:
+        """Ask those who may know, until one does.
+
+        One that is silent takes a good part of the time within which a departure must
+        be known: after it this gateway looks itself, unless the log turns it away.
+        """
+        may_read = not self._is_refused(stream)
+        for name in self._whom_to_ask(stream, may_read):
+            page = await self._ask(name, stream, offset, wait_s)
+            if page is not None:
+                self._note_source(stream, name)
+                return page
+            if may_read and self._is_unreached(name):
+                return None
+        return None
+
+    def _whom_to_ask(self, stream: LogStream, may_read: bool) -> list[str]:
         now_s = self.clock_s()
-        may_read = now_s - self._refused_s >= TURNED_AWAY_PAUSE_S
         return [
             name
             for name in whom_to_ask(self.name, self._group(), may_read)
-            if now_s >= self._not_before_s.get(name, 0.0)
+            if now_s >= self._not_before(name, stream)
         ]
 
+    def _not_before(self, name: str, stream: LogStream) -> float:
+        return self._not_before_s.get((name, stream), 0.0)
+
+    def _is_unreached(self, name: str) -> bool:
+        soon_s = self.clock_s() + STALE_PAUSE_S
+        return all(self._not_before(name, stream) > soon_s for stream in TOLD_STREAMS)
+
+    def _is_refused(self, stream: LogStream) -> bool:
+        """Tell whether the log has just turned this gateway away, and others may know.
+
+        Each stream counts alone: on a connection that went silent with the log, a call
+        may fail seconds after others have succeeded.
+        """
+        refused_s = self._refused_s.get(stream, float("-inf"))
+        return self.clock_s() - refused_s < self.pace().turned_away_s
+
     def _group(self) -> set[str]:
         zones = {name: peer.availability_zone for name, peer in self.members().items()}
         return reading_group(self.name, zones | {self.name: self.availability_zone})
@@ -95,16 +125,23 @@
         try:
             page = await link.ask(stream.value, offset, wait_s)
         except (OSError, TimeoutError) as error:
-            self._put_off(name, UNREACHED_PAUSE_S, "unreached", repr(error))
+            for told in TOLD_STREAMS:
+                self._put_off(name, told, UNREACHED_PAUSE_S)
+            self._tell_put_off(name, stream, "unreached", repr(error))
             return None
         if page is None:
-            self._put_off(name, STALE_PAUSE_S, "stale", "its knowledge is too old")
+            self._put_off(name, stream, STALE_PAUSE_S)
+            self._tell_put_off(name, stream, "stale", "its knowledge is too old")
             return None
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
         return page
 
-    def _put_off(self, name: str, pause_s: float, result: str, detail: str) -> None:
-        self._not_before_s[name] = self.clock_s() + pause_s
+    def _put_off(self, name: str, stream: LogStream, pause_s: float) -> None:
+        self._not_before_s[(name, stream)] = self.clock_s() + pause_s
+
+    def _tell_put_off(
+        self, name: str, stream: LogStream, result: str, detail: str
+    ) -> None:
         self.metrics.count(Metric.LOG_QUESTIONS, result)
         # While the log is away for all, each gateway asks all others in vain several
         # times a second; those lines give way to the ones on requests.
@@ -112,6 +149,7 @@
             Event.READER_PUT_OFF,
             routine=result == "stale",
             peer=name,
+            stream=stream.value,
             result=result,
             detail=detail,
         )
@@ -136,31 +174,34 @@
         if link is None or link.address != address:
             if link is not None:
                 link.close()
-            link = self._links[(name, stream)] = ReaderLink(*address, self.clock_s)
+            link = ReaderLink(*address, self.clock_s, self.pace)
+            self._links[(name, stream)] = link
         return link
 
     async def _read_log(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
-        if stream in TOLD_STREAMS and self._is_put_off():
+        if stream in TOLD_STREAMS and self._is_put_off(stream):
             raise PlatformUnavailableError("the log turned the last call away")
         try:
             page = await self.metadata.read(stream, offset, wait_s)
         except PlatformUnavailableError:
-            self._refused_s = self.clock_s()
+            self._refused_s[stream] = self.clock_s()
             raise
+        # The log is there: whatever else has just failed may be tried again.
+        self._refused_s.clear()
         if stream in TOLD_STREAMS:
             self._note_source(stream, THE_LOG)
         return page
 
-    def _is_put_off(self) -> bool:
+    def _is_put_off(self, stream: LogStream) -> bool:
         """Tell whether own tries rest, as somebody else looks for the log's return.
 
         One that cannot be reached could not tell of it.
         """
-        now_s = self.clock_s()
-        if now_s - self._refused_s >= TURNED_AWAY_PAUSE_S:
+        if not self._is_refused(stream):
             return False
+        soon_s = self.clock_s() + STALE_PAUSE_S
         return any(
-            self._not_before_s.get(name, 0.0) <= now_s + STALE_PAUSE_S
+            self._not_before(name, stream) <= soon_s
             for name in whom_to_ask(self.name, self._group(), may_read=True)
         )
 
--- a/acaciacove/gateway/relay/tell_records.py
+++ b/acaciacove/gateway/relay/tell_records.py
@@ -5,6 +5,7 @@
 
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.relay.relay_pace import RelayPace
 from acaciacove.gateway.relay.stream_tail import StreamTail
 from acaciacove.messages.log_ask import LogAsk
 from acaciacove.messages.log_told import LogTold
@@ -22,17 +23,19 @@
     connection: Connection,
     tails: Tails,
     clock_s: Callable[[], float],
-    oldest_s: float,
+    pace: RelayPace,
 ) -> None:
     """Answer the questions of one connection until it closes.
 
-    Knowledge older than ``oldest_s`` is not told: the asker does better to look itself.
+    What is older than ``pace`` says is not told: the asker does better to look itself.
     """
     try:
         while isinstance(ask := await connection.receive(), LogAsk):
             tail = _tail_of(tails, ask.stream)
             if tail is None:
                 return
+            is_endpoints = ask.stream == LogStream.ENDPOINTS.value
+            oldest_s = pace.oldest_endpoints_s if is_endpoints else pace.oldest_told_s
             await connection.send(await answer(ask, tail, clock_s, oldest_s))
     except ConnectionError:
         # The asker is gone; nobody waits for the answer.
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -29,7 +29,6 @@
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
 from acaciacove.gateway.quarantine.quarantine_records import keep_records
 from acaciacove.gateway.record_codec import RecordCodec
-from acaciacove.gateway.relay.relay_pace import RelayPace, relay_pace
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.serve_request import serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
@@ -106,6 +105,7 @@
             clock_s=self.clock_s,
             log=self.log,
             metrics=gateway.metrics,
+            pace=lambda: gateway.pace,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -219,7 +219,7 @@
         streams = (
             FollowedStream(
                 LogStream.OPERATOR,
-                lambda: self._wait_s(LogStream.OPERATOR, self._pace.held_s),
+                lambda: self._wait_s(LogStream.OPERATOR, self.gateway.pace.held_s),
                 lambda: 0.0,
                 self._on_decisions,
             ),
@@ -236,16 +236,12 @@
             for stream in streams
         ]
 
-    @property
-    def _pace(self) -> RelayPace:
-        return relay_pace(self.settings.propagation_s, self.settings.drain_s)
-
     def _rest_s(self) -> float:
         """Return the rest between reads of endpoints: the more, the more they write."""
-        return self._pace.rest_s(len(self.gateway.beliefs.endpoints))
+        return self.gateway.pace.rest_s(len(self.gateway.beliefs.endpoints))
 
     def _endpoints_held_s(self) -> float:
-        return self._pace.endpoints_held_s(len(self.gateway.beliefs.endpoints))
+        return self.gateway.pace.endpoints_held_s(len(self.gateway.beliefs.endpoints))
 
     def _wait_s(self, stream: LogStream, asked_s: float) -> float:
         """Return how long a read may be held: ``asked_s`` while other gateways ask."""
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -107,6 +107,27 @@
     run_fleet(story, gateways=5, drain_s=drain_s)
 
 
+@pytest.mark.parametrize("away_s", [2.0, 4.9, 5.0, 5.1, 5.2, 5.3, 5.4, 5.5])
+@pytest.mark.parametrize("gateways", [*FLEETS, LARGE_FLEET])
+def test_all_gateways_have_the_log_back_before_their_bounds_hold_again(
+    gateways, away_s
+):
+    """Guards against gateways that learn of a departure seconds after the others."""
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        fleet.store.down = "silent"
+        await asyncio.sleep(away_s)
+        mend(fleet)
+        returned_s = fleet.boot_time_s()
+        await asyncio.sleep(CONTACT_S)
+        beliefs = [running.gateway.beliefs for running in fleet.gateways.values()]
+        assert min(b.endpoints_confirmed_boot_s for b in beliefs) >= returned_s
+        assert min(b.confirmed_boot_s for b in beliefs) >= returned_s
+
+    run_fleet(story, gateways=gateways)
+
+
 @pytest.mark.parametrize("gateways", FLEETS)
 @pytest.mark.parametrize("heartbeat_s", HEARTBEATS_S)
 @pytest.mark.parametrize("how", ["busy", "reset", "silent"])
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -13,7 +13,7 @@
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.outcome_duty import FLEET_READS_PER_S, OutcomeDuty
 from acaciacove.gateway.peers.peer import Peer
-from acaciacove.gateway.relay.reader_link import HOLD_S, ReaderLink
+from acaciacove.gateway.relay.reader_link import ReaderLink
 from acaciacove.gateway.relay.reading_order import (
     LEAST_GROUP,
     SUBSTITUTES,
@@ -32,10 +32,11 @@
 from acaciacove.platform.store_client import CALL_TIMEOUT_S
 from acaciacove.standins.gateway_fleet import ENDPOINTS, PEER_PORT
 from acaciacove.wire.codec import decode, encode
-from tests.gateway_world import call, catalogue, report, run_fleet
+from tests.gateway_world import GATEWAY_HOST, call, catalogue, report, run_fleet
 from tests.virtual import run_virtual
 
 GATEWAYS = 5
+PACE = relay_pace(2.0, 2.0)
 NAMES = st.sets(st.text("abcdef", min_size=1, max_size=6), min_size=1, max_size=60)
 OFFSETS = st.integers(0, 2**40)
 SECONDS = st.floats(0, 1e6, allow_nan=False)
@@ -223,13 +224,16 @@
 
 
 def test_a_member_that_is_dropped_while_another_is_asked_is_passed_over():
-    """The reader is silent, and the next gateway in turn, dead for a minute, is
+    """The reader knows too little, and the next gateway in turn, dead for a minute, is
     dropped from the members while the reader is asked. Looked up all the same, it
     ended the task that follows the log: the gateway stopped, with all its callers.
     """
 
     first, second, me = reading_order(("r-1", "r-2", "r-3"))
-    peers = {name: Peer(name, "10.0.9.9", 1, "a", 0.0) for name in (first, second)}
+    peers = {
+        first: Peer(first, GATEWAY_HOST, PEER_PORT, "a", 0.0),
+        second: Peer(second, "10.0.9.9", 1, "a", 0.0),
+    }
     looks = []
 
     def members():
@@ -240,7 +244,14 @@
     async def story(fleet):
         log = fleet.gateways["gateway-0"].metadata
         relayed = RelayedLog(
-            me, "a", log.metadata, members, fleet.boot_time_s, log.log, log.metrics
+            me,
+            "a",
+            log.metadata,
+            members,
+            fleet.boot_time_s,
+            log.log,
+            log.metrics,
+            lambda: PACE,
         )
         page = await relayed.read(LogStream.OPERATOR, 0, 0.1)
         assert page.records and not page.is_told
@@ -258,7 +269,14 @@
         log = fleet.gateways["gateway-0"].metadata
         clock_s = fleet.boot_time_s
         relayed = RelayedLog(
-            me, "a", log.metadata, lambda: peers, clock_s, log.log, log.metrics
+            me,
+            "a",
+            log.metadata,
+            lambda: peers,
+            clock_s,
+            log.log,
+            log.metrics,
+            lambda: PACE,
         )
         fleet.store.down = "reset"
         with pytest.raises(PlatformUnavailableError):
@@ -346,7 +364,9 @@
     async def story(fleet):
         await asyncio.sleep(2.0)
         reader = fleet.gateways[reader_of(fleet)]
-        link = ReaderLink(reader.settings.host, PEER_PORT, fleet.boot_time_s)
+        link = ReaderLink(
+            reader.settings.host, PEER_PORT, fleet.boot_time_s, lambda: PACE
+        )
         offset = reader.gateway.beliefs.operator_revision + 1
         asked_boot_s = fleet.boot_time_s()
         question = asyncio.create_task(link.ask("operator", offset, 0.2))
@@ -390,11 +410,15 @@
     assert pace.held_s < pace.oldest_told_s
     assert pace.endpoints_held_s(endpoints) > 0.0
     rested_s = pace.rest_s(endpoints) + pace.endpoints_held_s(endpoints)
-    assert rested_s < pace.oldest_told_s
+    assert rested_s < pace.oldest_endpoints_s <= pace.oldest_told_s
     assert pace.rest_s(endpoints) <= pace.pause_s
     # Word of a leaving endpoint leaves time for what is on its way to it.
     assert pace.pause_s <= drain_s / 3.0
-    assert promised_s - pace.oldest_told_s >= HOLD_S
+    assert promised_s - pace.oldest_told_s >= pace.question_s
+    # So does a reader that falls silent while it is asked.
+    asked_s = pace.question_s + pace.late_answer_s
+    assert pace.oldest_endpoints_s + asked_s <= 0.9 * drain_s
+    assert pace.turned_away_s <= drain_s / 2.0
     # A call that meets a silent connection, and the one after it, end before keys do.
     assert 2 * pace.held_s + CALL_TIMEOUT_S <= 0.9 * 5.0
 
