Leave within the time that the process has

What callers saw: with a time to leave of 1 or 2 s, a gateway that was told to stop took callers for 2.6 s, and was killed with their connections open.

Change: callers are taken for half of the time at most, and a tenth of it is kept for the end. At 8 s nothing changes.

--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -56,6 +56,9 @@
 # callers here. A request that comes later could not be finished for certain, so
 # from then on none is taken.
 NOTICE_S = 2.6
+# Where the process has less time than for that, it takes callers for a part of it.
+NOTICE_SHARE = 0.5
+END_SHARE = 0.1
 LEAVE_STEP_S = 0.05
 
 
@@ -277,9 +280,10 @@
         began_s = loop.time()
         self.gateway.leaving = True
         self.log.write(Event.LEAVING, open_connections=len(self.connections))
-        await asyncio.sleep(NOTICE_S)
+        grace_s = self.settings.grace_s
+        await asyncio.sleep(min(NOTICE_S, NOTICE_SHARE * grace_s))
         front.close()
-        last_s = began_s + self.settings.grace_s - END_MARGIN_S
+        last_s = began_s + grace_s - min(END_MARGIN_S, END_SHARE * grace_s)
         while self.connections and loop.time() < last_s:
             for connection in list(self.connections):
                 connection.end_if_idle()
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.gateway_world import (
     GATEWAY_HOST,
     KEY,
@@ -205,3 +207,19 @@
         await stop
 
     run_fleet(story)
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, 8.0])
+def test_a_gateway_is_gone_before_its_time_to_leave_ends(grace_s):
+    """Guards against a stop that takes callers for longer than the process has."""
+
+    async def story(fleet):
+        kept = await Caller().open()
+        await kept.ask("/look/1", "r-0", method="GET")
+        began_s = asyncio.get_running_loop().time()
+        await fleet.stop_gateway("gateway-0")
+        assert asyncio.get_running_loop().time() - began_s < grace_s
+        # The caller was let go, not cut by the end of the process.
+        assert await kept.reader.read() == b""
+
+    run_fleet(story, grace_s=grace_s)
