Doubt and look at the log by the stated times

Change: doubt begins at 0.9 of the time within which decisions are in force; a look is held for 0.75 of it, and all paces follow from the shorter of that and 0.4 of the time for which keys are honoured. At 2 and 5 s nothing changes.

--- a/acaciacove/gateway/admit.py
+++ b/acaciacove/gateway/admit.py
@@ -14,9 +14,10 @@
 # API keys are honoured up to this share of the time within which a revocation
 # must be in force; the rest covers what is already on its way to this process.
 KEY_SHARE = 0.9
-# While the newest decisions are older than this, "there is no such route" and
-# "there is no such key" may be false: the decision that adds them may be missing.
-DOUBT_AGE_S = 1.8
+# While the newest decisions are older than this share of the time within which one is
+# in force, "there is no such route" and "there is no such key" may be false: the
+# decision that adds them may be missing.
+DOUBT_SHARE = 0.9
 # When a caller may do better: after a start, the log's first answer is due; after
 # an outage of the log, its return.
 STARTING_RETRY_S = 0.5
@@ -31,7 +32,8 @@
         return Refusal(
             Reason.NOT_READY, True, "no catalogue is known yet", STARTING_RETRY_S
         )
-    in_doubt = beliefs.confirmed_age_s > DOUBT_AGE_S
+    doubt_s = DOUBT_SHARE * gateway.settings.propagation_s
+    in_doubt = beliefs.confirmed_age_s > doubt_s
     route = catalogue.match(request.host, request.path)
     if route is None:
         return _doubtful(in_doubt, Reason.UNKNOWN_API, "no route has this prefix")
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -32,6 +32,9 @@
 # Of the repeats that are promised over all gateways, the share that is planned
 # with; requests are counted by callers' clocks, not by this process's.
 RETRY_MARGIN = 0.9
+# Of the time for which API keys are honoured without a proof, within which decisions
+# are to be known: two calls, one of which meets a silent connection, end in the rest.
+PROOF_SHARE = 0.4
 # How many gateways are taken to share the promised bounds until the members have been
 # read. After a loss of all processes each would otherwise keep to the bounds alone,
 # and together they would break them in the first tenth of a second.
@@ -113,7 +116,8 @@
         """Keep to new bounds from now on; what was counted stays counted."""
         self.settings = settings
         self.sessions.life_s = settings.session_life_s
-        self.pace = relay_pace(settings.propagation_s, settings.drain_s)
+        proof_s = PROOF_SHARE * settings.revocation_s
+        self.pace = relay_pace(min(settings.propagation_s, proof_s), settings.drain_s)
         self.rollout_settings = RolloutSettings(
             exposure_share=settings.exposure_share,
             exposure_extra=settings.exposure_extra,
--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -7,6 +7,10 @@
 # reader that has lost the log look themselves in the rest.
 HELD_SHARE = 0.5
 TOLD_SHARE = 0.7
+# The same of a call by a gateway that no other asks. An empty answer proves that no
+# decision was missed, and costs a call.
+ALONE_SHARE = 0.75
+LONGEST_ALONE_S = 1.5
 # Heartbeats of a fleet come many times a second, and each would end a read. A pause
 # reads them in one call; it takes this part of the time in which a leaving endpoint
 # still serves.
@@ -45,10 +49,12 @@
     Between two reads of endpoints it rests for ``pause_s`` at most, and tells of them
     what is no older than ``oldest_endpoints_s``. A question to it is held for
     ``question_s`` at most, and given up ``late_answer_s`` later. Own tries rest for
-    ``turned_away_s`` while the log turns a gateway away.
+    ``turned_away_s`` while the log turns a gateway away. A gateway that nobody asks may
+    be held for ``alone_s``.
     """
 
     held_s: float
+    alone_s: float
     pause_s: float
     oldest_told_s: float
     oldest_endpoints_s: float
@@ -77,13 +83,14 @@
     held_s = min(LONGEST_HELD_S, HELD_SHARE * propagation_s)
     pause_s = min(LONGEST_PAUSE_S, PAUSE_SHARE * drain_s, held_s / 2.0)
     oldest_told_s = min(LONGEST_TOLD_S, TOLD_SHARE * propagation_s)
-    turned_away_s = TURNED_AWAY_SHARE * min(drain_s, propagation_s)
+    shortest_s = min(drain_s, propagation_s)
     return RelayPace(
         held_s=held_s,
+        alone_s=min(LONGEST_ALONE_S, ALONE_SHARE * propagation_s),
         pause_s=pause_s,
         oldest_told_s=oldest_told_s,
         oldest_endpoints_s=min(oldest_told_s, TOLD_DRAIN_SHARE * drain_s),
-        question_s=min(LONGEST_QUESTION_S, QUESTION_SHARE * drain_s),
-        late_answer_s=min(LONGEST_LATE_ANSWER_S, LATE_ANSWER_SHARE * drain_s),
-        turned_away_s=min(LONGEST_TURNED_AWAY_S, turned_away_s),
+        question_s=min(LONGEST_QUESTION_S, QUESTION_SHARE * shortest_s),
+        late_answer_s=min(LONGEST_LATE_ANSWER_S, LATE_ANSWER_SHARE * shortest_s),
+        turned_away_s=min(LONGEST_TURNED_AWAY_S, TURNED_AWAY_SHARE * shortest_s),
     )
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -33,11 +33,6 @@
 from acaciacove.gateway.serve_request import serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
 
-# How long the log may hold a read that finds nothing. Each read that comes back
-# empty costs a call, and proves that no decision was missed. Two in a row, of
-# which one meets a connection that has gone silent and its time limit of a second,
-# still end within the time for which API keys are honoured without a proof.
-ALONE_WAIT_S = 1.5
 # While other gateways ask this one, its reads are held for less, so that an asker
 # notices in time when it has lost the log. A question this long ago says that nobody
 # asks any more.
@@ -250,7 +245,8 @@
         """Return how long a read may be held: ``asked_s`` while other gateways ask."""
         last_boot_s = self.gateway.tails[stream].asked_boot_s
         is_asked = self.clock_s() - last_boot_s < ASKED_MEMORY_S
-        return min(ALONE_WAIT_S, asked_s) if is_asked else ALONE_WAIT_S
+        alone_s = self.gateway.pace.alone_s
+        return min(alone_s, asked_s) if is_asked else alone_s
 
     def _on_decisions(self, reading: LogReading) -> None:
         self.gateway.tails[LogStream.OPERATOR].take(reading)
--- a/tests/test_gateway_beliefs.py
+++ b/tests/test_gateway_beliefs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from attrs import evolve
 
 from acaciacove.standins.gateway_fleet import ENDPOINTS, OPERATOR
@@ -176,6 +177,40 @@
     run_fleet(story)
 
 
+@pytest.mark.parametrize("begin_s", [1.4, 1.6, 2.0, 2.4, 2.8])
+@pytest.mark.parametrize("propagation_s", [0.5, 1.0, 2.0])
+def test_a_new_key_is_never_refused_once_it_must_be_known(propagation_s, begin_s):
+    """Guards against doubt that begins later than decisions must be in force."""
+
+    async def story(fleet):
+        await asyncio.sleep(begin_s)
+        fleet.store.down = "silent"
+        fleet.publish(catalogue(version=2, keys=(KEY, "new")))
+        await asyncio.sleep(propagation_s)
+        answer = await call("/look/1", "r-1", method="GET", key="new")
+        assert answer.status == 503
+
+    run_fleet(story, propagation_s=propagation_s)
+
+
+@pytest.mark.parametrize("gateways", [1, 5])
+@pytest.mark.parametrize("revocation_s", [1.0, 2.0, 5.0])
+@pytest.mark.parametrize("propagation_s", [0.5, 1.0, 2.0])
+def test_a_calm_log_leaves_no_doubt(propagation_s, revocation_s, gateways):
+    """Guards against looks at the log that are rarer than the doubt that they end."""
+
+    async def story(fleet):
+        await asyncio.sleep(1.0)
+        for number in range(100):
+            known = await call("/look/1", f"r-{number}", method="GET")
+            unknown = await call("/new/1", f"s-{number}", method="GET")
+            assert (known.status, unknown.status) == (200, 404)
+            await asyncio.sleep(0.05)
+
+    bounds = {"propagation_s": propagation_s, "revocation_s": revocation_s}
+    run_fleet(story, gateways=gateways, **bounds)
+
+
 def test_a_start_without_the_log_says_that_it_is_not_ready():
     async def story(fleet):
         fleet.store.down = "busy"
