--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from acaciacove.gateway.relay import tell_records
 from acaciacove.gateway.relay.reading_order import reading_order
+from acaciacove.gateway.relay.tell_records import answer
 from acaciacove.standins.gateway_fleet import ENDPOINTS
 from tests.gateway_world import run_fleet
 
@@ -90,6 +92,31 @@
     run_fleet(story, gateways=5, drain_s=drain_s)
 
 
+@pytest.mark.parametrize("frozen", [1, 2, 3, 4])
+@pytest.mark.parametrize("drain_s", DRAINS_S)
+def test_gateways_that_fall_silent_hide_no_departure(drain_s, frozen, monkeypatch):
+    """Guards against a gateway that asks all silent ones in turn before it looks."""
+    silent = []
+
+    async def keep_silent(ask, tail, *rest):
+        if any(tail is other for other in silent):
+            await asyncio.Event().wait()
+        return await answer(ask, tail, *rest)
+
+    monkeypatch.setattr(tell_records, "answer", keep_silent)
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        for name in reading_order(fleet.gateways)[:frozen]:
+            silent.extend(fleet.gateways.pop(name).gateway.tails.values())
+        # Questions that were under way are still answered.
+        await asyncio.sleep(0.55)
+        remove(fleet, "app-0")
+        await check_dropped(fleet, "app-0", drain_s)
+
+    run_fleet(story, gateways=5, drain_s=drain_s)
+
+
 @pytest.mark.parametrize("away_s", [4.9, 5.0, 5.1, 5.2, 5.3, 5.4])
 @pytest.mark.parametrize("drain_s", DRAINS_S)
 def test_a_departure_after_an_outage_is_believed(drain_s, away_s):
