Soak: endpoints leave by removal alone, beside one gateway's failed calls

It had planned leaves by word alone, no entry ever lapsed, and each heartbeat wrote a record, which the platform's do not; so nothing told a lapse from a departure.

Entries lapse after three heartbeats that do not reach the log, and are back with the next. A gateway that is turned away is held to the drain time where another one is in touch.

--- a/acaciacove/soak/check_operations.py
+++ b/acaciacove/soak/check_operations.py
@@ -12,7 +12,7 @@
     ZONE_OUT_S,
 )
 from acaciacove.soak.call_record import CallRecord
-from acaciacove.soak.fault_kind import ON_GATEWAY, FaultKind
+from acaciacove.soak.fault_kind import LEAVES, ON_GATEWAY, FaultKind
 from acaciacove.soak.played_fault import PlayedFault
 from acaciacove.soak.soak_catalogue import service_of
 from acaciacove.soak.soak_trace import SoakTrace
@@ -36,9 +36,7 @@
 
 def _check_drains(trace: SoakTrace) -> Iterator[Violation]:
     left_s = {
-        fault.subject: fault.from_s
-        for fault in trace.faults
-        if fault.kind is FaultKind.ENDPOINT_LEAVES
+        fault.subject: fault.from_s for fault in trace.faults if fault.kind in LEAVES
     }
     calls = trace.by_id()
     for arrival in trace.arrivals:
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -15,6 +15,8 @@
     LOG_RESET = "log_reset"
     LOG_SILENT = "log_silent"
     LOG_MUTE = "log_mute"
+    # The log answers one gateway with refusals, and serves the others; by its number.
+    LOG_TURNS_AWAY = "log_turns_away"
     # The log, for everybody.
     LOG_AWAY = "log_away"
     LOG_REFUSES = "log_refuses"
@@ -28,6 +30,8 @@
     # An endpoint, by its number.
     ENDPOINT_CRASHES = "endpoint_crashes"
     ENDPOINT_LEAVES = "endpoint_leaves"
+    # The same without a word: its entry is removed, and it serves on for a while.
+    ENDPOINT_REMOVED = "endpoint_removed"
     ENDPOINT_FAILS = "endpoint_fails"
     ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_LIMITS = "endpoint_limits"
@@ -49,6 +53,7 @@
         FaultKind.LOG_MUTE,
     }
 )
+LEAVES = frozenset({FaultKind.ENDPOINT_LEAVES, FaultKind.ENDPOINT_REMOVED})
 ON_LOG = frozenset(
     {
         FaultKind.LOG_AWAY,
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from acaciacove.settings.soak_settings import SoakSettings
-from acaciacove.soak.fault_kind import FaultKind
+from acaciacove.soak.fault_kind import LEAVES, FaultKind
 from acaciacove.soak.planned_fault import PlannedFault
 
 # Faults begin once the fleet serves, and end in time for it to serve again.
@@ -20,18 +20,28 @@
 BLIND_BEFORE_S = 0.3
 # Long enough for all to know of a limit, and for windows in which it must hold.
 LIMITED_S = 10.0
+# Leaves come right after one gateway's calls to the log began to fail, or as soon after
+# an outage as gateways are held to their bounds again.
+BESIDE_SHARE = 0.4
+BESIDE_S = (0.1, 0.9)
+AFTER_OUTAGE_SHARE = 0.3
+OUTAGE_S = (2.5, 5.0)
+AFTER_S = (3.05, 3.5)
 # Restarts come in series, each shortly after the one before, and overlap with others.
 SERIES_SHARE = 0.2
 SERIES_LENGTH = 3
 SERIES_GAP_S = 0.7
 
 
+Drawn = tuple[float, FaultKind, int, float]
+
+
 def plan_faults(settings: SoakSettings) -> tuple[PlannedFault, ...]:
     """Return the faults in order of time, without those that settings leave out."""
     random = Random(settings.seed)
     last_s = QUIET_END_SHARE * settings.seconds
     at_s = FIRST_S
-    drawn: list[tuple[float, FaultKind, int, float]] = []
+    drawn: list[Drawn] = []
     while at_s < last_s:
         kind = random.choice(list(FaultKind))
         target = random.randrange(1_000_000)
@@ -42,6 +52,8 @@
             drawn.append(missed)
         if kind is FaultKind.ENDPOINT_LIMITS:
             for_s = LIMITED_S
+        if kind in LEAVES:
+            drawn += _beside(random, at_s)
         drawn.append((at_s, kind, target, for_s))
         if kind is FaultKind.TERMINATE and random.random() < SERIES_SHARE:
             drawn += [
@@ -56,3 +68,18 @@
         kept = {int(number) for number in settings.only.split(",")}
         plan = [fault for fault in plan if fault.number in kept]
     return tuple(plan)
+
+
+def _beside(random: Random, at_s: float) -> list[Drawn]:
+    """Draw what comes before a leave: failing calls, an outage, or nothing."""
+    share = random.random()
+    if share < BESIDE_SHARE:
+        begin_s = at_s - random.uniform(*BESIDE_S)
+        target = random.randrange(1_000_000)
+        for_s = random.uniform(SHORTEST_S, LONGEST_S)
+        return [(begin_s, FaultKind.LOG_TURNS_AWAY, target, for_s)]
+    if share < BESIDE_SHARE + AFTER_OUTAGE_SHARE:
+        away_s = random.uniform(*OUTAGE_S)
+        begin_s = max(FIRST_S, at_s - random.uniform(*AFTER_S) - away_s)
+        return [(begin_s, FaultKind.LOG_AWAY, 0, away_s)]
+    return []
--- a/acaciacove/soak/play_faults.py
+++ b/acaciacove/soak/play_faults.py
@@ -8,6 +8,7 @@
 from acaciacove.soak.fault_kind import (
     AT_ONCE,
     DELAYING,
+    LEAVES,
     ON_GATEWAY,
     ON_GATEWAY_LOG,
     ON_LOG,
@@ -27,6 +28,7 @@
 EVENTS_BEFORE_CUT = 2
 # How long an endpoint that has said that it leaves goes on serving.
 LEAVING_SERVES_S = 3.0
+LEAVE_RETRY_S = 0.1
 FEWEST_KEYS = 3
 
 
@@ -46,6 +48,8 @@
     elif fault.kind in ON_GATEWAY_LOG:
         number = fault.target % len(world.gateways)
         await _on_link(world, fault, world.log_links[number], number)
+    elif fault.kind is FaultKind.LOG_TURNS_AWAY:
+        await _turn_away(world, fault)
     elif fault.kind in ON_LOG:
         await _on_log(world, fault)
     elif fault.kind is FaultKind.KEY_REVOKED:
@@ -122,6 +126,16 @@
     await _lasting(world, fault, subject, undo)
 
 
+async def _turn_away(world: SoakWorld, fault: PlannedFault) -> None:
+    number = fault.target % len(world.gateways)
+    name = world.gateways[number].settings.name
+    turned_away = world.fleet.store.turned_away
+    if name in turned_away:
+        return
+    turned_away.add(name)
+    await _lasting(world, fault, number, lambda: turned_away.discard(name))
+
+
 async def _on_log(world: SoakWorld, fault: PlannedFault) -> None:
     store = world.fleet.store
     if fault.kind is FaultKind.LOG_FORGETS:
@@ -176,7 +190,7 @@
     instance = names[fault.target % len(names)]
     if fault.kind is FaultKind.ENDPOINT_CRASHES:
         await _crash(world, fault, instance)
-    elif fault.kind is FaultKind.ENDPOINT_LEAVES:
+    elif fault.kind in LEAVES:
         await _leave(world, fault, instance)
     elif fault.kind in MISBEHAVIOURS:
         behaviour = world.servers[instance].behaviour
@@ -247,8 +261,10 @@
     if world.servers[instance].report.leaving:
         return
     await world.add_endpoint(world.servers[instance].report.service)
+    # An endpoint says nothing while the log is away, and leaves once it was heard.
+    while not world.leave(instance, with_word=fault.kind is FaultKind.ENDPOINT_LEAVES):
+        await asyncio.sleep(LEAVE_RETRY_S)
     loop = asyncio.get_running_loop()
-    world.announce_leaving(instance)
     played = PlayedFault(fault.kind, instance, loop.time())
     world.faults.append(played)
     await asyncio.sleep(LEAVING_SERVES_S)
--- a/acaciacove/soak/soak_trace.py
+++ b/acaciacove/soak/soak_trace.py
@@ -5,7 +5,12 @@
 from attrs import field, frozen
 
 from acaciacove.soak.call_record import CallRecord
-from acaciacove.soak.fault_kind import ON_GATEWAY, ON_GATEWAY_LOG, ON_LOG
+from acaciacove.soak.fault_kind import (
+    ON_GATEWAY,
+    ON_GATEWAY_LOG,
+    ON_LOG,
+    FaultKind,
+)
 from acaciacove.soak.played_fault import PlayedFault
 from acaciacove.standins.endpoint_arrival import EndpointArrival
 
@@ -56,19 +61,19 @@
         ]
 
     def is_in_touch(self, gateway: int, from_s: float, to_s: float) -> bool:
-        """Tell whether nothing befell a gateway or the log, nor this process."""
+        """Tell whether nothing befell a gateway or the log, nor this process.
+
+        One that the log alone turns away learns from the others, if any is in touch.
+        """
         since_s = from_s - CONTACT_S
         if any(a < to_s and b > since_s for a, b in self.stalls):
             return False
-        return not any(
-            fault.from_s < to_s
-            and fault.until_s > since_s
-            and (
-                fault.kind in ON_LOG
-                or (
-                    fault.kind in ON_GATEWAY | ON_GATEWAY_LOG
-                    and fault.subject == gateway
-                )
-            )
-            for fault in self.faults
-        )
+        faults = [f for f in self.faults if f.from_s < to_s and f.until_s > since_s]
+        if any(fault.kind in ON_LOG for fault in faults):
+            return False
+        befallen = {f.subject for f in faults if f.kind in ON_GATEWAY | ON_GATEWAY_LOG}
+        turned_away = {f.subject for f in faults if f.kind is FaultKind.LOG_TURNS_AWAY}
+        if gateway in turned_away:
+            others = {call.gateway for call in self.calls} - befallen - turned_away
+            return gateway not in befallen and bool(others)
+        return gateway not in befallen
--- a/acaciacove/soak/soak_world.py
+++ b/acaciacove/soak/soak_world.py
@@ -22,6 +22,7 @@
 from acaciacove.soak.bounds import (
     DRAIN_S,
     GRACE_S,
+    HEARTBEAT_S,
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_S,
@@ -38,7 +39,9 @@
 from acaciacove.standins.gateway_fleet import BACK_S, ENDPOINTS, GatewayFleet
 
 ZONES = ("a", "b", "c")
-HEARTBEAT_S = 1.2
+# Entries lapse after so many heartbeats that did not reach the log.
+LAPSE_HEARTBEATS = 3
+BEAT_STEP_S = 0.1
 # The loop looks at its own clock this often; what is late by more is a stall of the
 # machine, in which times of the soak mean nothing.
 STALL_STEP_S = 0.05
@@ -71,6 +74,7 @@
     crashing: dict[bytes, str] = field(factory=dict)
     zones_out: set[str] = field(factory=set)
     versions: int = 1
+    _beats_s: dict[str, float] = field(factory=dict)
     _endpoints_made: int = 0
     _restarts: set[asyncio.Task[None]] = field(factory=set)
 
@@ -126,6 +130,7 @@
         self.servers[report.instance] = server
         self.zone_of[report.instance] = report.availability_zone
         self.fleet.register(report)
+        self._beats_s[report.instance] = asyncio.get_running_loop().time()
 
     def _crash_under_request(self, instance: str) -> None:
         """End an endpoint; another takes its place after a while."""
@@ -150,15 +155,25 @@
         """End an endpoint with its connections; its record goes, too."""
         if self.servers.pop(instance, None) is None:
             return
+        self._beats_s.pop(instance, None)
         self.fleet.store.append(ENDPOINTS, instance, b"")
         self.fleet.crash(instance)
         self.endpoint_links.pop(instance).close()
 
-    def announce_leaving(self, instance: str) -> None:
-        """Let an endpoint's record say that it leaves."""
-        server = self.servers[instance]
+    def leave(self, instance: str, with_word: bool) -> bool:
+        """Have an endpoint's entry say that it leaves, or be removed; True if done."""
+        if self.fleet.store.down is not None:
+            return False
+        server = self.servers.get(instance)
+        if server is None:
+            return True
         server.report = evolve(server.report, leaving=True)
-        self.fleet.register(server.report)
+        self._beats_s.pop(instance, None)
+        if with_word:
+            self.fleet.register(server.report)
+        else:
+            self.fleet.store.append(ENDPOINTS, instance, b"")
+        return True
 
     async def _add_gateway(self, number: int) -> None:
         link = Proxy(
@@ -186,17 +201,32 @@
             grace_s=GRACE_S,
             revocation_s=REVOCATION_S,
             drain_s=DRAIN_S,
+            heartbeat_s=HEARTBEAT_S,
             retry_ratio=RETRY_RATIO,
             retry_extra=RETRY_EXTRA,
             retry_window_s=RETRY_WINDOW_S,
         )
 
     async def beat(self) -> None:
-        """Write each endpoint's heartbeats until cancelled."""
+        """Keep endpoints' entries in the log while heartbeats reach it.
+
+        A heartbeat writes no record unless the entry is missing.
+        """
+        loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            for server in self.servers.values():
-                self.fleet.register(server.report)
+            await asyncio.sleep(BEAT_STEP_S)
+            for instance, beat_s in list(self._beats_s.items()):
+                self._beat(instance, beat_s, loop.time())
+
+    def _beat(self, instance: str, beat_s: float, now_s: float) -> None:
+        store = self.fleet.store
+        is_known = instance in store.newest[ENDPOINTS]
+        if store.down is None and now_s - beat_s >= HEARTBEAT_S:
+            self._beats_s[instance] = now_s
+            if not is_known:
+                self.fleet.register(self.servers[instance].report)
+        elif is_known and now_s - beat_s >= LAPSE_HEARTBEATS * HEARTBEAT_S:
+            store.append(ENDPOINTS, instance, b"")
 
     async def watch_stalls(self) -> None:
         """Note when this process itself was held up, until cancelled."""
--- a/acaciacove/standins/keyed_log_server.py
+++ b/acaciacove/standins/keyed_log_server.py
@@ -44,6 +44,9 @@
 
     async def _fails(self, front: FrontConnection, caller: str) -> bool:
         state = self.state
+        if caller in state.turned_away:
+            await _answer(front, 503, b"{}")
+            return True
         if state.down is None:
             return False
         if state.refused_callers and caller not in state.refused_callers:
--- a/acaciacove/standins/keyed_log_state.py
+++ b/acaciacove/standins/keyed_log_state.py
@@ -13,7 +13,8 @@
     Faults: ``down`` is how calls fail ("busy" answers 503, "reset" closes the
     connection, "silent" says nothing); ``lost_replies`` is how many of the next
     appends take effect without an answer; ``refused_callers`` alone meet ``down``,
-    when there are any, by the name in their User-Agent field.
+    when there are any, by the name in their User-Agent field. ``turned_away`` are
+    callers that are answered 503 whatever else is the matter.
     """
 
     records: dict[str, list[tuple[str, bytes]]] = field(
@@ -25,6 +26,7 @@
     )
     down: str | None = None
     refused_callers: frozenset[str] = frozenset()
+    turned_away: set[str] = field(factory=set)
     lost_replies: int = 0
     reads: int = 0
     writes: int = 0
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,7 +10,7 @@
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
 from acaciacove.soak.check_operations import check_operations
-from acaciacove.soak.fault_kind import FaultKind
+from acaciacove.soak.fault_kind import LEAVES, FaultKind
 from acaciacove.soak.played_fault import PlayedFault
 from acaciacove.soak.soak_catalogue import organisation_of
 from acaciacove.soak.soak_trace import SoakTrace
@@ -121,14 +121,27 @@
     assert promises_broken(**run, revoked_s={KEY: 5.1}) == set()
 
 
-def left_at(at_s):
-    return PlayedFault(FaultKind.ENDPOINT_LEAVES, "i-0", at_s)
+def left_at(at_s, kind=FaultKind.ENDPOINT_LEAVES):
+    return PlayedFault(kind, "i-0", at_s)
 
 
-def test_work_for_an_endpoint_that_has_left_is_found():
+@pytest.mark.parametrize("kind", sorted(LEAVES))
+def test_work_for_an_endpoint_that_has_left_is_found(kind):
     run = {"calls": [a_call()], "arrivals": [an_arrival()]}
-    assert promises_broken(**run, faults=[left_at(8.0)]) == {Promise.DRAINED}
-    assert promises_broken(**run, faults=[left_at(8.2)]) == set()
+    assert promises_broken(**run, faults=[left_at(8.0, kind)]) == {Promise.DRAINED}
+    assert promises_broken(**run, faults=[left_at(8.2, kind)]) == set()
+
+
+def test_a_gateway_that_is_turned_away_is_excused_only_where_nobody_can_tell_it():
+    run = {"arrivals": [an_arrival()]}
+    faults = [left_at(8.0), PlayedFault(FaultKind.LOG_TURNS_AWAY, 0, 7.0, 12.0)]
+    alone = [a_call()]
+    others = [*alone, a_call(2, CallKind.LOOK, gateway=1, status=0, sent_s=3.0)]
+    paused = PlayedFault(FaultKind.PAUSE, 1, 7.0, 7.5)
+    assert promises_broken(calls=alone, faults=faults, **run) == set()
+    assert Promise.DRAINED in promises_broken(calls=others, faults=faults, **run)
+    late = promises_broken(calls=others, faults=[*faults, paused], **run)
+    assert Promise.DRAINED not in late
 
 
 @pytest.mark.parametrize(
