--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -15,7 +15,7 @@
     LOG_RESET = "log_reset"
     LOG_SILENT = "log_silent"
     LOG_MUTE = "log_mute"
-    # The log answers one gateway with refusals, and serves the others; by its number.
+    # The log refuses the gateway that last read of endpoints, and serves the others.
     LOG_TURNS_AWAY = "log_turns_away"
     # The log, for everybody.
     LOG_AWAY = "log_away"
--- a/acaciacove/soak/play_faults.py
+++ b/acaciacove/soak/play_faults.py
@@ -21,6 +21,7 @@
 from acaciacove.soak.proxy import Proxy
 from acaciacove.soak.soak_world import ZONES, SoakWorld
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
+from acaciacove.standins.gateway_fleet import ENDPOINTS
 
 DELAY_S = 0.3
 RESTART_S = 0.3
@@ -127,13 +128,15 @@
 
 
 async def _turn_away(world: SoakWorld, fault: PlannedFault) -> None:
-    number = fault.target % len(world.gateways)
-    name = world.gateways[number].settings.name
-    turned_away = world.fleet.store.turned_away
-    if name in turned_away:
+    """Turn away the gateway that last read the endpoints' stream."""
+    store = world.fleet.store
+    name = store.last_readers.get(ENDPOINTS)
+    names = [gateway.settings.name for gateway in world.gateways]
+    if name not in names or name in store.turned_away:
         return
-    turned_away.add(name)
-    await _lasting(world, fault, number, lambda: turned_away.discard(name))
+    store.turned_away.add(name)
+    number = names.index(name)
+    await _lasting(world, fault, number, lambda: store.turned_away.discard(name))
 
 
 async def _on_log(world: SoakWorld, fault: PlannedFault) -> None:
--- a/acaciacove/standins/keyed_log_server.py
+++ b/acaciacove/standins/keyed_log_server.py
@@ -78,6 +78,7 @@
     ) -> None:
         self.state.reads += 1
         stream = query["topic"]
+        self.state.last_readers[stream] = caller
         offset = int(query["source"])
         if offset < self.state.first[stream]:
             document = {"firstOffset": self.state.first[stream]}
--- a/acaciacove/standins/keyed_log_state.py
+++ b/acaciacove/standins/keyed_log_state.py
@@ -14,7 +14,8 @@
     connection, "silent" says nothing); ``lost_replies`` is how many of the next
     appends take effect without an answer; ``refused_callers`` alone meet ``down``,
     when there are any, by the name in their User-Agent field. ``turned_away`` are
-    callers that are answered 503 whatever else is the matter.
+    callers that are answered 503 whatever else is the matter. ``last_readers`` are
+    those who last read each stream.
     """
 
     records: dict[str, list[tuple[str, bytes]]] = field(
@@ -27,6 +28,7 @@
     down: str | None = None
     refused_callers: frozenset[str] = frozenset()
     turned_away: set[str] = field(factory=set)
+    last_readers: dict[str, str] = field(factory=dict)
     lost_replies: int = 0
     reads: int = 0
     writes: int = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,8 +17,9 @@
 from acaciacove.standins.gateway_fleet import gateway_settings
 
 # Seeds that once showed a fault, with a line on its cause, are listed here.
+# 3: a plan whose log is there for all but one, so that leaves are held to their time.
 # 302: an endpoint's pause doubled beyond what a number holds.
-SEEDS = (1, 302)
+SEEDS = (1, 3, 302)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
