Name why another gateway tells nothing, and forget endpoints that have left

Read as a newcomer would: whether a gateway had been reached was concluded from how long it is not asked; it is said now (NotTold). No decision changes.

Checked: test_gateway_relay, test_gateway_departures, test_decisions_lapses, test_gateway_beliefs, test_gateway_observed, test_docs: all passed.

--- a/acaciacove/decisions/entry_lapses.py
+++ b/acaciacove/decisions/entry_lapses.py
@@ -23,7 +23,9 @@
 
 @define(eq=False)
 class EntryLapses:
-    """Which removed entries are kept, for how long; ``now_s`` is any steady clock.
+    """Which removed entries are kept, and for how long.
+
+    Times are of one clock that goes on while the machine is suspended.
 
     Calls that fail here prove nothing: the log may turn this process away alone. An
     entry is kept beyond the time for which a leaving endpoint serves only where calls
@@ -37,11 +39,6 @@
     _kept: dict[str, KeptEntry] = field(factory=dict)
     _back: set[str] = field(factory=set)
 
-    @property
-    def returned_s(self) -> float:
-        """When the log last came back from an absence, as far as known."""
-        return self._returned_s
-
     def begin_look(
         self, now_s: float, returned_s: float | None, failing_s: float | None
     ) -> None:
@@ -80,6 +77,7 @@
     def keep_removed(self, instance: str, now_s: float, drain_s: float) -> bool:
         """Tell whether a removed entry may be a lapse, and is kept for a while."""
         if instance in self._back:
+            self._back.discard(instance)
             return False
         entry = self._entry(now_s, drain_s)
         if entry.until_s <= now_s:
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -27,8 +27,8 @@
 
     ``wait_s`` tells how long the log may hold a read that finds nothing,
     ``pause_s`` tells how long the follower rests between reads, so that many small
-    records come in one answer. ``on_reading`` gets each successful look, and
-    calls have failed since ``failing_boot_s``.
+    records come in one answer. ``on_reading`` gets each successful look.
+    ``failing_boot_s`` is since when calls fail; None while they succeed.
     """
 
     stream: LogStream
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -14,6 +14,7 @@
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.peers.peer import Peer
+from acaciacove.gateway.relay.not_told import NotTold
 from acaciacove.gateway.relay.reading_order import reading_group, whom_to_ask
 from acaciacove.gateway.relay.relay_pace import RelayPace
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS
@@ -80,11 +81,11 @@
         """
         may_read = not self._is_refused(stream)
         for name in self._whom_to_ask(stream, may_read):
-            page = await self._ask(name, stream, offset, wait_s)
-            if page is not None:
+            told = await self._ask(name, stream, offset, wait_s)
+            if isinstance(told, LogPage):
                 self._note_source(stream, name)
-                return page
-            if may_read and self._is_unreached(name):
+                return told
+            if told is NotTold.UNREACHED and may_read:
                 return None
         return None
 
@@ -99,10 +100,6 @@
     def _not_before(self, name: str, stream: LogStream) -> float:
         return self._not_before_s.get((name, stream), 0.0)
 
-    def _is_unreached(self, name: str) -> bool:
-        soon_s = self.clock_s() + STALE_PAUSE_S
-        return all(self._not_before(name, stream) > soon_s for stream in TOLD_STREAMS)
-
     def _is_refused(self, stream: LogStream) -> bool:
         """Tell whether the log has just turned this gateway away, and others may know.
 
@@ -118,41 +115,41 @@
 
     async def _ask(
         self, name: str, stream: LogStream, offset: int, wait_s: float
-    ) -> LogPage | None:
+    ) -> LogPage | NotTold:
         link = self._link(name, stream)
         if link is None:
-            return None
+            return NotTold.NO_MEMBER
         try:
             page = await link.ask(stream.value, offset, wait_s)
         except (OSError, TimeoutError) as error:
             for told in TOLD_STREAMS:
                 self._put_off(name, told, UNREACHED_PAUSE_S)
-            self._tell_put_off(name, stream, "unreached", repr(error))
-            return None
+            return self._not_told(name, stream, NotTold.UNREACHED, repr(error))
         if page is None:
             self._put_off(name, stream, STALE_PAUSE_S)
-            self._tell_put_off(name, stream, "stale", "its knowledge is too old")
-            return None
+            detail = "its knowledge is too old"
+            return self._not_told(name, stream, NotTold.STALE, detail)
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
         return page
 
     def _put_off(self, name: str, stream: LogStream, pause_s: float) -> None:
         self._not_before_s[(name, stream)] = self.clock_s() + pause_s
 
-    def _tell_put_off(
-        self, name: str, stream: LogStream, result: str, detail: str
-    ) -> None:
-        self.metrics.count(Metric.LOG_QUESTIONS, result)
+    def _not_told(
+        self, name: str, stream: LogStream, result: NotTold, detail: str
+    ) -> NotTold:
+        self.metrics.count(Metric.LOG_QUESTIONS, result.value)
         # While the log is away for all, each gateway asks all others in vain several
         # times a second; those lines give way to the ones on requests.
         self.log.write(
             Event.READER_PUT_OFF,
-            routine=result == "stale",
+            routine=result is NotTold.STALE,
             peer=name,
             stream=stream.value,
-            result=result,
+            result=result.value,
             detail=detail,
         )
+        return result
 
     def _link(self, name: str, stream: LogStream) -> "ReaderLink | None":
         """Return the link to a gateway; None for one that is no member any more.
