Ask further gateways while the log turns this one away

Cause, from their lines: gateway 0, which reads for the others, was killed, gateway 1 was cut off from the log and gateway 2 turned away by it. Gateway 3 read the log itself and dropped the endpoint after 0.6 s. A gateway asks the readers and two substitutes, here 0, 2 and 1, whatever becomes of them: nobody asked 3. When gateway 2 reached the log again, it took its own failures for an outage, as nobody had told it otherwise.

Ruled out: the departure was believed wherever it was read; no entry came back.

Change: while the log turns a gateway away, it asks one more gateway each time, the next in order. The pause after a call that failed and the rest of one that has lost the log follow from the drain time, too: at 2 s they are what they were.

Before and after: test_the_last_that_reach_the_log_tell_the_others_of_departures (4, 5 and 28 gateways, drain times of 1 and 2 s) 4 of 6 red, none now.

--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -15,7 +15,6 @@
 from acaciacove.gateway.metadata_log import MetadataLog
 
 FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 0.5
 MOST_DOUBLINGS = 8
 # The shortest wait after a record, as a share of the usual one.
 SHORTEST_WAIT = 0.2
@@ -27,13 +26,15 @@
 
     ``wait_s`` tells how long the log may hold a read that finds nothing,
     ``pause_s`` tells how long the follower rests between reads, so that many small
-    records come in one answer. ``on_reading`` gets each successful look.
+    records come in one answer, ``retry_s`` how long at most after a call that failed.
+    ``on_reading`` gets each successful look.
     ``failing_boot_s`` is since when calls fail; None while they succeed.
     """
 
     stream: LogStream
     wait_s: Callable[[], float]
     pause_s: Callable[[], float]
+    retry_s: Callable[[], float]
     on_reading: Callable[[LogReading], None]
     next_offset: int = -1
     next_wait_s: float = 0.0
@@ -62,7 +63,7 @@
                     Event.LOG_LOST, stream=followed.stream.value, detail=str(error)
                 )
             doublings = min(failures, MOST_DOUBLINGS)
-            await asyncio.sleep(min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**doublings))
+            await asyncio.sleep(min(followed.retry_s(), FIRST_PAUSE_S * 2**doublings))
             continue
         if failures:
             log.write(
--- a/acaciacove/gateway/relay/relay_pace.py
+++ b/acaciacove/gateway/relay/relay_pace.py
@@ -21,16 +21,21 @@
 LONGEST_TOLD_S = 2.1
 LONGEST_PAUSE_S = 0.5
 # Of the time in which a leaving endpoint still serves: how old knowledge of endpoints
-# may be that is told, how long a question is held, how long its answer may take beyond
-# that, how often it is looked whether a lapsed entry's time is over, and how long own
-# tries rest while the log turns a gateway away. Refused calls are paid for, and
-# readers, who try twice a second, tell the others.
+# may be that is told, how long a question is held, how soon the next call follows one
+# that failed, how long one that has lost the log is not asked, how long an answer may
+# take beyond its question's hold, how often it is looked whether a lapsed entry's time
+# is over, and how long own tries rest while the log turns a gateway away. Refused calls
+# are paid for, and readers, who try twice a second, tell the others.
 TOLD_DRAIN_SHARE = 0.5
 QUESTION_SHARE = 0.25
+RETRY_SHARE = 0.25
+STALE_SHARE = 0.2
 LATE_ANSWER_SHARE = 0.15
 EXPIRE_SHARE = 0.1
 TURNED_AWAY_SHARE = 0.5
 LONGEST_QUESTION_S = 0.5
+LONGEST_RETRY_S = 0.5
+LONGEST_STALE_S = 0.4
 # An answer takes a millisecond, or some tens on a slowed machine.
 LONGEST_LATE_ANSWER_S = 0.3
 LONGEST_EXPIRE_S = 0.2
@@ -50,11 +55,12 @@
     """``held_s`` bounds a reader's calls, ``oldest_told_s`` what it tells.
 
     Between two reads of endpoints it rests for ``pause_s`` at most, and tells of them
-    what is no older than ``oldest_endpoints_s``. A question to it is held for
-    ``question_s`` at most, and given up ``late_answer_s`` later. Own tries rest for
-    ``turned_away_s`` while the log turns a gateway away. A gateway that nobody asks may
-    be held for ``alone_s``. Each ``expire_s`` it is looked whether a lapsed entry's
-    time is over.
+    what is no older than ``oldest_endpoints_s``. A gateway that nobody asks may be held
+    for ``alone_s``. A question to another is held for ``question_s`` at most, and given
+    up ``late_answer_s`` later; one that has lost the log is not asked for ``stale_s``.
+    A call that failed is followed by the next within ``retry_s``, but own tries rest
+    for ``turned_away_s`` while the log turns a gateway away. Each ``expire_s`` it is
+    looked whether a lapsed entry's time is over.
     """
 
     held_s: float
@@ -64,6 +70,8 @@
     oldest_endpoints_s: float
     question_s: float
     late_answer_s: float
+    retry_s: float
+    stale_s: float
     turned_away_s: float
     expire_s: float
 
@@ -97,6 +105,8 @@
         oldest_endpoints_s=min(oldest_told_s, TOLD_DRAIN_SHARE * drain_s),
         question_s=min(LONGEST_QUESTION_S, QUESTION_SHARE * shortest_s),
         late_answer_s=min(LONGEST_LATE_ANSWER_S, LATE_ANSWER_SHARE * shortest_s),
+        retry_s=min(LONGEST_RETRY_S, RETRY_SHARE * shortest_s),
+        stale_s=min(LONGEST_STALE_S, STALE_SHARE * shortest_s),
         turned_away_s=min(LONGEST_TURNED_AWAY_S, TURNED_AWAY_SHARE * shortest_s),
         expire_s=min(LONGEST_EXPIRE_S, EXPIRE_SHARE * drain_s),
     )
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -15,7 +15,11 @@
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.relay.not_told import NotTold
-from acaciacove.gateway.relay.reading_order import reading_group, whom_to_ask
+from acaciacove.gateway.relay.reading_order import (
+    reading_group,
+    reading_order,
+    whom_to_ask,
+)
 from acaciacove.gateway.relay.relay_pace import RelayPace
 from acaciacove.gateway.relay.stream_tail import TOLD_STREAMS
 
@@ -25,8 +29,6 @@
 # How long a gateway that could not be reached is not asked; one that is dead for
 # good costs each asker a connection attempt in this time.
 UNREACHED_PAUSE_S = 3.0
-# The same for one that is there and has lost the log, which may end at any moment.
-STALE_PAUSE_S = 0.4
 THE_LOG = "log"
 
 Members = Callable[[], dict[str, Peer]]
@@ -52,6 +54,7 @@
     _not_before_s: dict[tuple[str, LogStream], float] = field(factory=dict)
     _sources: dict[LogStream, str] = field(factory=dict)
     _refused_s: dict[LogStream, float] = field(factory=dict)
+    _asked_more: int = 0
 
     async def newest(self, stream: LogStream) -> LogPage:
         """Return the newest record of each key."""
@@ -91,11 +94,23 @@
 
     def _whom_to_ask(self, stream: LogStream, may_read: bool) -> list[str]:
         now_s = self.clock_s()
-        return [
-            name
-            for name in whom_to_ask(self.name, self._group(), may_read)
-            if now_s >= self._not_before(name, stream)
-        ]
+        group = self._group()
+        names = whom_to_ask(self.name, group, may_read)
+        if not may_read:
+            names += self._one_more(group.difference(names, {self.name}))
+        return [name for name in names if now_s >= self._not_before(name, stream)]
+
+    def _one_more(self, others: set[str]) -> list[str]:
+        """Return one gateway more, each time the next.
+
+        Where those that are asked first have lost the log, others look themselves; a
+        gateway that cannot look learns it from them alone.
+        """
+        if not others:
+            return []
+        self._asked_more += 1
+        order = reading_order(others)
+        return [order[self._asked_more % len(order)]]
 
     def _not_before(self, name: str, stream: LogStream) -> float:
         return self._not_before_s.get((name, stream), 0.0)
@@ -126,7 +141,7 @@
                 self._put_off(name, told, UNREACHED_PAUSE_S)
             return self._not_told(name, stream, NotTold.UNREACHED, repr(error))
         if page is None:
-            self._put_off(name, stream, STALE_PAUSE_S)
+            self._put_off(name, stream, self.pace().stale_s)
             detail = "its knowledge is too old"
             return self._not_told(name, stream, NotTold.STALE, detail)
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
@@ -196,7 +211,7 @@
         """
         if not self._is_refused(stream):
             return False
-        soon_s = self.clock_s() + STALE_PAUSE_S
+        soon_s = self.clock_s() + self.pace().stale_s
         return any(
             self._not_before(name, stream) <= soon_s
             for name in whom_to_ask(self.name, self._group(), may_read=True)
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -218,12 +218,14 @@
                 LogStream.OPERATOR,
                 lambda: self._wait_s(LogStream.OPERATOR, self.gateway.pace.held_s),
                 lambda: 0.0,
+                lambda: self.gateway.pace.retry_s,
                 self._on_decisions,
             ),
             FollowedStream(
                 LogStream.ENDPOINTS,
                 lambda: self._wait_s(LogStream.ENDPOINTS, self._endpoints_held_s()),
                 self._rest_s,
+                lambda: self.gateway.pace.retry_s,
                 self._on_endpoints,
             ),
         )
--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -92,6 +92,25 @@
     run_fleet(story, gateways=5, drain_s=drain_s)
 
 
+@pytest.mark.parametrize("gateways", [4, 5, LARGE_FLEET])
+@pytest.mark.parametrize("drain_s", DRAINS_S)
+def test_the_last_that_reach_the_log_tell_the_others_of_departures(drain_s, gateways):
+    """Guards against a fleet in which nobody asks the one that still reads the log."""
+
+    async def story(fleet):
+        await asyncio.sleep(2.0)
+        order = reading_order(fleet.gateways)
+        fleet.kill_gateway(order[0])
+        del fleet.gateways[order[0]]
+        turn_away(fleet, "busy", *order[1:3])
+        for instance in APPS:
+            await asyncio.sleep(CONTACT_S)
+            remove(fleet, instance)
+            await check_dropped(fleet, instance, drain_s)
+
+    run_fleet(story, gateways=gateways, drain_s=drain_s)
+
+
 @pytest.mark.parametrize("frozen", [1, 2, 3, 4])
 @pytest.mark.parametrize("drain_s", DRAINS_S)
 def test_gateways_that_fall_silent_hide_no_departure(drain_s, frozen, monkeypatch):
