--- a/acaciacove/decisions/entry_lapses.py
+++ b/acaciacove/decisions/entry_lapses.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.kept_entry import KeptEntry
+
 # Endpoints that live are back this long after the log's return.
 RETURN_S = 2.2
 # Of the time for which a leaving endpoint serves, how long it may still be sent
@@ -9,18 +11,6 @@
 KEPT_DRAIN_SHARE = 0.85
 
 
-@define
-class KeptEntry:
-    """Until when a removed entry may come back; ``until_seen`` says what ends it.
-
-    One that is kept for less than its endpoint would serve while leaving ends with the
-    time. Otherwise the log must have been looked at since: it may be away again.
-    """
-
-    until_s: float
-    until_seen: bool
-
-
 @define(eq=False)
 class EntryLapses:
     """Which removed entries are kept, and for how long.
--- /dev/null
+++ b/acaciacove/decisions/kept_entry.py
@@ -0,0 +1,15 @@
+"""A removed entry that may come back."""
+
+from attrs import define
+
+
+@define
+class KeptEntry:
+    """Until when a removed entry may come back; ``until_seen`` says what ends it.
+
+    One that is kept for less than its endpoint would serve while leaving ends with the
+    time. Otherwise the log must have been looked at since: it may be away again.
+    """
+
+    until_s: float
+    until_seen: bool
