--- a/tests/test_gateway_departures.py
+++ b/tests/test_gateway_departures.py
@@ -43,6 +43,16 @@
     turn_away(fleet, None)
 
 
+async def lapse_with_outage(fleet, away_s, instances):
+    """Let entries lapse while the log is away for all."""
+    await asyncio.sleep(2.0)
+    fleet.store.down = "busy"
+    await asyncio.sleep(away_s)
+    for instance in instances:
+        remove(fleet, instance)
+    mend(fleet)
+
+
 async def check_dropped(fleet, instance, drain_s):
     await asyncio.sleep(drain_s)
     assert believers(fleet, instance) == []
@@ -220,12 +230,7 @@
     """Guards against endpoints dropped while the log cannot say whether they live."""
 
     async def story(fleet):
-        await asyncio.sleep(2.0)
-        fleet.store.down = "busy"
-        await asyncio.sleep(3.0)
-        for instance in APPS:
-            remove(fleet, instance)
-        mend(fleet)
+        await lapse_with_outage(fleet, 3.0, APPS)
         await check_used(fleet, APPS, 1.0)
         fleet.store.down = "busy"
         await check_used(fleet, APPS, 3.0)
@@ -242,11 +247,7 @@
     """Guards against callers sent to a dead endpoint long after an outage."""
 
     async def story(fleet):
-        await asyncio.sleep(2.0)
-        fleet.store.down = "busy"
-        await asyncio.sleep(3.0)
-        remove(fleet, "app-0")
-        mend(fleet)
+        await lapse_with_outage(fleet, 3.0, ["app-0"])
         await asyncio.sleep(BACK_S + 2.0)
         assert believers(fleet, "app-0") == []
 
@@ -260,12 +261,7 @@
     """Guards against requests to an endpoint that came back and left."""
 
     async def story(fleet):
-        await asyncio.sleep(2.0)
-        fleet.store.down = "busy"
-        await asyncio.sleep(4.0)
-        for instance in APPS:
-            remove(fleet, instance)
-        mend(fleet)
+        await lapse_with_outage(fleet, 4.0, APPS)
         await asyncio.sleep(1.0)
         fleet.register(fleet.endpoints["app-0"].report)
         await asyncio.sleep(0.4)
