Log how much of a failed reply came, and for which offset

What tells the hypotheses apart was not logged: a reply that is thrown away halfway looked like one that never came.

reader_put_off and log_lost give the offset and the bytes received, log_still_lost the failures after the first. The bytes of a frame are counted as they arrive; what is read, when and how long for, is as before.

--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -60,7 +60,19 @@
             failures += 1
             if failures == 1:
                 log.write(
-                    Event.LOG_LOST, stream=followed.stream.value, detail=str(error)
+                    Event.LOG_LOST,
+                    stream=followed.stream.value,
+                    offset=followed.next_offset,
+                    detail=str(error),
+                )
+            else:
+                log.write(
+                    Event.LOG_STILL_LOST,
+                    routine=True,
+                    stream=followed.stream.value,
+                    offset=followed.next_offset,
+                    failures=failures,
+                    detail=str(error),
                 )
             doublings = min(failures, MAX_BACKOFF_DOUBLINGS)
             await asyncio.sleep(
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -18,6 +18,7 @@
     MODEL_WITHOUT_PRICE = "model_without_price"
     CONFIDENCE_UNREADABLE = "confidence_unreadable"
     LOG_LOST = "log_lost"
+    LOG_STILL_LOST = "log_still_lost"
     LOG_REGAINED = "log_regained"
     LOG_SOURCE = "log_source"
     READER_PUT_OFF = "reader_put_off"
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -28,6 +28,8 @@
         self._clock_s = clock_s
         self._intervals = intervals
         self._connection: Connection | None = None
+        # Bytes of the last reply, also of one that did not arrive completely.
+        self.received_bytes = 0
 
     async def request_records(
         self, stream: str, offset: int, wait_s: float
@@ -39,6 +41,7 @@
         intervals = self._intervals()
         hold_s = min(wait_s, intervals.request_wait_s)
         completed = False
+        self.received_bytes = 0
         requested_boot_s = self._clock_s()
         try:
             if self._connection is None:
@@ -56,6 +59,8 @@
         finally:
             # After a failure a reply may still be in transit. If the connection were
             # kept, that reply would be taken for the one to the next request.
+            if self._connection is not None:
+                self.received_bytes = self._connection.frame_received_bytes
             if not completed:
                 self.close()
         return _page(reply, self._clock_s() - requested_boot_s) if reply.known else None
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -140,12 +140,14 @@
         except (OSError, TimeoutError) as error:
             for other in RELAYED_STREAMS:
                 self._defer(name, other, UNREACHABLE_PAUSE_S)
-            return self._record_failure(
-                name, stream, RelayFailure.UNREACHED, repr(error)
+            detail = (
+                f"{error!r} after {link.received_bytes} bytes of the reply"
+                f" for offset {offset}"
             )
+            return self._record_failure(name, stream, RelayFailure.UNREACHED, detail)
         if page is None:
             self._defer(name, stream, self.relay_intervals().stale_pause_s)
-            detail = "it lacks the offset or its view is too old"
+            detail = f"it lacks offset {offset} or its view is too old"
             return self._record_failure(name, stream, RelayFailure.STALE, detail)
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
         return page
--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -8,7 +8,7 @@
 
 import h11
 import orjson
-from attrs import frozen
+from attrs import define, field, frozen
 
 from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
 from acaciacove.gateway.http.connection_pool import ConnectionPool
@@ -46,6 +46,19 @@
     body: bytes
 
 
+@define
+class _PartialBody:
+    """The chunks of a response's body that have arrived so far."""
+
+    chunks: list[bytes] = field(factory=list)
+    size_bytes: int = 0
+
+    def append(self, chunk: bytes) -> None:
+        """Add the next chunk."""
+        self.chunks.append(chunk)
+        self.size_bytes += len(chunk)
+
+
 class LogClient:
     """Implements ``MetadataLog`` on the platform's HTTP API."""
 
@@ -129,22 +142,24 @@
             headers.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=headers)
         connection: EndpointConnection | None = None
+        body_received = _PartialBody()
         complete = False
         try:
             async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
                 connection = await self._pool.acquire(False, CONNECT_TIMEOUT_S)
                 connection.send_request(request, body)
-                response = await _read_response(connection)
+                response = await _read_response(connection, body_received)
             complete = True
             return response
         except (ConnectFailedError, ConnectionLostError, InvalidResponseError) as error:
             raise PlatformUnavailableError(
-                f"call {name} to the log failed: {error}"
+                f"call {name} to the log failed after {body_received.size_bytes}"
+                f" bytes of its response: {error}"
             ) from error
         except TimeoutError as error:
             raise PlatformUnavailableError(
-                f"call {name} to the log got no response within"
-                f" {wait_s + CALL_TIMEOUT_S} s"
+                f"call {name} to the log got no complete response within"
+                f" {wait_s + CALL_TIMEOUT_S} s, but {body_received.size_bytes} bytes"
             ) from error
         finally:
             if connection is not None:
@@ -155,17 +170,18 @@
         self._pool.close()
 
 
-async def _read_response(connection: EndpointConnection) -> LogResponse:
+async def _read_response(
+    connection: EndpointConnection, body: _PartialBody
+) -> LogResponse:
     status = 0
-    chunks: list[bytes] = []
     while True:
         event = await connection.next_response_event()
         if isinstance(event, h11.Response):
             status = event.status_code
         elif isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
+            body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            return LogResponse(status, b"".join(chunks))
+            return LogResponse(status, b"".join(body.chunks))
 
 
 def _expect_ok(response: LogResponse) -> LogResponse:
--- a/acaciacove/wire/connection.py
+++ b/acaciacove/wire/connection.py
@@ -25,6 +25,8 @@
         """Use a stream that is already open."""
         self._reader = reader
         self._writer = writer
+        # Bytes of the frame that is being received, for errors and log lines.
+        self.frame_received_bytes = 0
         _disable_nagle(writer)
 
     async def send(self, message: Message) -> None:
@@ -46,12 +48,13 @@
 
     async def receive(self) -> Message | None:
         """Wait for a message; None after a disconnect, or on a malformed frame."""
+        self.frame_received_bytes = 0
         try:
-            prefix = await self._reader.readexactly(LENGTH_BYTES)
+            prefix = await self._read_exactly(LENGTH_BYTES)
             size_bytes = int.from_bytes(prefix, "big")
             if size_bytes > MAX_FRAME_BYTES:
                 return None
-            return decode(await self._reader.readexactly(size_bytes))
+            return decode(await self._read_exactly(size_bytes))
         except (IncompleteReadError, LimitOverrunError, OSError):
             return None
         except MalformedMessageError:
@@ -59,6 +62,19 @@
             # drop the connection, so that the following bytes are not misread.
             return None
 
+    async def _read_exactly(self, size_bytes: int) -> bytes:
+        """Read this many bytes, and count them as they arrive."""
+        chunks: list[bytes] = []
+        missing_bytes = size_bytes
+        while missing_bytes:
+            chunk = await self._reader.read(missing_bytes)
+            if not chunk:
+                raise IncompleteReadError(b"".join(chunks), size_bytes)
+            chunks.append(chunk)
+            missing_bytes -= len(chunk)
+            self.frame_received_bytes += len(chunk)
+        return b"".join(chunks)
+
     def close(self) -> None:
         """Close without waiting; ``receive`` of the peer returns None."""
         self._writer.close()
