--- a/acaciacove/standins/keyed_log_server.py
+++ b/acaciacove/standins/keyed_log_server.py
@@ -12,6 +12,8 @@
 from acaciacove.standins.keyed_log_state import KeyedLogState
 
 ANSWER_S = 0.004
+DEFAULT_MAX_READ_KB = 1024
+CHUNK_BYTES = 16_384
 _LENGTH = Struct(">I")
 _OFFSETS = Struct(">QQ")
 MS = 1000.0
@@ -40,19 +42,19 @@
         elif call == "log-append":
             await self._append(query, request.body, front)
         else:
-            await _answer(front, 404, b"{}")
+            await self._answer(front, 404, b"{}")
 
     async def _fails(self, front: FrontConnection, caller: str) -> bool:
         state = self.state
         if caller in state.rejected_callers:
-            await _answer(front, 503, b"{}")
+            await self._answer(front, 503, b"{}")
             return True
         if state.down is None:
             return False
         if state.failing_callers and caller not in state.failing_callers:
             return False
         if state.down == "busy":
-            await _answer(front, 503, b"{}")
+            await self._answer(front, 503, b"{}")
         elif state.down == "reset":
             front.abort()
         else:
@@ -71,7 +73,7 @@
             "hasMore": False,
             "endOffset": self.state.end(stream),
         }
-        await _answer(front, 200, orjson.dumps(document))
+        await self._answer(front, 200, orjson.dumps(document))
 
     async def _read(
         self, query: dict[str, str], front: FrontConnection, caller: str
@@ -82,7 +84,7 @@
         offset = int(query["source"])
         if offset < self.state.first[stream]:
             document = {"firstOffset": self.state.first[stream]}
-            await _answer(front, 410, orjson.dumps(document))
+            await self._answer(front, 410, orjson.dumps(document))
             return
         wait_s = int(query.get("waitMs", "0")) / MS
         await self.state.wait_for(stream, offset, wait_s)
@@ -90,10 +92,16 @@
             return
         first = self.state.first[stream]
         body = _OFFSETS.pack(self.state.end(stream), first)
+        max_bytes = int(query.get("maxReadKb", DEFAULT_MAX_READ_KB)) * 1024
         for key, value in self.state.records[stream][offset - first :]:
             content = bytes([len(key.encode())]) + key.encode() + value
             body += _LENGTH.pack(len(content)) + content
-        await _answer(front, 200, body)
+            if len(body) > max_bytes:
+                # The last record is cut off, as the log does not wait for its end.
+                body = body[:max_bytes]
+                self.state.partial_reads += 1
+                break
+        await self._answer(front, 200, body)
 
     async def _append(
         self, query: dict[str, str], body: bytes, front: FrontConnection
@@ -102,7 +110,7 @@
         stream = query["topic"]
         end = self.state.end(stream)
         if "at" in query and int(query["at"]) != end:
-            await _answer(front, 412, orjson.dumps({"endOffset": end}))
+            await self._answer(front, 412, orjson.dumps({"endOffset": end}))
             return
         content = body[_LENGTH.size :]
         key_end = 1 + content[0]
@@ -112,11 +120,15 @@
             self.state.lost_replies -= 1
             await asyncio.Event().wait()
         document = {"offset": end, "endOffset": new_end}
-        await _answer(front, 200, orjson.dumps(document))
+        await self._answer(front, 200, orjson.dumps(document))
 
-
-async def _answer(front: FrontConnection, status: int, body: bytes) -> None:
-    headers = [(b"Content-Length", str(len(body)).encode())]
-    front.start_response(status, b"", headers)
-    await front.write(body)
-    front.finish_response()
+    async def _answer(self, front: FrontConnection, status: int, body: bytes) -> None:
+        headers = [(b"Content-Length", str(len(body)).encode())]
+        front.start_response(status, b"", headers)
+        rate = self.state.link_bytes_per_s
+        for start in range(0, len(body), CHUNK_BYTES):
+            chunk = body[start : start + CHUNK_BYTES]
+            if rate is not None:
+                await asyncio.sleep(len(chunk) / rate)
+            await front.write(chunk)
+        front.finish_response()
--- a/acaciacove/standins/keyed_log_state.py
+++ b/acaciacove/standins/keyed_log_state.py
@@ -15,7 +15,9 @@
     those callers are affected by ``down``. ``rejected_callers`` always get 503.
     Callers are identified by the name in their User-Agent field. ``lost_replies`` is
     the number of coming appends that take effect without an answer.
-    ``last_readers`` maps a stream to the last caller that read it.
+    ``last_readers`` maps a stream to the last caller that read it. If
+    ``link_bytes_per_s`` is set, bodies of responses are sent at this rate. ``partial_reads``
+    counts the reads whose response did not hold all records.
     """
 
     records: dict[str, list[tuple[str, bytes]]] = field(
@@ -30,6 +32,8 @@
     rejected_callers: set[str] = field(factory=set)
     last_readers: dict[str, str] = field(factory=dict)
     lost_replies: int = 0
+    link_bytes_per_s: float | None = None
+    partial_reads: int = 0
     reads: int = 0
     writes: int = 0
     _changed: asyncio.Event = field(factory=asyncio.Event)
