CONFIG: a long backlog is read by its newest records, and a page is not the whole log

What callers saw: a change that the log had acknowledged was not in force three seconds later; a route ran as an older version has it.

Cause: a transfer whose size grows had a time that does not. After an outage beside large catalogues no reply fitted its time (1.0 s from the log, 0.3 s from a peer); it was thrown away and asked for again from the same offset, with more. Beside it, a page that the platform ends at 1,024 kB counted as the whole log and confirmed the view.

Ruled out: a sum of short steps (hold, margin and read follow one another once, 1.8 s); a view that goes back (offsets are compared).

Change: a call to the log is limited by silence, and by 4 s in all; a reply is at most 288 kB; a partial one is not applied and leads to the newest record of each key; a peer relays the newest record of each key; its reply is limited by silence too, and by a quarter of the promised time unless the log turns this gateway away; a peer that is slow is not left out like a dead one.

--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -79,6 +79,14 @@
                 min(followed.retry_s(), INITIAL_BACKOFF_S * 2**doublings)
             )
             continue
+        if reading is None:
+            log.write(
+                Event.LOG_FAR_BEHIND,
+                stream=followed.stream.value,
+                offset=followed.next_offset,
+            )
+            followed.next_offset = -1
+            continue
         if failures:
             log.write(
                 Event.LOG_REGAINED,
@@ -96,8 +104,12 @@
     metadata: MetadataLog,
     clock_s: Callable[[], float],
     random: Random,
-) -> LogReading:
-    """Read one page and pass it to ``on_reading``."""
+) -> LogReading | None:
+    """Read one page and pass it to ``on_reading``; None if the page is partial.
+
+    A partial page is not applied: it is the oldest part of a backlog that has mostly
+    been superseded, and confirms nothing.
+    """
     requested_boot_s = clock_s()
     is_snapshot = followed.next_offset < 0
     wait_s = 0.0 if is_snapshot else _wait_s(followed)
@@ -109,6 +121,8 @@
     except PlatformUnavailableError:
         _record_failure(followed, requested_boot_s + wait_s, clock_s())
         raise
+    if page.is_partial:
+        return None
     reading = LogReading(
         page=page,
         is_snapshot=is_snapshot,
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -20,6 +20,7 @@
     LOG_LOST = "log_lost"
     LOG_STILL_LOST = "log_still_lost"
     LOG_REGAINED = "log_regained"
+    LOG_FAR_BEHIND = "log_far_behind"
     LOG_SOURCE = "log_source"
     READER_PUT_OFF = "reader_put_off"
     RECORD_UNREADABLE = "record_unreadable"
--- a/acaciacove/gateway/log_page.py
+++ b/acaciacove/gateway/log_page.py
@@ -13,13 +13,15 @@
     after the request, nothing but its records had been written (negative: before the
     request). Pages read from the log itself do not have it. ``recovered_after_s`` is
     when, counted the same way, the log recovered from the last outage known to the
-    other gateway.
+    other gateway. ``is_partial`` is set if the log held more records from
+    ``next_offset`` on than fit into the page.
     """
 
     records: tuple[LogRecord, ...]
     next_offset: int
     complete_after_s: float | None = None
     recovered_after_s: float | None = None
+    is_partial: bool = False
 
     @property
     def is_relayed(self) -> bool:
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -32,11 +32,12 @@
         self.received_bytes = 0
 
     async def request_records(
-        self, stream: str, offset: int, wait_s: float
+        self, stream: str, offset: int, wait_s: float, transfer_s: float
     ) -> LogPage | None:
         """Return the records that the other gateway has, None if its view is too old.
 
-        Raises OSError or TimeoutError if the other gateway cannot be reached.
+        A reply whose bytes keep arriving may take ``transfer_s``. Raises OSError or
+        TimeoutError if the other gateway cannot be reached or is slower.
         """
         intervals = self._intervals()
         hold_s = min(wait_s, intervals.request_wait_s)
@@ -47,9 +48,12 @@
             if self._connection is None:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     self._connection = await connect(*self.address)
-            async with asyncio.timeout(hold_s + intervals.reply_margin_s):
+            async with asyncio.timeout(hold_s + intervals.reply_margin_s) as limit:
                 await self._connection.send(LogAsk(stream, offset, hold_s))
-                reply = await self._connection.receive()
+                extend = _extend_while_receiving(
+                    limit, intervals.reply_margin_s, transfer_s
+                )
+                reply = await self._connection.receive(extend)
             if not isinstance(reply, LogTold):
                 raise ConnectionResetError(
                     f"no LogTold reply from gateway {self.address}"
@@ -72,6 +76,23 @@
             self._connection = None
 
 
+def _extend_while_receiving(
+    limit: asyncio.Timeout, silence_s: float, transfer_s: float
+) -> Callable[[], None]:
+    """Return a function that extends the limit, called for each part of a reply."""
+    loop = asyncio.get_running_loop()
+    began_s: float | None = None
+
+    def extend() -> None:
+        nonlocal began_s
+        now_s = loop.time()
+        if began_s is None:
+            began_s = now_s
+        limit.reschedule(min(began_s + transfer_s, now_s + silence_s))
+
+    return extend
+
+
 def _page(reply: LogTold, took_s: float) -> LogPage:
     """Convert a reply to a page.
 
--- a/acaciacove/gateway/relay/relay_failure.py
+++ b/acaciacove/gateway/relay/relay_failure.py
@@ -4,8 +4,9 @@
 
 
 class RelayFailure(Enum):
-    """Its view is too old, it could not be reached, or it is no longer a member."""
+    """Its view is too old, its reply was cut off, it did not answer, or it has left."""
 
     STALE = "stale"
+    SLOW = "slow"
     UNREACHED = "unreached"
     NO_MEMBER = "no_member"
--- a/acaciacove/gateway/relay/relay_intervals.py
+++ b/acaciacove/gateway/relay/relay_intervals.py
@@ -31,6 +31,9 @@
 STALE_PAUSE_SHARE = 0.2
 # How long a reply may take beyond the time for which its request is held.
 REPLY_MARGIN_SHARE = 0.15
+# How long a reply whose bytes keep arriving may take. A reader that relays a large
+# change to many peers is then slower than the log, which remains to be asked.
+TRANSFER_SHARE = 0.25
 # The interval between checks for expired entries.
 EXPIRY_CHECK_SHARE = 0.1
 # How long a gateway makes no calls while the log rejects them. Rejected calls are
@@ -64,7 +67,9 @@
     that of records of endpoints.
 
     A request to another gateway is held for up to ``request_wait_s`` and abandoned
-    ``reply_margin_s`` later. A gateway that has lost the log is not asked again for
+    ``reply_margin_s`` later if nothing of the reply has arrived. A reply whose bytes
+    keep arriving may take ``transfer_s``, or ``longest_transfer_s`` where the log
+    cannot be read instead. A gateway that has lost the log is not asked again for
     ``stale_pause_s``. ``retry_s`` limits the delay before a failed call is retried.
     While the log rejects calls of this gateway, it makes none for ``rejected_pause_s``.
     Retained entries are checked for expiry every ``expiry_check_s``.
@@ -77,6 +82,8 @@
     max_endpoints_age_s: float
     request_wait_s: float
     reply_margin_s: float
+    transfer_s: float
+    longest_transfer_s: float
     retry_s: float
     stale_pause_s: float
     rejected_pause_s: float
@@ -112,6 +119,8 @@
         max_endpoints_age_s=min(max_relayed_age_s, ENDPOINTS_AGE_SHARE * drain_s),
         request_wait_s=min(MAX_REQUEST_WAIT_S, REQUEST_WAIT_SHARE * shortest_s),
         reply_margin_s=min(MAX_REPLY_MARGIN_S, REPLY_MARGIN_SHARE * shortest_s),
+        transfer_s=TRANSFER_SHARE * propagation_s,
+        longest_transfer_s=propagation_s,
         retry_s=min(MAX_RETRY_S, RETRY_SHARE * shortest_s),
         stale_pause_s=min(MAX_STALE_PAUSE_S, STALE_PAUSE_SHARE * shortest_s),
         rejected_pause_s=min(MAX_REJECTED_PAUSE_S, REJECTED_PAUSE_SHARE * shortest_s),
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -85,11 +85,11 @@
         """
         may_read = not self._is_rejected(stream)
         for name in self._candidates(stream, may_read):
-            result = await self._request(name, stream, offset, wait_s)
+            result = await self._request(name, stream, offset, wait_s, may_read)
             if isinstance(result, LogPage):
                 self._log_source(stream, name)
                 return result
-            if result is RelayFailure.UNREACHED and may_read:
+            if result in (RelayFailure.UNREACHED, RelayFailure.SLOW) and may_read:
                 return None
         return None
 
@@ -130,23 +130,29 @@
         return reader_group(self.name, zones | {self.name: self.availability_zone})
 
     async def _request(
-        self, name: str, stream: LogStream, offset: int, wait_s: float
+        self, name: str, stream: LogStream, offset: int, wait_s: float, may_read: bool
     ) -> LogPage | RelayFailure:
         link = self._link(name, stream)
         if link is None:
             return RelayFailure.NO_MEMBER
+        intervals = self.relay_intervals()
+        transfer_s = intervals.transfer_s if may_read else intervals.longest_transfer_s
         try:
-            page = await link.request_records(stream.value, offset, wait_s)
+            page = await link.request_records(stream.value, offset, wait_s, transfer_s)
         except (OSError, TimeoutError) as error:
-            for other in RELAYED_STREAMS:
-                self._defer(name, other, UNREACHABLE_PAUSE_S)
             detail = (
                 f"{error!r} after {link.received_bytes} bytes of the reply"
                 f" for offset {offset}"
             )
+            if isinstance(error, TimeoutError) and link.received_bytes:
+                # It answers, but slowly: the next reply may be shorter.
+                self._defer(name, stream, intervals.stale_pause_s)
+                return self._record_failure(name, stream, RelayFailure.SLOW, detail)
+            for other in RELAYED_STREAMS:
+                self._defer(name, other, UNREACHABLE_PAUSE_S)
             return self._record_failure(name, stream, RelayFailure.UNREACHED, detail)
         if page is None:
-            self._defer(name, stream, self.relay_intervals().stale_pause_s)
+            self._defer(name, stream, intervals.stale_pause_s)
             detail = f"it lacks offset {offset} or its view is too old"
             return self._record_failure(name, stream, RelayFailure.STALE, detail)
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
--- a/acaciacove/gateway/relay/serve_records.py
+++ b/acaciacove/gateway/relay/serve_records.py
@@ -72,7 +72,7 @@
         next_offset=tail.next_offset,
         held_s=now_boot_s - requested_boot_s,
         age_s=now_boot_s - tail.complete_boot_s,
-        records=tuple(map(_to_message, tail.since(request.offset))) if known else (),
+        records=_newest_of_each_key(tail.since(request.offset)) if known else (),
         present_s=_available_s(tail, now_boot_s),
     )
 
@@ -90,6 +90,16 @@
         return
 
 
+def _newest_of_each_key(records: tuple[LogRecord, ...]) -> tuple[ToldRecord, ...]:
+    """Return the records that none of the others supersedes.
+
+    A burst of changes of a large catalogue would otherwise make a reply of megabytes,
+    which the requester's link cannot carry in time.
+    """
+    newest = {record.key: record for record in records}
+    return tuple(map(_to_message, sorted(newest.values(), key=lambda r: r.offset)))
+
+
 def _to_message(record: LogRecord) -> ToldRecord:
     return ToldRecord(
         key=record.key,
--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -31,10 +31,16 @@
 _LENGTH = Struct(">I")
 _OFFSET = Struct(">Q")
 MS = 1000.0
-# A call without a response by then fails and its connection is closed, because a
-# connection can stop delivering data for good without a reset. Responses take 4 ms, or
-# some 400 ms from a slowed log.
+# A call that has received nothing for this long fails and its connection is closed,
+# because a connection can stop delivering data for good without a reset. Responses take
+# 4 ms, or some 400 ms from a slowed log.
 CALL_TIMEOUT_S = 1.0
+# A response whose bytes keep arriving may take this long in all. Under a shorter limit
+# a large one would be thrown away over a slow link, again and again.
+MAX_TRANSFER_S = 4.0
+# Fits the longest record, 256 kB. What does not fit is superseded in part, and read
+# faster as the newest record of each key.
+MAX_READ_KB = 288
 CONNECT_TIMEOUT_S = 0.8
 
 
@@ -100,6 +106,7 @@
             "part": PARTITION,
             "source": offset,
             "waitMs": int(wait_s * MS),
+            "maxReadKb": MAX_READ_KB,
         }
         response = await self._call("GET", "log-read", query, wait_s=wait_s)
         if response.status == GONE:
@@ -145,10 +152,10 @@
         body_received = _PartialBody()
         complete = False
         try:
-            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S) as limit:
                 connection = await self._pool.acquire(False, CONNECT_TIMEOUT_S)
                 connection.send_request(request, body)
-                response = await _read_response(connection, body_received)
+                response = await _read_response(connection, body_received, limit)
             complete = True
             return response
         except (ConnectFailedError, ConnectionLostError, InvalidResponseError) as error:
@@ -158,8 +165,9 @@
             ) from error
         except TimeoutError as error:
             raise PlatformUnavailableError(
-                f"call {name} to the log got no complete response within"
-                f" {wait_s + CALL_TIMEOUT_S} s, but {body_received.size_bytes} bytes"
+                f"call {name} to the log got no complete response: silence for"
+                f" {CALL_TIMEOUT_S} s beyond a wait of {wait_s} s, or"
+                f" {MAX_TRANSFER_S} s in all, after {body_received.size_bytes} bytes"
             ) from error
         finally:
             if connection is not None:
@@ -171,15 +179,20 @@
 
 
 async def _read_response(
-    connection: EndpointConnection, body: _PartialBody
+    connection: EndpointConnection, body: _PartialBody, limit: asyncio.Timeout
 ) -> LogResponse:
+    """Read a response; each chunk of its body extends the limit."""
+    loop = asyncio.get_running_loop()
     status = 0
+    transfer_ends_s = 0.0
     while True:
         event = await connection.next_response_event()
         if isinstance(event, h11.Response):
             status = event.status_code
+            transfer_ends_s = loop.time() + MAX_TRANSFER_S
         elif isinstance(event, h11.Data):
             body.append(bytes(event.data))
+            limit.reschedule(min(transfer_ends_s, loop.time() + CALL_TIMEOUT_S))
         elif isinstance(event, h11.EndOfMessage):
             return LogResponse(status, b"".join(body.chunks))
 
@@ -221,6 +234,9 @@
     A record that is cut off at the end of the body is ignored.
     """
     records: list[LogRecord] = []
+    end_offset = offset
+    if len(body) >= _OFFSET.size:
+        (end_offset,) = _OFFSET.unpack_from(body, 0)
     at = 2 * _OFFSET.size
     while at + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, at)
@@ -234,4 +250,4 @@
         value = content[1 + key_length :]
         records.append(LogRecord(key, value or None, offset))
         offset += 1
-    return LogPage(tuple(records), offset)
+    return LogPage(tuple(records), offset, is_partial=offset < end_offset)
--- a/acaciacove/standins/keyed_log_state.py
+++ b/acaciacove/standins/keyed_log_state.py
@@ -16,8 +16,8 @@
     Callers are identified by the name in their User-Agent field. ``lost_replies`` is
     the number of coming appends that take effect without an answer.
     ``last_readers`` maps a stream to the last caller that read it. If
-    ``link_bytes_per_s`` is set, bodies of responses are sent at this rate. ``partial_reads``
-    counts the reads whose response did not hold all records.
+    ``link_bytes_per_s`` is set, bodies of responses are sent at this rate.
+    ``partial_reads`` counts the reads whose response did not hold all records.
     """
 
     records: dict[str, list[tuple[str, bytes]]] = field(
--- a/acaciacove/wire/connection.py
+++ b/acaciacove/wire/connection.py
@@ -7,7 +7,7 @@
     StreamWriter,
     open_connection,
 )
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from socket import AF_INET, IPPROTO_TCP, TCP_NODELAY
 
 from acaciacove.errors import MalformedMessageError
@@ -46,15 +46,20 @@
             b"".join(_add_length_prefix(encode(message)) for message in messages)
         )
 
-    async def receive(self) -> Message | None:
-        """Wait for a message; None after a disconnect, or on a malformed frame."""
+    async def receive(
+        self, on_progress: Callable[[], None] = lambda: None
+    ) -> Message | None:
+        """Wait for a message; None after a disconnect, or on a malformed frame.
+
+        ``on_progress`` is called for each part of the message that arrives.
+        """
         self.frame_received_bytes = 0
         try:
-            prefix = await self._read_exactly(LENGTH_BYTES)
+            prefix = await self._read_exactly(LENGTH_BYTES, on_progress)
             size_bytes = int.from_bytes(prefix, "big")
             if size_bytes > MAX_FRAME_BYTES:
                 return None
-            return decode(await self._read_exactly(size_bytes))
+            return decode(await self._read_exactly(size_bytes, on_progress))
         except (IncompleteReadError, LimitOverrunError, OSError):
             return None
         except MalformedMessageError:
@@ -62,7 +67,9 @@
             # drop the connection, so that the following bytes are not misread.
             return None
 
-    async def _read_exactly(self, size_bytes: int) -> bytes:
+    async def _read_exactly(
+        self, size_bytes: int, on_progress: Callable[[], None]
+    ) -> bytes:
         """Read this many bytes, and count them as they arrive."""
         chunks: list[bytes] = []
         missing_bytes = size_bytes
@@ -73,6 +80,7 @@
             chunks.append(chunk)
             missing_bytes -= len(chunk)
             self.frame_received_bytes += len(chunk)
+            on_progress()
         return b"".join(chunks)
 
     def close(self) -> None:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -375,7 +375,9 @@
         )
         offset = reader.gateway.view.operator_revision + 1
         requested_boot_s = fleet.boot_time_s()
-        request = asyncio.create_task(link.request_records("operator", offset, 0.2))
+        request = asyncio.create_task(
+            link.request_records("operator", offset, 0.2, 0.5)
+        )
         await asyncio.sleep(0.1)
         fleet.suspended_s += 30.0
         page = await request
