Log what endpoints say of themselves: a departure, a rest, a header that can't be read

The log lines could not tell a header that is not read from one that is passed by, as neither was written.

Server-Leaving and the Retry-After of a 503 are decoded and kept for an incarnation, endpoint_leaving, endpoint_resting and header_unreadable say so. Nothing acts on them yet.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -22,6 +22,7 @@
 from acaciacove.gateway.log_limit import log_limit
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.quarantine.trial_taken_error import TrialTakenError
+from acaciacove.gateway.record_notices import record_notices
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.response_summary import ResponseSummary
 from acaciacove.gateway.usable_endpoints import cold_share
@@ -187,6 +188,7 @@
         state.load.apply_report(running, waiting, now_s)
     if not head.misdirected:
         _update_limit(gateway, exchange, head, now_s)
+        record_notices(gateway, state.endpoint, head, now_s)
     assert exchange.connection is not None
     if head.idle_timeout_s is not None:
         exchange.connection.idle_timeout_s = head.idle_timeout_s
--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -1,12 +1,18 @@
 """States of all endpoints that are registered or still have requests in flight."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 
 from acaciacove.gateway.catalogue.endpoint import Endpoint
+from acaciacove.gateway.choice.endpoint_notice import EndpointNotice
 from acaciacove.gateway.choice.stable_hash import stable_hash32
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.http.connection_pool import ConnectionPool
 
+# Incarnations whose notices are retained: those of weeks. An entry that expires and
+# returns belongs to the same incarnation, whose notices still hold.
+MAX_NOTICES = 4_096
+
 
 def endpoint_id(instance: str) -> int:
     """Return the id of an endpoint in gateways' messages."""
@@ -19,10 +25,14 @@
 
 
 class EndpointStates:
-    """The state of each incarnation of each endpoint."""
+    """The state of each incarnation of each endpoint.
+
+    ``notices`` holds what those have asked for that asked for something.
+    """
 
     def __init__(self) -> None:
         """Start without endpoints."""
+        self.notices: OrderedDict[tuple[str, str], EndpointNotice] = OrderedDict()
         self._states: dict[tuple[str, str], EndpointState] = {}
         self._by_id: dict[int, EndpointState] = {}
         self._by_incarnation: dict[int, EndpointState] = {}
@@ -39,6 +49,14 @@
         state.endpoint = endpoint
         return state
 
+    def record_notice(self, endpoint: Endpoint) -> EndpointNotice:
+        """Return the notice of an endpoint's incarnation, created if needed."""
+        notice = self.notices.pop(endpoint.key, None) or EndpointNotice()
+        self.notices[endpoint.key] = notice
+        while len(self.notices) > MAX_NOTICES:
+            self.notices.popitem(last=False)
+        return notice
+
     def find(self, number: int) -> EndpointState | None:
         """Return the state of an endpoint's newest incarnation, None if unknown."""
         return self._by_id.get(number)
--- a/acaciacove/gateway/http/response_head.py
+++ b/acaciacove/gateway/http/response_head.py
@@ -15,7 +15,9 @@
     is how long the endpoint keeps an idle connection open. ``encoded`` is set if the
     body has a content coding. ``misdirected`` is set if the request reached another
     endpoint than the intended one. ``rate_limit_per_s`` is the rate that the
-    endpoint accepts from all gateways together.
+    endpoint accepts from all gateways together. ``leaving`` is set if the endpoint
+    announces its departure, and ``rest_s`` is how long it wants no requests from this
+    gateway. ``unreadable`` lists the fields with values that cannot be read.
     """
 
     status: int
@@ -30,6 +32,9 @@
     encoded: bool
     misdirected: bool
     rate_limit_per_s: float | None
+    leaving: bool = False
+    rest_s: float | None = None
+    unreadable: tuple[str, ...] = ()
 
     @property
     def is_success(self) -> bool:
--- a/acaciacove/platform/header_fields.py
+++ b/acaciacove/platform/header_fields.py
@@ -80,6 +80,7 @@
     dropped = names.HOP_BY_HOP | _connection_options(
         {b"connection": connection.encode()}
     )
+    unreadable: list[str] = []
     return ResponseHead(
         status=status,
         reason=reason,
@@ -93,11 +94,18 @@
         encoded=names.CONTENT_ENCODING in fields,
         misdirected=status == MISDIRECTED_REQUEST,
         rate_limit_per_s=_rate(fields.get(names.RATE_LIMIT)),
+        leaving=_leaving(fields.get(names.LEAVING), unreadable),
+        rest_s=_rest_s(status, fields.get(names.RETRY_AFTER), unreadable),
+        unreadable=tuple(unreadable),
     )
 
 
 # An endpoint that is not the expected instance indicates it by this status alone.
 MISDIRECTED_REQUEST = 421
+SERVICE_UNAVAILABLE = 503
+# A longer rest is more likely a fault of the endpoint than its wish.
+MAX_REST_S = 86_400.0
+MAX_LOGGED_VALUE_CHARS = 40
 
 
 def _first_values(headers: RawHeaders) -> dict[bytes, str]:
@@ -126,6 +134,30 @@
     return value if value is not None and value >= 0 else None
 
 
+def _leaving(text: str | None, unreadable: list[str]) -> bool:
+    """Return whether the endpoint leaves; adds to ``unreadable`` any other value."""
+    if text not in (None, "0", "1"):
+        unreadable.append(_describe(names.LEAVING, "0 or 1", text))
+    return text == "1"
+
+
+def _rest_s(status: int, text: str | None, unreadable: list[str]) -> float | None:
+    """Return the rest that a 503 asks for; adds to ``unreadable`` what is none."""
+    if status != SERVICE_UNAVAILABLE or text is None:
+        return None
+    value = _number(text)
+    if value is None or not 0 <= value <= MAX_REST_S:
+        expected = f"0 to {MAX_REST_S:.0f} seconds"
+        unreadable.append(_describe(names.RETRY_AFTER, expected, text))
+        return None
+    return value
+
+
+def _describe(name: bytes, expected: str, text: str | None) -> str:
+    shown = (text or "")[:MAX_LOGGED_VALUE_CHARS]
+    return f"{name.decode()}: expected {expected}, got {shown!r}"
+
+
 def _deadline_s(text: str | None) -> float | None:
     value = _number(text)
     return None if value is None else max(0.0, value / MS)
--- a/acaciacove/platform/names.py
+++ b/acaciacove/platform/names.py
@@ -35,6 +35,10 @@
 CONFIDENCE = b"acaciacove-confidence"
 # Requests per second that the endpoint accepts from all gateways together.
 RATE_LIMIT = b"server-limit"
+# "1" in every response of an endpoint that leaves.
+LEAVING = b"server-leaving"
+# Seconds, with a 503: the endpoint wants nothing from this gateway for so long.
+RETRY_AFTER = b"retry-after"
 KEEP_ALIVE = b"keep-alive"
 CONTENT_ENCODING = b"content-encoding"
 
