--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -13,7 +13,9 @@
       events
     - ``failing``: answers 500; ``failing_every``: does so for each n-th request, of
       ``failing_path`` only if that is set
-    - ``full``: answers 503 and marks the request as not run
+    - ``full``: answers 503 and marks the request as not run; ``retry_after`` is the
+      value of that field in these answers
+    - ``leaving``: value of the field that announces the departure, in each answer
     - ``mute``: never answers
     - ``cut_after``: closes the connection in the middle of the event after this many
       (0: before the response head)
@@ -34,6 +36,8 @@
     failing_every: int = 0
     failing_path: str = ""
     full: bool = False
+    retry_after: str | None = None
+    leaving: str | None = None
     mute: bool = False
     cut_after: int | None = None
     late_answer: bool = False
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -76,6 +76,10 @@
         self, front: FrontConnection, arrival: EndpointArrival, status: int
     ) -> None:
         fields = [*self._fields(arrival), (names.NOT_RUN, b"1")]
+        arrival.ended_s = asyncio.get_running_loop().time()
+        if status == 503 and self.behaviour.retry_after is not None:
+            arrival.retry_after = self.behaviour.retry_after
+            fields.append((names.RETRY_AFTER, arrival.retry_after.encode()))
         await _send_response(front, status, fields, b"")
 
     async def _run(self, arrival: EndpointArrival, front: FrontConnection) -> None:
@@ -121,6 +125,9 @@
         ]
         if self.behaviour.limit_per_s is not None:
             fields.append((names.RATE_LIMIT, f"{self.behaviour.limit_per_s}".encode()))
+        if self.behaviour.leaving is not None:
+            arrival.said_leaving = self.behaviour.leaving
+            fields.append((names.LEAVING, self.behaviour.leaving.encode()))
         return fields
 
     def _receipt(self, arrival: EndpointArrival) -> bytes:
