DRAIN: an endpoint that says it leaves gets no more requests

What callers saw: requests were sent to an endpoint up to 11.7 s after it had said in an answer, through the same gateway, that it leaves; once it is gone they are lost.

Cause: a departure was known from the log alone. While the log is away, nothing says so, and Server-Leaving was not read.

Ruled out: a way that passes a known departure by (none knew it), a departure that was forgotten.

Change: the announcement is kept for the incarnation (instance and start), beyond the life of its entry, and counts like a departure in the log: for the choice of an endpoint, which every first try, retry, next model, resumed stream and trial goes through, for queue waits, roll-out capacity and gauges. It is looked at again once the connection is made. A new incarnation, or another endpoint at the address, is not meant. Where no endpoint is left for a larger model, the answer at hand is delivered.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -8,6 +8,7 @@
 from acaciacove.gateway.catalogue.repetition import Repetition
 from acaciacove.gateway.choose_model import choose_next_model, learn_confidence
 from acaciacove.gateway.endpoint_state import EndpointState
+from acaciacove.gateway.endpoint_unwilling_error import EndpointUnwillingError
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.errors import (
@@ -25,7 +26,7 @@
 from acaciacove.gateway.record_notices import record_notices
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.response_summary import ResponseSummary
-from acaciacove.gateway.usable_endpoints import cold_share
+from acaciacove.gateway.usable_endpoints import cold_share, is_endpoint_left
 
 # Connections within a region are made in a few milliseconds. One that takes this long
 # goes to a machine that no longer exists.
@@ -64,12 +65,13 @@
                     await gateway.guard.acquire_trial(
                         context.fingerprint, state.endpoint
                     )
+                _check_wanted(gateway, state)
                 _record_sent(gateway, context, state)
             exchange.send()
             outcome = await _process_response(
                 gateway, context, exchange, front, may_retry, may_escalate
             )
-    except TrialTakenError:
+    except (TrialTakenError, EndpointUnwillingError):
         outcome = AttemptOutcome.NOT_SENT
     except ConnectFailedError as error:
         outcome = AttemptOutcome.NOT_SENT
@@ -91,6 +93,16 @@
     return outcome
 
 
+def _check_wanted(gateway: Gateway, state: EndpointState) -> None:
+    """Check again what was true when the endpoint was chosen.
+
+    It may have announced its departure in response to another request while the
+    connection was being made. Raises EndpointUnwillingError.
+    """
+    if gateway.states.is_leaving(state.endpoint):
+        raise EndpointUnwillingError(state.endpoint.instance, "it leaves")
+
+
 @contextmanager
 def _track_in_flight(
     gateway: Gateway, context: RequestContext, state: EndpointState
@@ -205,6 +217,7 @@
     if not head.is_success or not head.has_receipt or head.encoded:
         return await _read_failure(gateway, context, exchange, head)
     confidence = learn_confidence(gateway, context, state, head)
+    may_escalate = may_escalate and is_endpoint_left(gateway, context)
     if confidence is not None and may_escalate:
         context.next_model = choose_next_model(gateway, context, confidence, now_s)
     if context.next_model is not None:
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -156,7 +156,7 @@
     endpoints = [
         endpoint
         for endpoint in gateway.view.endpoints.values()
-        if endpoint.service == service and not endpoint.draining
+        if endpoint.service == service and not gateway.states.is_leaving(endpoint)
     ]
     if not endpoints:
         return _QueueWaits(0, 0.0, 0.0)
--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -57,6 +57,17 @@
             self.notices.popitem(last=False)
         return notice
 
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint leaves, by the log or by its own responses.
+
+        Its own announcement holds though the log has none: the log may be unavailable,
+        and the endpoint gone before it is back.
+        """
+        if endpoint.draining or not self.notices:
+            return endpoint.draining
+        notice = self.notices.get(endpoint.key)
+        return notice is not None and notice.leaving
+
     def find(self, number: int) -> EndpointState | None:
         """Return the state of an endpoint's newest incarnation, None if unknown."""
         return self._by_id.get(number)
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -91,7 +91,7 @@
     counts = dict.fromkeys(("leaving", "zone_out", "ejected", "cold", "usable"), 0.0)
     for endpoint in gateway.view.endpoints.values():
         state = gateway.states.of(endpoint)
-        if endpoint.draining:
+        if gateway.states.is_leaving(endpoint):
             counts["leaving"] += 1
         elif endpoint.availability_zone in gateway.view.zones_out:
             counts["zone_out"] += 1
--- a/acaciacove/gateway/outcome_recorder.py
+++ b/acaciacove/gateway/outcome_recorder.py
@@ -152,7 +152,7 @@
             endpoint.version == order.target
             for endpoint in view.endpoints.values()
             if endpoint.service == order.service
-            and not endpoint.draining
+            and not self._gateway.states.is_leaving(endpoint)
             and endpoint.availability_zone not in view.zones_out
         ]
         return VersionCapacity(target=sum(usable), old=len(usable) - sum(usable))
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -37,6 +37,11 @@
     return healthy or untried or usable
 
 
+def is_endpoint_left(gateway: Gateway, context: RequestContext) -> bool:
+    """Return whether the request may go on to an endpoint, limits apart."""
+    return bool(_allowed_endpoints(gateway, context))
+
+
 def next_slot_in_s(
     gateway: Gateway, context: RequestContext, now_s: float
 ) -> float | None:
@@ -59,7 +64,7 @@
         endpoint
         for endpoint in gateway.view.endpoints.values()
         if endpoint.service == service
-        and not endpoint.draining
+        and not gateway.states.is_leaving(endpoint)
         and endpoint.availability_zone not in zones_out
     ]
     region_sets = [context.route.allowed_regions]
