BUDGET: an endpoint that asks for rest gets it

What callers saw: requests were sent on to endpoints that had turned the gateway away with 503 and Retry-After: 3, three to five within that time; each cost a repeat of the budget that all callers share. Where all endpoints rested, callers were told to return after 0.4 s, and were turned away again.

Cause: Retry-After of an endpoint was not read. A refusal counted as a failure among others, which ejects an endpoint for 0.5 s, after three in a row.

Ruled out: a way that passes a known rest by (none was known), an ejection that ends early (there was none).

Nothing is sent meanwhile, also not as a last resort, and the rest is looked at again once the connection is made. It is a limit, so the version of a session stays; a request without one takes the other version as far as the roll-out allows. Where all rest, the caller is refused at once, with the earliest end of a rest as Retry-After, spread by a tenth.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -96,9 +96,13 @@
 def _check_wanted(gateway: Gateway, state: EndpointState) -> None:
     """Check again what was true when the endpoint was chosen.
 
-    It may have announced its departure in response to another request while the
-    connection was being made. Raises EndpointUnwillingError.
+    It may have announced its departure, or asked for rest, in response to another
+    request while the connection was being made. Raises EndpointUnwillingError.
     """
+    now_s = asyncio.get_running_loop().time()
+    rest_s = gateway.states.rest_left_s(state.endpoint, now_s)
+    if rest_s > 0.0:
+        raise EndpointUnwillingError(state.endpoint.instance, f"rests for {rest_s} s")
     if gateway.states.is_leaving(state.endpoint):
         raise EndpointUnwillingError(state.endpoint.instance, "it leaves")
 
@@ -217,7 +221,7 @@
     if not head.is_success or not head.has_receipt or head.encoded:
         return await _read_failure(gateway, context, exchange, head)
     confidence = learn_confidence(gateway, context, state, head)
-    may_escalate = may_escalate and is_endpoint_left(gateway, context)
+    may_escalate = may_escalate and is_endpoint_left(gateway, context, now_s)
     if confidence is not None and may_escalate:
         context.next_model = choose_next_model(gateway, context, confidence, now_s)
     if context.next_model is not None:
--- a/acaciacove/gateway/choice/endpoint_notice.py
+++ b/acaciacove/gateway/choice/endpoint_notice.py
@@ -31,4 +31,8 @@
 
     def is_resting(self, now_s: float) -> bool:
         """Return whether the endpoint wants no requests now."""
-        return now_s < self.resting_until_s
+        return self.rest_left_s(now_s) > 0.0
+
+    def rest_left_s(self, now_s: float) -> float:
+        """Return for how long the endpoint wants no requests, 0 if it wants some."""
+        return max(0.0, self.resting_until_s - now_s)
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -156,7 +156,7 @@
     endpoints = [
         endpoint
         for endpoint in gateway.view.endpoints.values()
-        if endpoint.service == service and not gateway.states.is_leaving(endpoint)
+        if endpoint.service == service and gateway.states.is_willing(endpoint, now_s)
     ]
     if not endpoints:
         return _QueueWaits(0, 0.0, 0.0)
--- a/acaciacove/gateway/endpoint_states.py
+++ b/acaciacove/gateway/endpoint_states.py
@@ -68,6 +68,17 @@
         notice = self.notices.get(endpoint.key)
         return notice is not None and notice.leaving
 
+    def rest_left_s(self, endpoint: Endpoint, now_s: float) -> float:
+        """Return for how long the endpoint has asked this gateway to send nothing."""
+        notice = self.notices.get(endpoint.key) if self.notices else None
+        return 0.0 if notice is None else notice.rest_left_s(now_s)
+
+    def is_willing(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether the endpoint neither leaves nor rests."""
+        return (
+            not self.is_leaving(endpoint) and self.rest_left_s(endpoint, now_s) <= 0.0
+        )
+
     def find(self, number: int) -> EndpointState | None:
         """Return the state of an endpoint's newest incarnation, None if unknown."""
         return self._by_id.get(number)
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -17,7 +17,7 @@
 from acaciacove.gateway.refuse import NOT_RUN_STATUSES, refuse
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.response_summary import ResponseSummary
-from acaciacove.gateway.usable_endpoints import next_slot_in_s
+from acaciacove.gateway.usable_endpoints import next_slot_in_s, rest_left_s
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
@@ -30,6 +30,9 @@
 FULL_RETRY_AFTER_S = 0.4
 NO_ENDPOINT_RETRY_AFTER_S = 0.8
 MIN_RETRY_AFTER_S = 0.1
+# Retry-After is rounded to this, and must not end before the rest does.
+RETRY_AFTER_RESOLUTION_S = 0.01
+REST_SPREAD_SHARE = 0.1
 
 
 async def serve_request(
@@ -85,13 +88,13 @@
     while True:
         now_s = asyncio.get_running_loop().time()
         if context.sent_count and not _has_retry_budget(gateway, context, now_s):
-            return _final_failure(context, budget_left=False)
+            return _final_failure(gateway, context, now_s, budget_left=False)
         refusal = _quarantine_refusal(gateway, context, now_s)
         if refusal is not None:
             return (
                 refusal
                 if not context.may_have_run
-                else _final_failure(context, budget_left=True)
+                else _final_failure(gateway, context, now_s, budget_left=True)
             )
         state = choose_endpoint(gateway, context, now_s)
         if state is None:
@@ -119,7 +122,8 @@
             context.tried_instances = set(context.refused_by)
             continue
         if not _may_retry(context, outcome):
-            return _final_failure(context, budget_left=True)
+            now_s = asyncio.get_running_loop().time()
+            return _final_failure(gateway, context, now_s, budget_left=True)
 
 
 def _quarantine_refusal(
@@ -172,12 +176,17 @@
     return context.route.may_repeat
 
 
-def _final_failure(context: RequestContext, budget_left: bool) -> Failure:
+def _final_failure(
+    gateway: Gateway, context: RequestContext, now_s: float, budget_left: bool
+) -> Failure:
     """Return the failure of a request that no endpoint served."""
     if context.last_failure is not None and not _promises_not_run(context):
         return context.last_failure
     if context.may_have_run:
         return Refusal(Reason.OUTCOME_UNKNOWN, False, "the answer was lost")
+    rest_s = rest_left_s(gateway, context, now_s)
+    if rest_s is not None:
+        return _refuse_while_resting(gateway, rest_s)
     if not context.attempt_count:
         return Refusal(
             Reason.NO_ENDPOINT,
@@ -189,11 +198,22 @@
     return Refusal(reason, True, "no endpoint took the request", FULL_RETRY_AFTER_S)
 
 
+def _refuse_while_resting(gateway: Gateway, rest_s: float) -> Refusal:
+    """Return the refusal of a request for which all endpoints have asked for rest.
+
+    The callers' returns are spread: all at once, they would overload the first endpoint
+    that is back.
+    """
+    after_s = rest_s * gateway.random.uniform(1.0, 1.0 + REST_SPREAD_SHARE)
+    detail = "all endpoints have asked for rest"
+    return Refusal(Reason.OVERLOADED, True, detail, after_s + RETRY_AFTER_RESOLUTION_S)
+
+
 def _no_endpoint(gateway: Gateway, context: RequestContext, now_s: float) -> Failure:
     """Return the failure of a request for which no endpoint may be used now."""
     wait_s = next_slot_in_s(gateway, context, now_s)
     if context.attempt_count or context.last_failure is not None or wait_s is None:
-        return _final_failure(context, budget_left=True)
+        return _final_failure(gateway, context, now_s, budget_left=True)
     detail = "endpoints have stated limits, which are reached"
     return Refusal(Reason.OVERLOADED, True, detail, max(wait_s, MIN_RETRY_AFTER_S))
 
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -27,19 +27,54 @@
     gateway: Gateway, context: RequestContext, now_s: float
 ) -> list[EndpointState]:
     """Return the usable endpoints, without those already tried if possible."""
-    allowed = filter_by_version(
-        gateway, context, _allowed_endpoints(gateway, context), now_s
-    )
-    states = [gateway.states.of(endpoint) for endpoint in allowed]
+    willing = _willing_endpoints(gateway, context, now_s)
+    states = [gateway.states.of(endpoint) for endpoint in willing]
     usable = _within_limits(gateway, context, states, now_s)
     untried = [s for s in usable if s.endpoint.instance not in context.tried_instances]
     healthy = [s for s in untried or usable if not s.health.is_ejected(now_s)]
     return healthy or untried or usable
 
 
-def is_endpoint_left(gateway: Gateway, context: RequestContext) -> bool:
+def _willing_endpoints(
+    gateway: Gateway, context: RequestContext, now_s: float
+) -> list[Endpoint]:
+    """Return the endpoints of the request's version that do not rest.
+
+    While all of them rest, a request whose session is on no version yet takes the
+    endpoints of another one, as far as the roll-out allows.
+    """
+    allowed = _allowed_endpoints(gateway, context)
+    drawn = filter_by_version(gateway, context, allowed, now_s)
+    if not gateway.states.notices:
+        return drawn
+    willing = [e for e in drawn if gateway.states.is_willing(e, now_s)]
+    if willing or _is_on_version(gateway, context, now_s):
+        return willing
+    others = [e for e in allowed if gateway.states.is_willing(e, now_s)]
+    return filter_by_version(gateway, context, others, now_s)
+
+
+def _is_on_version(gateway: Gateway, context: RequestContext, now_s: float) -> bool:
+    """Return whether the request's session has been served by a version."""
+    if context.session is None:
+        return False
+    service = context.service.name
+    return gateway.sessions.get(service, context.session, now_s) is not None
+
+
+def is_endpoint_left(gateway: Gateway, context: RequestContext, now_s: float) -> bool:
     """Return whether the request may go on to an endpoint, limits apart."""
-    return bool(_allowed_endpoints(gateway, context))
+    return bool(_willing_endpoints(gateway, context, now_s))
+
+
+def rest_left_s(
+    gateway: Gateway, context: RequestContext, now_s: float
+) -> float | None:
+    """Return the seconds until the first endpoint's rest ends; None if one is awake."""
+    allowed = _allowed_endpoints(gateway, context)
+    drawn = filter_by_version(gateway, context, allowed, now_s)
+    rests_s = [gateway.states.rest_left_s(endpoint, now_s) for endpoint in drawn]
+    return min(rests_s, default=0.0) or None
 
 
 def next_slot_in_s(
@@ -49,12 +84,16 @@
     states = [
         gateway.states.of(endpoint) for endpoint in _allowed_endpoints(gateway, context)
     ]
-    waits = [
-        state.stated_limit.next_slot_in_s(now_s, local_share(gateway, state, now_s))
-        for state in states
-        if state.stated_limit.is_set(now_s)
-    ]
-    return min((wait_s for wait_s in waits if wait_s is not None), default=None)
+    waits_s = []
+    for state in states:
+        if not state.stated_limit.is_set(now_s):
+            continue
+        share = local_share(gateway, state, now_s)
+        slot_s = state.stated_limit.next_slot_in_s(now_s, share)
+        if slot_s is not None:
+            rest_s = gateway.states.rest_left_s(state.endpoint, now_s)
+            waits_s.append(max(slot_s, rest_s))
+    return min(waits_s, default=None)
 
 
 def _allowed_endpoints(gateway: Gateway, context: RequestContext) -> list[Endpoint]:
