Soak: endpoints announce departures and ask for rest, catalogues grow in an outage

Three checks, drawn by a generator of their own, so that the other faults of a seed stay as they were: no request to an endpoint later than the drain time after its word, no more than two within a rest, and no run for a revoked key by a gateway in touch later than the promised time. The log answers at the rate of a link of 10 Mbit/s.

--- a/acaciacove/soak/bounds.py
+++ b/acaciacove/soak/bounds.py
@@ -3,6 +3,7 @@
 REVOCATION_S = 5.0
 DRAIN_S = 2.0
 HEARTBEAT_S = 1.2
+PROPAGATION_S = 2.0
 ZONE_OUT_S = 5.0
 GRACE_S = 8.0
 CRASH_THRESHOLD = 3
@@ -14,6 +15,13 @@
 # A gateway counts as informed of a limit this long after its first answer from the
 # endpoint; what it sends before that is not counted.
 LIMIT_NOTICE_S = 0.5
+REST_S = 3.0
+# Requests to an endpoint that reach it within its rest, from this long after it has
+# asked for it, may be no more than so many from one gateway.
+REST_NOTICE_S = 0.5
+REQUESTS_IN_REST = 2
+# The rate at which the log's responses are sent: a link of 10 Mbit/s.
+LINK_BYTES_PER_S = 1.25e6
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 10.0
 RETRY_WINDOW_S = 10.0
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -37,12 +37,18 @@
     ENDPOINT_FAILS = "endpoint_fails"
     ENDPOINT_FULL = "endpoint_full"
     ENDPOINT_LIMITS = "endpoint_limits"
+    # It says that it leaves in its responses, and seconds later in the log.
+    ENDPOINT_ANNOUNCES = "endpoint_announces"
+    # It refuses requests and asks for rest.
+    ENDPOINT_RESTS = "endpoint_rests"
     ENDPOINT_LOSES_ANSWERS = "endpoint_loses_answers"
     ENDPOINT_CUTS = "endpoint_cuts"
     # A request that crashes endpoints. Callers send it until the end of the run.
     REQUEST_CRASHES = "request_crashes"
     # Actions of an operator. The target is chosen among the existing keys or zones.
     KEY_REVOKED = "key_revoked"
+    # Many versions of a large catalogue.
+    CATALOGUE_GROWS = "catalogue_grows"
     ZONE_OUT = "zone_out"
 
 
@@ -55,6 +61,14 @@
         FaultKind.LOG_MUTE,
     }
 )
+ENDPOINT_LINK_FAULTS = frozenset(
+    {
+        FaultKind.ENDPOINT_DELAYED,
+        FaultKind.ENDPOINT_RESET,
+        FaultKind.ENDPOINT_SILENT,
+        FaultKind.ENDPOINT_MUTE,
+    }
+)
 DEPARTURES = frozenset({FaultKind.ENDPOINT_LEAVES, FaultKind.ENDPOINT_REMOVED})
 LOG_FAULTS = frozenset(
     {
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -39,11 +39,24 @@
 
 
 DrawnFault = tuple[float, FaultKind, int, float]
-# Unannounced departures and the log's refusals before them are drawn separately.
+# What endpoints say of themselves, and changes of a large catalogue, come at intervals.
+NOTICE_INTERVAL_S = (2.0, 5.0)
+NOTICE_KINDS = (
+    FaultKind.ENDPOINT_ANNOUNCES,
+    FaultKind.ENDPOINT_RESTS,
+    FaultKind.CATALOGUE_GROWS,
+)
+REST_DURATION_S = 4.0
+# The catalogue grows while the log refuses all calls, and a key is revoked as soon as
+# it takes them again.
+GROWTH_S = 2.5
+GROWTH_MARGIN_S = 0.1
+# Unannounced departures, the log's refusals before them and notices are drawn
+# separately.
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
-    if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
+    if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY, *NOTICE_KINDS)
 ]
 
 
@@ -83,6 +96,7 @@
     if settings.seed % NO_LOG_FAULTS_EVERY == 0:
         drawn = [fault for fault in drawn if fault[1] not in LOG_FAULTS]
     drawn += _draw_departures(Random(f"leaves/{settings.seed}"), last_s)
+    drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
     plan = [
         PlannedFault(number, *fault) for number, fault in enumerate(sorted(drawn), 1)
     ]
@@ -118,3 +132,29 @@
         )
         return [(begin_s, FaultKind.LOG_AWAY, 0, outage_s)]
     return []
+
+
+def _draw_notices(random: Random, last_s: float) -> list[DrawnFault]:
+    """Draw departures and rests that endpoints announce, and bursts of changes."""
+    drawn: list[DrawnFault] = []
+    at_s = FIRST_FAULT_S + random.uniform(*NOTICE_INTERVAL_S) / 2.0
+    while at_s < last_s:
+        kind = random.choice(NOTICE_KINDS)
+        target = random.randrange(1_000_000)
+        if kind is FaultKind.CATALOGUE_GROWS:
+            drawn += _draw_growth(at_s, target)
+        else:
+            drawn.append((at_s, kind, target, REST_DURATION_S))
+        at_s += random.uniform(*NOTICE_INTERVAL_S)
+    return drawn
+
+
+def _draw_growth(at_s: float, target: int) -> list[DrawnFault]:
+    """Return a burst of changes during an outage, and a revocation after it."""
+    outage_s = GROWTH_S + 2.0 * GROWTH_MARGIN_S
+    revoked_s = at_s + outage_s + GROWTH_MARGIN_S
+    return [
+        (at_s, FaultKind.LOG_REFUSES, 0, outage_s),
+        (at_s + GROWTH_MARGIN_S, FaultKind.CATALOGUE_GROWS, target, GROWTH_S),
+        (revoked_s, FaultKind.KEY_REVOKED, target, 0.0),
+    ]
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable, Sequence
 
-from acaciacove.soak.bounds import LIMIT_PER_S
+from acaciacove.soak.bounds import LIMIT_PER_S, REST_S
 from acaciacove.soak.fault_kind import (
     DELAYING,
     DEPARTURES,
@@ -30,6 +30,11 @@
 # How long an endpoint goes on serving after its departure.
 DEPARTING_SERVES_S = 3.0
 DEPARTURE_RETRY_S = 0.1
+# How long an endpoint says that it leaves before the log does: beyond the drain time.
+ANNOUNCED_BEFORE_LOG_S = 4.0
+# With so many routes a version of the catalogue takes some 200 kB.
+ADDED_ROUTES = 450
+VERSION_INTERVAL_S = 0.08
 MIN_KEYS = 3
 
 
@@ -59,6 +64,8 @@
         await _inject_log_fault(environment, fault)
     elif fault.kind is FaultKind.KEY_REVOKED:
         _revoke_key(environment)
+    elif fault.kind is FaultKind.CATALOGUE_GROWS:
+        await _grow_catalogue(environment, fault)
     elif fault.kind is FaultKind.REQUEST_CRASHES:
         _add_crashing_request(environment, fault)
     elif fault.kind is FaultKind.ZONE_OUT:
@@ -181,6 +188,18 @@
     environment.faults.append(InjectedFault(FaultKind.KEY_REVOKED, key, now_s, now_s))
 
 
+async def _grow_catalogue(environment: SoakEnvironment, fault: PlannedFault) -> None:
+    """Publish large versions until the fault ends, and a small one then."""
+    loop = asyncio.get_running_loop()
+    injected = InjectedFault(fault.kind, "catalogue", loop.time())
+    environment.faults.append(injected)
+    while loop.time() < injected.from_s + fault.duration_s:
+        environment.publish(ADDED_ROUTES)
+        await asyncio.sleep(VERSION_INTERVAL_S)
+    environment.publish()
+    injected.until_s = loop.time()
+
+
 def _add_crashing_request(environment: SoakEnvironment, fault: PlannedFault) -> None:
     """Have callers send a request that crashes each endpoint that starts to run it."""
     body = f"crash-{fault.number}".encode()
@@ -212,6 +231,8 @@
         await _crash(environment, fault, instance)
     elif fault.kind in DEPARTURES:
         await _depart(environment, fault, instance)
+    elif fault.kind is FaultKind.ENDPOINT_ANNOUNCES:
+        await _announce_and_depart(environment, fault, instance)
     elif fault.kind in MISBEHAVIOURS:
         behaviour = environment.servers[instance].behaviour
         if behaviour.limit_per_s is not None and fault.kind in UNDO_FUNCTIONS:
@@ -235,6 +256,11 @@
     behaviour.full = True
 
 
+def _rest(behaviour: EndpointBehaviour) -> None:
+    behaviour.full = True
+    behaviour.retry_after = f"{REST_S}"
+
+
 def _limit(behaviour: EndpointBehaviour) -> None:
     behaviour.limit_per_s = LIMIT_PER_S
 
@@ -250,6 +276,7 @@
 MISBEHAVIOURS: dict[FaultKind, Callable[[EndpointBehaviour], None]] = {
     FaultKind.ENDPOINT_FAILS: _fail,
     FaultKind.ENDPOINT_FULL: _fill,
+    FaultKind.ENDPOINT_RESTS: _rest,
     FaultKind.ENDPOINT_LIMITS: _limit,
     FaultKind.ENDPOINT_CUTS: _cut,
     FaultKind.ENDPOINT_LOSES_ANSWERS: _lose_answers,
@@ -259,7 +286,7 @@
 def _restore(behaviour: EndpointBehaviour) -> None:
     """Undo lasting misbehaviour. The count of answers to lose runs down by itself."""
     behaviour.failing = behaviour.full = False
-    behaviour.cut_after = None
+    behaviour.cut_after = behaviour.retry_after = None
 
 
 def _remove_limit(behaviour: EndpointBehaviour) -> None:
@@ -284,6 +311,26 @@
     environment.remove_endpoint(instance)
 
 
+async def _announce_and_depart(
+    environment: SoakEnvironment, fault: PlannedFault, instance: str
+) -> None:
+    """Have an endpoint announce its departure in responses, and later in the log."""
+    server = environment.servers[instance]
+    if server.report.draining or server.behaviour.leaving is not None:
+        return
+    server.behaviour.leaving = "1"
+    loop = asyncio.get_running_loop()
+    injected = InjectedFault(fault.kind, instance, loop.time())
+    environment.faults.append(injected)
+    await environment.add_endpoint(server.report.service)
+    await asyncio.sleep(ANNOUNCED_BEFORE_LOG_S)
+    if instance in environment.servers:
+        environment.depart(instance, is_announced=True)
+        await asyncio.sleep(DEPARTING_SERVES_S)
+        environment.remove_endpoint(instance)
+    injected.until_s = loop.time()
+
+
 async def _depart(
     environment: SoakEnvironment, fault: PlannedFault, instance: str
 ) -> None:
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -12,6 +12,7 @@
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
+from acaciacove.soak.check_notices import check_notices
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_plan import plan_faults
 from acaciacove.soak.inject_faults import inject_faults
@@ -135,6 +136,7 @@
             *check_operations(trace),
             *check_crashes(trace),
             *check_limits(trace),
+            *check_notices(trace),
         ),
         log_folder=str(environment.folder),
     )
--- a/acaciacove/soak/soak_catalogue.py
+++ b/acaciacove/soak/soak_catalogue.py
@@ -28,8 +28,10 @@
     return MODEL if kind is CallKind.DRAFT else APP
 
 
-def soak_catalogue(version: int, keys: Iterable[str]) -> Catalogue:
-    """Return a catalogue in which these keys are valid."""
+def soak_catalogue(
+    version: int, keys: Iterable[str], added_routes: int = 0
+) -> Catalogue:
+    """Return a catalogue in which these keys are valid, with routes nobody calls."""
     routes = (
         _route(CallKind.BOOK, Repetition.ONCE, max_attempts=2),
         _route(CallKind.LOOK, Repetition.REPEATABLE),
@@ -40,6 +42,10 @@
             session_affinity=True,
             model_sizes=SIZES,
         ),
+        *(
+            _route(CallKind.LOOK, Repetition.REPEATABLE, name=name, path_prefix=name)
+            for name in (f"/added-{number}/" for number in range(added_routes))
+        ),
     )
     model = Service(
         name=MODEL,
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -23,6 +23,8 @@
     DRAIN_S,
     GRACE_S,
     HEARTBEAT_S,
+    LINK_BYTES_PER_S,
+    PROPAGATION_S,
     RETRY_EXTRA,
     RETRY_RATIO,
     RETRY_WINDOW_S,
@@ -81,6 +83,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the fleet, whose address depends on ``addresses``."""
         self.fleet = GatewayFleet(store_host=self.addresses.log())
+        self.fleet.store.link_bytes_per_s = LINK_BYTES_PER_S
 
     async def open(self) -> None:
         """Start the log, the endpoints and the gateways."""
@@ -91,10 +94,12 @@
         for number in range(self.settings.gateways):
             await self._add_gateway(number)
 
-    def publish(self) -> None:
+    def publish(self, added_routes: int = 0) -> None:
         """Publish a new version of the catalogue with the currently valid keys."""
         self.catalogue_version += 1
-        self.fleet.publish(soak_catalogue(self.catalogue_version, self.keys))
+        self.fleet.publish(
+            soak_catalogue(self.catalogue_version, self.keys, added_routes)
+        )
 
     async def add_endpoint(self, service: str) -> None:
         """Start an endpoint with a new name behind its own proxy."""
@@ -204,6 +209,7 @@
             region_of_zone=dict.fromkeys(ZONES, "south"),
             grace_s=GRACE_S,
             revocation_s=REVOCATION_S,
+            propagation_s=PROPAGATION_S,
             drain_s=DRAIN_S,
             heartbeat_s=HEARTBEAT_S,
             retry_ratio=RETRY_RATIO,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
+from acaciacove.soak.check_notices import check_notices
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_kind import DEPARTURES, FaultKind
 from acaciacove.soak.injected_fault import InjectedFault
@@ -302,3 +303,51 @@
     paused = [InjectedFault(FaultKind.PAUSE, n, 22.0, 29.0) for n in (0, 1)]
     assert limits_broken(6.0, faults=paused) == set()
     assert limits_broken(12.0, faults=paused[:1]) == {Promise.LIMITED}
+
+
+def notices_broken(calls_and_arrivals, **trace):
+    calls, arrivals = zip(*calls_and_arrivals, strict=True)
+    seen = SoakTrace(calls=list(calls), arrivals=list(arrivals), **trace)
+    return [violation.promise for violation in check_notices(seen)]
+
+
+def a_lookup(number, at_s, gateway=0, **arrival):
+    times = {"sent_s": at_s, "ended_s": at_s + 0.1}
+    call = a_call(number, CallKind.LOOK, gateway=gateway, **times)
+    return call, an_arrival(number, at_s=at_s, ended_s=at_s, **arrival)
+
+
+def test_work_for_an_endpoint_that_said_it_leaves_is_found():
+    """Guards against a gateway that goes on sending though it was told, log or not."""
+    told = a_lookup(1, 20.0, said_leaving="1")
+    away = [InjectedFault(FaultKind.LOG_REFUSES, "log", 19.0, 30.0)]
+    assert notices_broken([told, a_lookup(2, 22.0)], faults=away) == []
+    late = [told, a_lookup(3, 22.2)]
+    assert notices_broken(late, faults=away) == [Promise.DRAINED]
+    assert notices_broken([told, a_lookup(3, 22.2, gateway=1)]) == []
+    assert notices_broken([told, a_lookup(3, 22.2, instance="i-1")]) == []
+    restarted = [InjectedFault(FaultKind.KILL, 0, 21.0, 21.5)]
+    assert notices_broken(late, faults=restarted) == []
+
+
+def test_requests_within_a_rest_are_found():
+    """Guards against a gateway that goes on sending to an endpoint that rests."""
+    asked = a_lookup(1, 20.0, ran=False, retry_after="3.0")
+    few = [asked, *(a_lookup(n, 20.0 + 0.1 * n) for n in (2, 3, 4, 6, 7))]
+    many = [*few, a_lookup(8, 22.9)]
+    assert notices_broken(few) == []
+    assert notices_broken(many) == [Promise.RESTED]
+    assert notices_broken([*few, a_lookup(8, 23.1)]) == []
+    for kind, subject in ((FaultKind.PAUSE, 0), (FaultKind.ENDPOINT_MUTE, "i-0")):
+        held = [InjectedFault(kind, subject, 21.0, 21.5)]
+        assert notices_broken(many, faults=held) == []
+    assert notices_broken(many, stalls=[(21.0, 21.5)]) == []
+
+
+def test_a_change_that_is_not_in_force_in_time_is_found():
+    """Guards against a gateway in touch that still serves by an older catalogue."""
+    run = [a_lookup(1, 20.0)]
+    assert notices_broken(run, revoked_s={KEY: 17.9}) == [Promise.IN_FORCE]
+    assert notices_broken(run, revoked_s={KEY: 18.1}) == []
+    away = [InjectedFault(FaultKind.LOG_REFUSES, "log", 15.0, 17.1)]
+    assert notices_broken(run, revoked_s={KEY: 17.9}, faults=away) == []
