A malformed response of the log is a failed call, not the end of the process

What happened: a response without endOffset, or with a record that lacks a field, raised KeyError or TypeError in the task that follows the log, which ends the gateway. Found while the wording was done; nobody has reported it.

Change: such a response raises PlatformUnavailableError that says what was expected and the type of what came, without its content, and the call is tried again.

--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -92,12 +92,12 @@
             response = await self._call("GET", "log-newest", query)
             document = _document(_expect_ok(response))
             if next_offset is None:
-                next_offset = int(document["endOffset"])
-            items = document.get("items") or []
-            records += [_newest_record(item) for item in items]
-            if not document.get("hasMore") or not items:
+                next_offset = _offset(document, "endOffset")
+            page = _newest_records(document)
+            records += page
+            if not document.get("hasMore") or not page:
                 return LogPage(tuple(records), next_offset)
-            after = items[-1]["key"]
+            after = page[-1].key
 
     async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
         """Return records from an offset on, waiting up to ``wait_s`` for one."""
@@ -110,7 +110,7 @@
         }
         response = await self._call("GET", "log-read", query, wait_s=wait_s)
         if response.status == GONE:
-            raise OffsetExpiredError(int(_document(response).get("firstOffset", 0)))
+            raise OffsetExpiredError(_offset(_document(response), "firstOffset"))
         return _decode_page(_expect_ok(response).body, offset)
 
     async def append(
@@ -128,8 +128,8 @@
         body = _LENGTH.pack(len(content)) + content
         response = await self._call("POST", "log-append", query, body)
         if response.status == PRECONDITION_FAILED:
-            raise AppendConflictError(int(_document(response)["endOffset"]))
-        return int(_document(_expect_ok(response))["endOffset"])
+            raise AppendConflictError(_offset(_document(response), "endOffset"))
+        return _offset(_document(_expect_ok(response)), "endOffset")
 
     async def _call(
         self,
@@ -219,12 +219,34 @@
     return document
 
 
+def _offset(document: dict[str, Any], field: str) -> int:
+    """Return an offset; raises PlatformUnavailableError if there is none."""
+    value = document.get(field)
+    try:
+        return int(str(value))
+    except ValueError as error:
+        raise PlatformUnavailableError(
+            f"expected an offset as {field} from the log, got {type(value).__name__}"
+        ) from error
+
+
+def _newest_records(document: dict[str, Any]) -> list[LogRecord]:
+    """Return the records of a page; raises PlatformUnavailableError if malformed."""
+    try:
+        return [_newest_record(item) for item in document.get("items") or ()]
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise PlatformUnavailableError(
+            "expected records with key, value and offset from the log, got a"
+            f" malformed one: {type(error).__name__}"
+        ) from error
+
+
 def _newest_record(item: dict[str, Any]) -> LogRecord:
     value = item.get("value")
     return LogRecord(
         key=str(item["key"]),
         value=b64decode(str(value)) if value is not None else None,
-        offset=int(str(item["offset"])),
+        offset=_offset(item, "offset"),
     )
 
 
