--- a/acaciacove/release_format/node_readers.py
+++ b/acaciacove/release_format/node_readers.py
@@ -61,6 +61,13 @@
     return quote_value(node.value)
 
 
+def describe_kind(node: Node) -> str:
+    """Describe what kind of value a node has, without quoting it."""
+    if isinstance(node, ScalarNode) and node.tag not in NON_TEXT_TAGS:
+        return "a single value, which is not shown"
+    return describe_node(node)
+
+
 def quote_value(text: str) -> str:
     """Quote text for a message: escapes control characters, cuts long text."""
     quoted = repr(text)
@@ -216,7 +223,7 @@
 
     def read_list(node: Node, path: str, faults: FaultList) -> Any:
         if not isinstance(node, SequenceNode):
-            faults.add(node, path, f"expected a list, found {describe_node(node)}")
+            faults.add(node, path, f"expected a list, found {describe_kind(node)}")
             return UNREADABLE
         values = []
         for index, item in enumerate(node.value):
@@ -270,7 +277,7 @@
 def pairs(node: Node, path: str, faults: FaultList) -> list[tuple[str, Node, Node]]:
     """List a mapping's keys with key and value nodes; duplicates are faults."""
     if not isinstance(node, MappingNode):
-        faults.add(node, path, f"expected a mapping, found {describe_node(node)}")
+        faults.add(node, path, f"expected a mapping, found {describe_kind(node)}")
         return []
     seen: dict[str, tuple[str, Node, Node]] = {}
     for key_node, value_node in node.value:
--- a/tests/test_release_format.py
+++ b/tests/test_release_format.py
@@ -220,6 +220,16 @@
     assert "secret-token" not in message
 
 
+@pytest.mark.parametrize("place", ["token_sha256", "allowed"])
+def test_token_in_place_of_a_list_or_a_mapping_is_not_quoted(place):
+    """Guards against a credential in terminals and CI logs."""
+    fields = {"token_sha256": "[]", "allowed": "{}"} | {place: "secret-token"}
+    text = "note: n\nadded:\n  organisations:\n    - name: a\n"
+    text += "".join(f"      {name}: {value}\n" for name, value in fields.items())
+    messages = [message for _, _, message in faults_of(text)]
+    assert messages and "secret-token" not in "".join(messages)
+
+
 def test_numbers_and_dates_are_accepted_as_text_but_booleans_are_not():
     document = read_note(b"note: 2026-12-03\nsummary: 1.10\n", MAX_BYTES)
     assert (document.note_id, document.summary) == ("2026-12-03", "1.10")
