Settings that are no numbers are a typed error

A port in digits of another script raised ValueError, and an infinite minimum was taken and became an infinite budget. Both are refused with the value that came.

--- a/acaciacove/settings/checks.py
+++ b/acaciacove/settings/checks.py
@@ -86,7 +86,9 @@
     """Make a check for numbers that are not below a minimum."""
 
     def check_minimum(value: float) -> str | None:
-        return None if value >= minimum else f"must be {minimum} or more, not {value}"
+        if math.isfinite(value) and value >= minimum:
+            return None
+        return f"must be a finite number, {minimum} or more, not {value}"
 
     return check_minimum
 
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -17,7 +17,7 @@
 def is_ip_and_port(value: str) -> str | None:
     """Accept an IP address and a port, written IP:PORT."""
     host, _, port = value.rpartition(":")
-    if not port.isdigit():
+    if not (port.isascii() and port.isdigit()):
         return f"must be written IP:PORT, not {value!r}"
     return is_ip_address(host) or is_port(int(port))
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -274,3 +274,19 @@
     base = decode_node_file(SETTINGS)
     with pytest.raises(InvalidSettingsError):
         evolve(base, exposure_share=1.5)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("front_address", "10.0.0.1:²"),
+        ("front_address", "10.0.0.1:٣"),
+        ("retry_extra", float("inf")),
+        ("retry_extra", float("nan")),
+        ("drain_s", float("inf")),
+    ],
+)
+def test_settings_that_are_no_numbers_are_a_typed_error(name, value):
+    """Guards against a setting that ends the start with a foreign exception."""
+    with pytest.raises(InvalidSettingsError):
+        evolve(decode_node_file(SETTINGS), **{name: value})
