A short quarantine behind a long one ends in time

Quarantines were dropped from the front, in the order in which they were recorded. One that a peer reports with less time left stayed behind a longer one after its end, and its caller was told to come back before now. The one that is asked for is looked at by itself. One test, red before.

--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -61,6 +61,9 @@
     def status(self, fingerprint: int, now_s: float) -> RequestStatus:
         """Return whether the request may be sent now."""
         self._remove_expired(now_s)
+        # A quarantine that a peer reports may end before those recorded earlier.
+        if self._quarantined.get(fingerprint, float("inf")) <= now_s:
+            del self._quarantined[fingerprint]
         if fingerprint in self._quarantined:
             return RequestStatus.QUARANTINED
         trial = self._trials.get(fingerprint)
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -131,6 +131,16 @@
     assert len(quarantine.verdicts(0.0)) <= 2 * MAX_ENTRIES
 
 
+def test_a_short_quarantine_behind_a_long_one_ends_in_time():
+    """Guards against a caller that is told to come back before now."""
+    quarantine = RequestQuarantine()
+    quarantine.apply(RequestVerdict(BAD, QUARANTINED, left_s=1000.0), 0.0)
+    quarantine.apply(RequestVerdict(OTHER, QUARANTINED, left_s=1.0), 0.0)
+    assert quarantine.status(OTHER, 2.0) is RequestStatus.FREE
+    assert quarantine.retry_after_s(OTHER, 2.0) > 0
+    assert quarantine.status(BAD, 2.0) is RequestStatus.QUARANTINED
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 9), st.sets(st.integers(0, 9)), st.booleans()))
 )
