A report with an unreadable address is logged and ignored

The port of a peer's address was converted in the callback of the UDP socket, which raised ValueError there: the report was lost without a line that names its sender. Four tests, red before.

--- a/acaciacove/gateway/peers/peer_network.py
+++ b/acaciacove/gateway/peers/peer_network.py
@@ -33,6 +33,7 @@
 from acaciacove.messages.request_news import RequestNews
 from acaciacove.messages.version_cell import VersionCell
 from acaciacove.messages.work_sent import WorkSent
+from acaciacove.settings.gateway_settings import is_ip_and_port
 from acaciacove.wire.codec import decode, encode
 
 # Intervals between reports. They are short while a roll-out is judged or the log is
@@ -286,6 +287,13 @@
     def _apply_report(self, report: GatewayReport, now_s: float) -> None:
         if report.instance == self._gateway.settings.name:
             return
+        if is_ip_and_port(report.address) is not None:
+            detail = (
+                f"report of gateway {report.instance}: expected its address as"
+                f" IP:PORT, got {report.address!r}"
+            )
+            self._gateway.log.write(Event.PEER_MESSAGE_UNREADABLE, detail=detail)
+            return
         peer = self._find_or_add_peer(report, now_s)
         peer.last_seen_s = peer.last_report_s = now_s
         peer.incarnation = report.incarnation
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from pytest import raises
+from pytest import mark, raises
 
 from acaciacove.errors import MalformedMessageError
 from acaciacove.gateway.choice.stable_hash import part_key
@@ -25,7 +25,14 @@
 from acaciacove.messages.work_sent import WorkSent
 from acaciacove.standins.gateway_fleet import PEER_PORT
 from acaciacove.wire.codec import decode, encode
-from tests.gateway_world import call, catalogue, model_fields, report, run_fleet
+from tests.gateway_world import (
+    call,
+    catalogue,
+    lines,
+    model_fields,
+    report,
+    run_fleet,
+)
 
 OFFSETS = st.integers(0, 2**40)
 SECONDS = st.floats(0, 1e6, allow_nan=False)
@@ -185,6 +192,33 @@
     run_fleet(scenario, gateways=2)
 
 
+@mark.parametrize("address", ["", "10.0.1.9", "10.0.1.9:x", "a.example:1"])
+def test_report_with_an_unreadable_address_is_logged_and_ignored(address):
+    """Guards against a peer's report that raises in the callback of the socket."""
+
+    async def scenario(fleet):
+        sent = GatewayReport(
+            instance="gateway-9",
+            incarnation=1,
+            address=address,
+            revision=0,
+            confirmed_age_s=0.0,
+            nonce=1,
+            echo=0,
+            reply_wanted=True,
+            rollouts=(),
+            cells=(),
+            availability_zone="a",
+        )
+        fleet.network.deliver("10.0.1.9", encode(sent), ("10.0.1.1", PEER_PORT))
+        await asyncio.sleep(0.1)
+        (line,) = lines(fleet, "peer_message_unreadable")
+        assert "gateway-9" in line["detail"]
+        assert "gateway-9" not in fleet.gateways["gateway-0"].gateway.members
+
+    run_fleet(scenario)
+
+
 def test_limits_are_split_among_unreachable_gateways_too():
     async def scenario(fleet):
         fleet.network.isolated_hosts.update({"10.0.1.1", "10.0.1.2", "10.0.1.3"})
