A gateway that has just started has no share of the extra repeats for a window

A gateway that restarts within the window begins its share of the extra repeats anew, though the process before it may have used the whole of it.

Change: a process counts only the repeats that its own requests earn until it has run for a window. It needs nobody's word: whoever restarts, freezes or is cut off, the shares of one window add up to the bound.

--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -69,7 +69,8 @@
     ``members`` are the other gateways that are or may be alive. ``members_loaded`` is
     set once their list has been read. ``tails`` hold the records that are relayed to
     them. ``gossip_work`` sends them an update on a prompt that has just been sent,
-    ``gossip_limit`` one on a limit that an endpoint states.
+    ``gossip_limit`` one on a limit that an endpoint states. The process serves since
+    ``started_s``.
 
     This gateway has read the outcomes of roll-outs up to ``outcomes_offset``, the last
     new ones at ``outcomes_changed_s``. Some other gateway has read them up to
@@ -101,6 +102,7 @@
     gossip_work: GossipWork = no_work_gossip
     gossip_limit: GossipLimit = no_limit_gossip
     shutting_down: bool = False
+    started_s: float = float("-inf")
     _last_exchange_number: int = 0
     _peers: frozenset[str] = frozenset()
     _peers_source: dict[str, Peer] | None = None
@@ -191,6 +193,6 @@
         """Return the retry budget of a service."""
         if service not in self.budgets:
             self.budgets[service] = RetryBudget(
-                *self._retry_bounds(), self.settings.retry_window_s
+                *self._retry_bounds(), self.settings.retry_window_s, self.started_s
             )
         return self.budgets[service]
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -109,6 +109,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then drain the callers' connections."""
+        self.gateway.started_s = asyncio.get_running_loop().time()
         self.log.write(Event.STARTED, zone=self.settings.availability_zone)
         ready = await self._listen(self.settings.readiness_address, self._probe)
         metrics = await self._listen(self.settings.metrics_address, self._probe)
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -212,6 +212,9 @@
         config = evolve(base, **settings)
         await fleet.add_gateway(config, fleet.network.serve_gossip, seed=number)
     await asyncio.sleep(0.2)
+    for running in fleet.gateways.values():
+        # Most tests are about a fleet that has served for longer than a window.
+        running.gateway.started_s = float("-inf")
     try:
         yield fleet
     finally:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -59,6 +59,45 @@
         assert retries <= ratio * requests + extra + 1e-6
 
 
+WINDOW_S = 10.0
+BUCKET_S = 0.05
+
+
+@given(
+    st.sampled_from([1, 5, 68, 380]),
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 3.0),
+            st.integers(0, 379),
+            st.sampled_from(["request", "retry", "retry", "restart"]),
+        ),
+        max_size=300,
+    ),
+    st.floats(0.0, 1.0),
+    st.integers(0, 60),
+)
+@settings(max_examples=150, derandomize=True)
+def test_restarts_do_not_add_to_the_retry_budget(gateways, events, ratio, extra):
+    """Guards against a gateway that restarts within the window and uses its share of
+    the extra retries once more.
+    """
+    budgets = [RetryBudget(ratio, extra, WINDOW_S) for _ in range(gateways)]
+    now_s, requests, retries = 0.0, [], []
+    for pause_s, number, kind in events:
+        now_s += pause_s
+        gateway = number % gateways
+        if kind == "restart":
+            budgets[gateway] = RetryBudget(ratio, extra, WINDOW_S, now_s)
+        elif kind == "request":
+            budgets[gateway].count_request(now_s)
+            requests.append(now_s)
+        elif budgets[gateway].consume(now_s, gateways):
+            retries.append(now_s)
+        recent = sum(now_s - WINDOW_S < at_s for at_s in retries)
+        counted = sum(now_s - WINDOW_S - BUCKET_S < at_s for at_s in requests)
+        assert recent <= ratio * counted + extra + 1e-6
+
+
 @given(
     st.floats(0.0, 60.0),
     st.integers(1, 60),
