--- a/acaciacove/gateway/choice/endpoint_notice.py
+++ b/acaciacove/gateway/choice/endpoint_notice.py
@@ -5,7 +5,7 @@
 
 @define(eq=False)
 class EndpointNotice:
-    """Requests of one incarnation of an endpoint; it keeps them until it ends.
+    """What one incarnation of an endpoint has asked for; it holds until that one ends.
 
     ``leaving`` is set once it has announced its departure. It wants no requests before
     ``resting_until_s``, on the runtime's clock.
