--- a/tests/test_gateway_late_changes.py
+++ b/tests/test_gateway_late_changes.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from acaciacove.gateway.catalogue.repetition import Repetition
 from acaciacove.gateway.log_page import LogPage
@@ -27,6 +29,8 @@
 # With this many additional routes, a catalogue takes some 200 kB.
 ADDITIONAL_ROUTES = 450
 CHANGES = 40
+# Sums of binary fractions exceed an exact bound by some 1e-16 s.
+ROUNDING_S = 1e-12
 
 
 def large_catalogue(version):
@@ -46,7 +50,20 @@
     }
 
 
-def test_a_backlog_longer_than_one_reply_is_caught_up_with():
+@given(st.floats(1.0, 20.0), st.floats(0.2, 20.0))
+@settings(max_examples=100, derandomize=True)
+def test_half_of_the_promised_time_is_left_after_a_peer_that_answers_slowly(
+    propagation_s, drain_s
+):
+    """Guards against a reply that comes so slowly that the log is read too late."""
+    intervals = relay_intervals(propagation_s, drain_s)
+    slowest_s = max(intervals.reply_margin_s, intervals.transfer_s)
+    assert intervals.request_wait_s + slowest_s <= 0.5 * propagation_s + ROUNDING_S
+    assert intervals.transfer_s <= intervals.longest_transfer_s <= propagation_s
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 12])
+def test_a_backlog_longer_than_one_reply_is_caught_up_with(gateways):
     """Guards against a gateway whose every read of a long backlog is cut off by the
     time for one reply, and begins anew from the same offset: it never has the newest
     change.
@@ -62,7 +79,7 @@
         await asyncio.sleep(IN_FORCE_S)
         return versions_of(fleet)
 
-    seen = run_fleet(scenario, gateways=3)
+    seen = run_fleet(scenario, gateways=gateways)
     assert set(seen.values()) == {1 + CHANGES}, seen
 
 
