A malformed answer of the platform is a failed call at entry and sidecar too

An answer without its field raised KeyError, TypeError or ValueError where PlatformUnavailableError is promised; the task that had asked ended. The adapters of the log and the weight store now say which address sent what was not expected. Three tests, red before.

--- a/acaciacove/adapters/http_json.py
+++ b/acaciacove/adapters/http_json.py
@@ -1,6 +1,8 @@
 """JSON calls to platform services."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import orjson
@@ -53,6 +55,18 @@
     return JsonAnswer(status, document)
 
 
+@contextmanager
+def expect_document(url: str) -> Iterator[None]:
+    """Turn errors of decoding an answer's document into PlatformUnavailableError."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformUnavailableError(
+            f"{url}: expected another document, got one that is malformed:"
+            f" {type(error).__name__}: {error}"
+        ) from error
+
+
 def _unavailable_error(sending: Sending, detail: str) -> PlatformUnavailableError:
     if sending.has_started:
         return PlatformUnavailableError(detail)
--- a/acaciacove/adapters/http_log.py
+++ b/acaciacove/adapters/http_log.py
@@ -5,7 +5,11 @@
 
 from attrs import frozen
 
-from acaciacove.adapters.http_json import CALL_TIMEOUT_S, call_json
+from acaciacove.adapters.http_json import (
+    CALL_TIMEOUT_S,
+    call_json,
+    expect_document,
+)
 from acaciacove.adapters.json_answer import JsonAnswer
 from acaciacove.adapters.log_entry import LogEntry
 from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
@@ -29,7 +33,9 @@
         answer = await call_json(
             self.client, "POST", url, payload, timeout_s=self.timeout_s
         )
-        return int(_require_status(answer, HTTP_CREATED, url)["offset"])
+        document = _require_status(answer, HTTP_CREATED, url)
+        with expect_document(url):
+            return int(document["offset"])
 
     async def read(
         self, stream: str, from_offset: int, limit: int, wait_s: float = 0.0
@@ -41,12 +47,15 @@
             self.client, "GET", url, params=params, timeout_s=self.timeout_s + wait_s
         )
         if answer.status == HTTP_GONE:
-            raise OffsetExpiredError(int(answer.document["earliest_offset"]))
-        records = _require_status(answer, HTTP_OK, url)["records"]
-        return [
-            LogEntry(record["offset"], base64.b64decode(record["payload"]))
-            for record in records
-        ]
+            with expect_document(url):
+                earliest_offset = int(answer.document["earliest_offset"])
+            raise OffsetExpiredError(earliest_offset)
+        document = _require_status(answer, HTTP_OK, url)
+        with expect_document(url):
+            return [
+                LogEntry(int(record["offset"]), base64.b64decode(record["payload"]))
+                for record in document["records"]
+            ]
 
     def _records_url(self, stream: str) -> str:
         return f"{self.url}/streams/{stream}/records"
--- a/acaciacove/adapters/http_weight_store.py
+++ b/acaciacove/adapters/http_weight_store.py
@@ -5,7 +5,7 @@
 import orjson
 from attrs import frozen
 
-from acaciacove.adapters.http_json import call_json
+from acaciacove.adapters.http_json import call_json, expect_document
 
 
 @frozen
@@ -18,5 +18,7 @@
     async def acquire(self, weights: str) -> float:
         """Request a load permit; returns the seconds to wait, 0 when granted."""
         body = orjson.dumps({"weights": weights})
-        answer = await call_json(self.client, "POST", f"{self.url}/loads", body)
-        return float(answer.document["wait_s"])
+        url = f"{self.url}/loads"
+        answer = await call_json(self.client, "POST", url, body)
+        with expect_document(url):
+            return float(answer.document["wait_s"])
--- a/tests/test_platform_http_client.py
+++ b/tests/test_platform_http_client.py
@@ -7,9 +7,12 @@
 from aiosonic.exceptions import ConnectionDisconnected
 
 from acaciacove.adapters.http_client import open_client
+from acaciacove.adapters.http_log import HttpLog
 from acaciacove.adapters.http_service import HttpService
+from acaciacove.adapters.http_weight_store import HttpWeightStore
 from acaciacove.adapters.service_answer import ServiceAnswer
 from acaciacove.adapters.service_call import ServiceCall
+from acaciacove.errors import PlatformUnavailableError
 from acaciacove.reason import Reason
 from tests.raw_server import raw_server, response
 
@@ -208,3 +211,29 @@
     call = ServiceCall("r-1", "POST", "/shuttles", timeout_s=0.05)
     outcome = asyncio.run(service.call(call))
     assert outcome.reason is Reason.DEADLINE_EXCEEDED
+
+
+@pytest.mark.parametrize(
+    "body", [b"{}", b"[]", b'{"offset": "x", "records": 3, "wait_s": []}']
+)
+def test_a_malformed_answer_of_the_platform_is_a_failed_call(body):
+    """Guards against a daemon that ends because an answer lacks a field."""
+
+    async def respond(request):
+        status = b"201" if request.method == "POST" else b"200"
+        return response(body).replace(b"200", status, 1)
+
+    async def run():
+        client = open_client()
+        async with raw_server(respond) as server:
+            log = HttpLog(server.url, client)
+            for make_call in (
+                lambda: log.append("release", b"x"),
+                lambda: log.read("release", 0, 10),
+                lambda: HttpWeightStore(server.url, client).acquire("guide@1"),
+            ):
+                with pytest.raises(PlatformUnavailableError):
+                    await make_call()
+        await client.aclose()
+
+    asyncio.run(run())
