An attempt that is refused and cancelled in one step is dropped once

The sidecar's queue refuses an attempt whose time is up; if its caller left in the same step of the event loop, the cancelled task removed it again, and KeyError ended the handler. A refusal that was already decided is not undone. One test, red before (KeyError: 'r-1/1').

--- a/acaciacove/sidecar/admission_controller.py
+++ b/acaciacove/sidecar/admission_controller.py
@@ -69,7 +69,7 @@
         try:
             refusal = await admitted
         except asyncio.CancelledError:
-            self._remove_cancelled(item)
+            self._remove_cancelled(item, admitted)
             raise
         if refusal is not None:
             del self._items[item.request_id]
@@ -183,10 +183,16 @@
             loop = asyncio.get_running_loop()
             self._recheck = loop.call_later(RECHECK_INTERVAL_S, self._admit_waiting)
 
-    def _remove_cancelled(self, item: WaitingItem) -> None:
+    def _remove_cancelled(
+        self, item: WaitingItem, admitted: asyncio.Future[Refusal | None]
+    ) -> None:
         """Remove an attempt that was cancelled while it waited for admission."""
         self._waiting.pop(item.request_id, None)
         del self._items[item.request_id]
+        is_decided = admitted.done() and not admitted.cancelled()
+        if is_decided and admitted.result() is not None:
+            # Refused in the same step of the event loop: the queue has dropped it.
+            return
         if not self.queue.cancel(item.request_id):
             self.queue.finish(item, _now_s(), False)
             self._admit_waiting()
--- a/tests/test_platform_http_client.py
+++ b/tests/test_platform_http_client.py
@@ -12,9 +12,14 @@
 from acaciacove.adapters.http_weight_store import HttpWeightStore
 from acaciacove.adapters.service_answer import ServiceAnswer
 from acaciacove.adapters.service_call import ServiceCall
+from acaciacove.decisions.admission import AdmissionQueue
 from acaciacove.errors import PlatformUnavailableError
+from acaciacove.messages.run import Run
 from acaciacove.reason import Reason
+from acaciacove.refusal import Refusal
+from acaciacove.sidecar.admission_controller import AdmissionController
 from tests.raw_server import raw_server, response
+from tests.virtual import run_virtual
 
 UNUSED_PORT_URL = "http://127.0.0.1:9"
 
@@ -237,3 +242,24 @@
         await client.aclose()
 
     asyncio.run(run())
+
+
+def test_an_attempt_that_is_refused_and_cancelled_at_once_is_dropped():
+    """Guards against a caller's disconnect that raises KeyError in the sidecar, as the
+    queue has refused the attempt in the same step.
+    """
+    run = Run("r-1", 1, 0, "ozark", "guide", "guide@1")
+
+    async def scenario():
+        admission = AdmissionController(AdmissionQueue())
+        task = asyncio.create_task(admission.admit(run))
+        await asyncio.sleep(0.01)
+        (item_id,) = admission._waiting
+        admission.queue.cancel(item_id)
+        admission._resolve(item_id, Refusal(Reason.DEADLINE_EXCEEDED, True, "late"))
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert not admission._items
+
+    run_virtual(scenario)
