CONFIG: a peer that has restarted since the last request is asked anew

Cause: the connection to a peer is kept, and the peer had restarted since. The first request on it failed at once, and the peer counted as unreachable for 3 s on both streams, twice in a row (each stream has its own connection), though it served others.

Ruled out: a peer without the change (gateway-1 had it after 10 ms and relayed it to gateway-3 then).

Change: a request that fails on a kept connection, other than by silence, is made once more on a new one. A peer that does not answer is left out as before.

The test is red before (ConnectionResetError).

--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -39,6 +39,19 @@
         A reply whose bytes keep arriving may take ``transfer_s``. Raises OSError or
         TimeoutError if the other gateway cannot be reached or is slower.
         """
+        is_reused = self._connection is not None
+        try:
+            return await self._request_once(stream, offset, wait_s, transfer_s)
+        except ConnectionError:
+            if not is_reused:
+                raise
+        # The other gateway has restarted since the last request. That it closed the
+        # connection then does not mean that it cannot be reached now.
+        return await self._request_once(stream, offset, wait_s, transfer_s)
+
+    async def _request_once(
+        self, stream: str, offset: int, wait_s: float, transfer_s: float
+    ) -> LogPage | None:
         intervals = self._intervals()
         hold_s = min(wait_s, intervals.request_wait_s)
         completed = False
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -32,6 +32,7 @@
 from acaciacove.platform.log_client import CALL_TIMEOUT_S
 from acaciacove.standins.gateway_fleet import ENDPOINTS, PEER_PORT
 from acaciacove.wire.codec import decode, encode
+from acaciacove.wire.connection import Connection
 from tests.gateway_world import GATEWAY_HOST, call, catalogue, report, run_fleet
 from tests.virtual import run_virtual
 
@@ -390,6 +391,33 @@
     run_fleet(scenario, gateways=2)
 
 
+def test_a_gateway_that_restarted_since_the_last_request_is_asked_anew():
+    """Guards against a restarted peer that counts as unreachable, as the connection to
+    the process before it is closed, while the log rejects this gateway.
+    """
+    reply = LogTold(True, 1, 0.0, 0.0, (), None)
+
+    async def answer(reader, writer):
+        connection = Connection(reader, writer)
+        if await connection.receive() is not None:
+            await connection.send(reply)
+        connection.close()
+
+    async def scenario():
+        server = await asyncio.start_server(answer, GATEWAY_HOST, PEER_PORT)
+        loop = asyncio.get_running_loop()
+        link = ReaderLink(GATEWAY_HOST, PEER_PORT, loop.time, lambda: INTERVALS)
+        for _ in range(3):
+            page = await link.request_records("operator", 1, 0.1, 0.5)
+            assert page is not None
+            await asyncio.sleep(0.1)
+        server.close()
+        with pytest.raises(OSError):
+            await link.request_records("operator", 1, 0.1, 0.5)
+
+    run_virtual(scenario)
+
+
 def test_a_stale_tail_is_not_relayed():
     async def scenario():
         now_s = asyncio.get_running_loop().time
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,8 +20,9 @@
 # 3: a plan in which the log refuses only one gateway, so that the time limits of
 # departures are checked.
 # 11: a plan in which an endpoint asks for rest.
+# 402: a restarted peer counted as unreachable, on a connection that it had closed.
 # 302: the repeatedly doubled pause of an endpoint overflowed.
-SEEDS = (1, 3, 11, 302)
+SEEDS = (1, 3, 11, 302, 402)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
