--- /dev/null
+++ b/acaciacove/gateway/forward_response.py
@@ -0,0 +1,106 @@
+"""Forwards an endpoint's successful response to the caller."""
+
+import asyncio
+
+from acaciacove.gateway.attempt_outcome import AttemptOutcome
+from acaciacove.gateway.exchange import Exchange
+from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.http.errors import InvalidResponseError
+from acaciacove.gateway.http.event_splitter import EventSplitter
+from acaciacove.gateway.http.front_connection import FrontConnection
+from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.record_result import record_result
+from acaciacove.gateway.request_context import RequestContext
+
+# Responses up to this size that are not streamed are buffered, so that a broken one can
+# be retried without the caller seeing it. Larger ones fail.
+MAX_BUFFERED_BYTES = 65_536
+# Timeout between two events of a stream that may be resumed.
+EVENT_TIMEOUT_S = 2.5
+
+
+async def forward_buffered(
+    gateway: Gateway,
+    context: RequestContext,
+    exchange: Exchange,
+    head: ResponseHead,
+    front: FrontConnection,
+) -> AttemptOutcome:
+    """Forward a response once it has been read completely."""
+    body = await exchange.read_body(MAX_BUFFERED_BYTES)
+    now_s = asyncio.get_running_loop().time()
+    if body is None:
+        raise InvalidResponseError(
+            f"response from {exchange.state.endpoint.instance} is not streamed"
+            f" and exceeds {MAX_BUFFERED_BYTES} bytes"
+        )
+    record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
+    context.first_chunk_s = now_s
+    exchange.close()
+    front.start_response(head.status, head.reason, list(head.headers))
+    await front.write(body)
+    front.finish_response()
+    return AttemptOutcome.DELIVERED
+
+
+async def forward_stream(
+    gateway: Gateway,
+    context: RequestContext,
+    exchange: Exchange,
+    head: ResponseHead,
+    front: FrontConnection,
+    may_retry: bool,
+) -> AttemptOutcome:
+    """Forward complete events as they arrive.
+
+    The response head is sent with the first event, so that a stream that breaks before
+    it can be retried at another endpoint without the caller seeing it.
+    """
+    splitter = EventSplitter()
+    may_resume = may_retry and context.route.may_repeat
+    while True:
+        async with asyncio.timeout(EVENT_TIMEOUT_S if may_resume else None):
+            data = await exchange.next_data()
+        if data is None:
+            break
+        events = splitter.push(data)
+        if not events:
+            continue
+        if not context.events_delivered:
+            now_s = asyncio.get_running_loop().time()
+            context.first_chunk_s = now_s
+            waited_s = now_s - context.request.arrived_s
+            target_s = context.route.latency_target_s
+            gateway.delay_cost(context.service.name).learn(waited_s, target_s)
+            record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
+            _count_model_size(gateway, context)
+            _start_stream(front, head)
+            context.events_delivered = True
+        await front.write(events)
+        context.last_event_id = splitter.last_id or context.last_event_id
+    if not context.events_delivered:
+        _start_stream(front, head)
+        context.events_delivered = True
+    if splitter.rest:
+        await front.write(splitter.rest)
+    front.finish_response()
+    return AttemptOutcome.DELIVERED
+
+
+def _count_model_size(gateway: Gateway, context: RequestContext) -> None:
+    """Count a delivered response by its model size."""
+    if context.route.model_sizes:
+        gateway.metrics.count(Metric.CASCADE, size_label(context), "yes")
+
+
+def size_label(context: RequestContext) -> str:
+    """Return the index of the model among the route's sizes, 0 being the smallest."""
+    sizes = context.route.model_sizes
+    return str(sizes.index(context.model)) if context.model in sizes else "caller's"
+
+
+def _start_stream(front: FrontConnection, head: ResponseHead) -> None:
+    """Send the head without a content length, since the stream may be resumed."""
+    headers = [(n, v) for n, v in head.headers if n != b"content-length"]
+    front.start_response(head.status, head.reason, headers)
--- /dev/null
+++ b/acaciacove/gateway/process_response.py
@@ -0,0 +1,128 @@
+"""Reads a response head and decides how the response is processed."""
+
+import asyncio
+
+from acaciacove.gateway.attempt_outcome import AttemptOutcome
+from acaciacove.gateway.catalogue.repetition import Repetition
+from acaciacove.gateway.choose_model import choose_next_model, learn_confidence
+from acaciacove.gateway.exchange import Exchange
+from acaciacove.gateway.forward_response import (
+    MAX_BUFFERED_BYTES,
+    forward_buffered,
+    forward_stream,
+    size_label,
+)
+from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.http.front_connection import FrontConnection
+from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.log_limit import log_limit
+from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.record_notices import record_notices
+from acaciacove.gateway.record_result import record_failure, record_result
+from acaciacove.gateway.request_context import RequestContext
+from acaciacove.gateway.response_summary import ResponseSummary
+from acaciacove.gateway.usable_endpoints import is_endpoint_left
+
+# While a retry is possible, the response head must arrive within this many latency
+# targets. The timeout is never below ``MIN_HEAD_TIMEOUT_S``.
+HEAD_TIMEOUT_TARGETS = 1.5
+MIN_HEAD_TIMEOUT_S = 0.35
+SERVER_ERROR_STATUS = 500
+
+
+async def process_response(
+    gateway: Gateway,
+    context: RequestContext,
+    exchange: Exchange,
+    front: FrontConnection,
+    may_retry: bool,
+    may_escalate: bool,
+) -> AttemptOutcome:
+    """Read the response head and decide how the response is processed."""
+    async with asyncio.timeout(_head_timeout_s(context, may_retry)):
+        head = await exchange.read_head()
+    state = exchange.state
+    now_s = asyncio.get_running_loop().time()
+    if head.load is not None:
+        running, waiting, _ = head.load
+        state.load.apply_report(running, waiting, now_s)
+    if not head.misdirected:
+        _update_limit(gateway, exchange, head, now_s)
+        record_notices(gateway, state.endpoint, head, now_s)
+    assert exchange.connection is not None
+    if head.idle_timeout_s is not None:
+        exchange.connection.idle_timeout_s = head.idle_timeout_s
+    context.responses.append(_summarise_response(exchange, head, now_s))
+    if head.is_success:
+        exchange.record_first_chunk(now_s)
+    if head.not_run:
+        await exchange.read_body(MAX_BUFFERED_BYTES)
+        # Refusals come at once and leave no request in flight. An endpoint that refuses
+        # everything would look idle and be chosen first each time.
+        context.refused_by.add(state.endpoint.instance)
+        record_failure(gateway, state, AttemptOutcome.NOT_RUN, "refused")
+        return AttemptOutcome.NOT_RUN
+    if not head.is_success or not head.has_receipt or head.encoded:
+        return await _read_failure(gateway, context, exchange, head)
+    confidence = learn_confidence(gateway, context, state, head)
+    if (
+        confidence is not None
+        and may_escalate
+        and is_endpoint_left(gateway, context, now_s)
+    ):
+        context.next_model = choose_next_model(gateway, context, confidence, now_s)
+    if context.next_model is not None:
+        record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
+        gateway.metrics.count(Metric.CASCADE, size_label(context), "no")
+        return AttemptOutcome.LOW_CONFIDENCE
+    if context.route.repetition is Repetition.STREAMING:
+        return await forward_stream(gateway, context, exchange, head, front, may_retry)
+    return await forward_buffered(gateway, context, exchange, head, front)
+
+
+def _update_limit(
+    gateway: Gateway, exchange: Exchange, head: ResponseHead, now_s: float
+) -> None:
+    """Apply the rate limit that the response states, or its absence."""
+    state = exchange.state
+    if state.stated_limit.apply_response(
+        head.rate_limit_per_s, exchange.sent_at_s, now_s
+    ):
+        log_limit(gateway.log, state, from_peer=False)
+        gateway.gossip_limit(state)
+
+
+def _summarise_response(
+    exchange: Exchange, head: ResponseHead, now_s: float
+) -> ResponseSummary:
+    return ResponseSummary(
+        endpoint=exchange.state.endpoint.instance,
+        model=exchange.context.model,
+        status=head.status,
+        confidence=head.confidence,
+        head_latency_s=now_s - exchange.sent_at_s,
+        predicted_s=exchange.predicted_s,
+    )
+
+
+def _head_timeout_s(context: RequestContext, may_retry: bool) -> float | None:
+    """Return the timeout for the response head, None where no retry is possible."""
+    if not may_retry or not context.route.may_repeat:
+        return None
+    return max(
+        MIN_HEAD_TIMEOUT_S, HEAD_TIMEOUT_TARGETS * context.route.latency_target_s
+    )
+
+
+async def _read_failure(
+    gateway: Gateway, context: RequestContext, exchange: Exchange, head: ResponseHead
+) -> AttemptOutcome:
+    """Read a complete failure response; it may become the final response."""
+    is_endpoint_failure = head.status >= SERVER_ERROR_STATUS or head.is_success
+    if is_endpoint_failure:
+        record_result(gateway, exchange, True, None)
+    body = await exchange.read_body(MAX_BUFFERED_BYTES)
+    if body is None or head.is_success:
+        return AttemptOutcome.LOST
+    context.last_failure = (head, body)
+    return AttemptOutcome.FAILED
