--- a/acaciacove/decisions/endpoint_backlog.py
+++ b/acaciacove/decisions/endpoint_backlog.py
@@ -42,10 +42,13 @@
     Local requests and those that peers reported are known. The residual wait, behind
     requests that nobody reported, is the time that a first chunk took beyond its
     expected time. A pending request past its expected time counts too, so a queue is
-    visible long before the answer arrives.
+    visible long before the answer arrives. ``reported_wait_s`` is the wait behind the
+    requests that the endpoint reported as waiting, where such reports are used.
     """
 
     drained_at_s: float = -1e9
+    reported_wait_s: float = 0.0
+    reported_at_s: float = -1e9
     residual_s: float = 0.0
     residual_at_s: float = -1e9
     pending: dict[int, PendingRequest] = field(factory=dict)
@@ -114,11 +117,30 @@
             residual_s = max(residual_s, now_s - request.sent_s - request.expected_s)
         return residual_s
 
+    def report_wait(self, wait_s: float, now_s: float) -> None:
+        """Apply the wait behind the requests that the endpoint reports as waiting."""
+        self.reported_wait_s = wait_s
+        self.reported_at_s = now_s
+
+    def reported_freshness(self, now_s: float) -> float:
+        """Return the weight of the reported wait by its age, from 0 to 1."""
+        return max(0.0, 1.0 - (now_s - self.reported_at_s) / (2.0 * WAIT_HALF_LIFE_S))
+
     def wait_s(self, now_s: float, baseline_s: float) -> float:
         """Return the estimated wait of a request that is sent now."""
         unknown_s = UNKNOWN_WAIT_SHARE * baseline_s * (1.0 - self.freshness(now_s))
         known_s = max(0.0, self.drained_at_s - now_s)
-        return known_s + self.residual_wait_s(now_s) + unknown_s
+        seen_s = known_s + self.residual_wait_s(now_s) + unknown_s
+        freshness = self.reported_freshness(now_s)
+        if freshness <= 0.0:
+            return seen_s
+        sent_since_s = sum(
+            request.work_s
+            for request in self.pending.values()
+            if request.sent_s > self.reported_at_s
+        )
+        reported_s = freshness * self.reported_wait_s + sent_since_s
+        return max(seen_s, reported_s)
 
 
 def baseline_wait_s(backlogs: Iterable[EndpointBacklog], now_s: float) -> float:
--- a/acaciacove/decisions/model_plan.py
+++ b/acaciacove/decisions/model_plan.py
@@ -18,6 +18,9 @@
 # Steepness of the loss of value around the latency target. Predicted latencies are
 # often wrong by a factor of two, and seldom by a factor of four.
 LATENESS_EXPONENT = 2.5
+# Steepness of the probability that an answer ends before the deadline, by the share of
+# the remaining time that it is expected to take.
+FINISH_EXPONENT = 4.0
 
 
 @frozen
@@ -25,9 +28,9 @@
     """A model that could be queried now.
 
     ``price`` is the cost of its answer as a share of the value of a good answer.
-    ``first_chunk_s`` is the expected time from now to its first chunk. ``work_s`` is
-    the time for which it occupies an endpoint. ``is_largest`` marks the largest model
-    of the route.
+    ``first_chunk_s`` is the expected time from now to its first chunk, and ``stream_s``
+    the time from there to its end. ``work_s`` is the time for which it occupies an
+    endpoint. ``is_largest`` marks the largest model of the route.
     """
 
     name: str
@@ -35,6 +38,7 @@
     price: float
     first_chunk_s: float
     work_s: float
+    stream_s: float = 0.0
 
 
 @frozen
@@ -43,13 +47,17 @@
 
     ``delayed_per_s`` is the number of other requests that one second of an endpoint's
     work delays by a second. ``delay_weight`` is the cost of delaying one request by
-    its latency target, see ``DelayCost``.
+    its latency target, see ``DelayCost``, and ``delayed_target_s`` the usual latency
+    target of those requests, None where it is that of this request. ``deadline_s`` is
+    the time from arrival to the deadline, None where an answer may end at any time.
     """
 
     elapsed_s: float
     target_s: float
     delayed_per_s: float = 0.0
     delay_weight: float = 1.0
+    deadline_s: float | None = None
+    delayed_target_s: float | None = None
 
 
 def first_model(
@@ -144,11 +152,13 @@
     option: ModelOption, probability: float, context: LatencyContext
 ) -> float:
     good_value = probability * _good_answer_value(context, option.first_chunk_s)
+    good_value *= _finish_probability(context, option)
     return good_value + (1.0 - probability) * POOR_ANSWER_VALUE - _cost(option, context)
 
 
 def _cost(option: ModelOption, context: LatencyContext) -> float:
-    delayed_targets = context.delayed_per_s * option.work_s / context.target_s
+    target_s = context.delayed_target_s or context.target_s
+    delayed_targets = context.delayed_per_s * option.work_s / target_s
     return option.price + context.delay_weight * delayed_targets
 
 
@@ -163,6 +173,17 @@
     return 1.0 - MAX_LATE_LOSS * lateness
 
 
+def _finish_probability(context: LatencyContext, option: ModelOption) -> float:
+    """Return the probability that the answer ends before the request's deadline."""
+    if context.deadline_s is None:
+        return 1.0
+    left_s = context.deadline_s - context.elapsed_s
+    if left_s <= 0.0:
+        return 0.0
+    share = (option.first_chunk_s + option.stream_s) / left_s
+    return 1.0 / (1.0 + share**FINISH_EXPONENT)
+
+
 def lateness_slope(share: float) -> float:
     """Return the value that a good answer loses per latency target of further delay.
 
--- a/acaciacove/gateway/choice/endpoint_load.py
+++ b/acaciacove/gateway/choice/endpoint_load.py
@@ -24,9 +24,12 @@
     reported: float = 0.0
     reported_local: int = 0
     reported_s: float = -1e9
+    running: int = 0
+    waiting: int = 0
 
     def apply_report(self, running: int, waiting: int, now_s: float) -> None:
         """Apply a report that came with a response."""
+        self.running, self.waiting = running, waiting
         self.reported = running + waiting
         self.reported_local = self.in_flight
         self.reported_s = now_s
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -2,14 +2,13 @@
 
 from math import sqrt
 
-from attrs import frozen
+from attrs import evolve
 
 from acaciacove.decisions.confidence_calibration import (
     MAX_CONFIDENCE,
     MIN_CONFIDENCE,
     ConfidenceCalibration,
 )
-from acaciacove.decisions.endpoint_backlog import baseline_wait_s
 from acaciacove.decisions.model_plan import (
     LatencyContext,
     ModelOption,
@@ -17,11 +16,11 @@
     next_model,
 )
 from acaciacove.gateway.catalogue.service import Service
-from acaciacove.gateway.choose_endpoint import MAX_COMPARED
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.queue_waits import QueueWaits, queue_waits
 from acaciacove.gateway.request_context import RequestContext
 
 # The value of a good response, as a multiple of the highest model price.
@@ -47,7 +46,8 @@
     requests for its largest model at once to save a wait, also those that the smallest
     model serves well, and would become busier still.
     """
-    options = _model_options(gateway, context, context.route.model_sizes, wait_s=0.0)
+    sizes = context.route.model_sizes
+    options = _model_options(gateway, context, sizes, wait_s=0.0, now_s=now_s)
     may_escalate = context.route.may_repeat and context.route.max_attempts > 1
     calibration = gateway.confidences(context.service.name)
     latency = LatencyContext(
@@ -57,21 +57,30 @@
 
 
 def choose_next_model(
-    gateway: Gateway, context: RequestContext, confidence: float, now_s: float
+    gateway: Gateway,
+    context: RequestContext,
+    confidence: float,
+    now_s: float,
+    count_delays: bool = True,
 ) -> str | None:
-    """Return the model to escalate to, or None where the response is to be kept."""
+    """Return the model to escalate to, or None where the response is to be kept.
+
+    Without ``count_delays`` the requests behind this one are left out.
+    """
     sizes = context.route.model_sizes
     model = context.model
     if model not in sizes or model == sizes[-1]:
         return None
     assert model is not None
     larger = sizes[sizes.index(model) + 1 :]
-    queues = _queue_waits(gateway, context, now_s)
-    options = _model_options(gateway, context, larger, queues.min_s)
+    queues = queue_waits(gateway, context.service.name, now_s)
+    options = _model_options(gateway, context, larger, queues.min_s, now_s)
     calibration = gateway.confidences(context.service.name)
     for option in options:
         calibration.offset(model, option.name, option.is_largest)
     latency = _latency_context(gateway, context, queues, now_s)
+    if not count_delays:
+        latency = evolve(latency, delayed_per_s=0.0)
     chosen = next_model(
         model,
         confidence,
@@ -140,49 +149,33 @@
     return sqrt(setting * VALUE_PER_MAX_PRICE * max_price)
 
 
-@frozen
-class _QueueWaits:
-    """Estimated queue waits of a service's endpoints: the mean and the minimum."""
-
-    endpoints: int
-    mean_s: float
-    min_s: float
-
-
-def _queue_waits(
-    gateway: Gateway, context: RequestContext, now_s: float
-) -> _QueueWaits:
-    service = context.service.name
-    endpoints = [
-        endpoint
-        for endpoint in gateway.view.endpoints.values()
-        if endpoint.service == service and gateway.states.is_willing(endpoint, now_s)
-    ]
-    if not endpoints:
-        return _QueueWaits(0, 0.0, 0.0)
-    sampled = endpoints
-    if len(endpoints) > MAX_COMPARED:
-        sampled = gateway.random.sample(endpoints, MAX_COMPARED)
-    backlogs = [gateway.states.of(endpoint).backlog for endpoint in sampled]
-    baseline_s = baseline_wait_s(backlogs, now_s)
-    waits_s = [backlog.wait_s(now_s, baseline_s) for backlog in backlogs]
-    return _QueueWaits(len(endpoints), sum(waits_s) / len(waits_s), min(waits_s))
-
-
 def _latency_context(
-    gateway: Gateway, context: RequestContext, queues: _QueueWaits, now_s: float
+    gateway: Gateway, context: RequestContext, queues: QueueWaits, now_s: float
 ) -> LatencyContext:
     sent_per_s = gateway.sent_per_s(context.service.name, now_s) * gateway.gateway_count
-    return LatencyContext(
-        elapsed_s=now_s - context.request.arrived_s,
+    arrived_s = context.request.arrived_s
+    latency = LatencyContext(
+        elapsed_s=now_s - arrived_s,
         target_s=context.route.latency_target_s,
         delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.mean_s,
         delay_weight=gateway.delay_cost(context.service.name).weight,
     )
+    if not gateway.settings.overload_control:
+        return latency
+    return evolve(
+        latency,
+        delayed_per_s=max(latency.delayed_per_s, queues.mean_delayed),
+        deadline_s=context.deadline_s - arrived_s,
+        delayed_target_s=gateway.usual_target(context.service.name).target_s,
+    )
 
 
 def _model_options(
-    gateway: Gateway, context: RequestContext, models: tuple[str, ...], wait_s: float
+    gateway: Gateway,
+    context: RequestContext,
+    models: tuple[str, ...],
+    wait_s: float,
+    now_s: float,
 ) -> list[ModelOption]:
     prompt = context.request.hints.prompt
     uncached = 0.0
@@ -193,6 +186,10 @@
     value = _response_value(gateway, context.service)
     options = []
     prefill_s = 0.0
+    stream_s = 0.0
+    if gateway.settings.overload_control:
+        streams = gateway.stream_time(context.service.name)
+        stream_s = streams.expected_s(context.route.name, now_s)
     for name in models:
         prefill = gateway.prefill_latency(context.service.name, name)
         # A larger model is never faster, whatever the last few measurements say.
@@ -204,6 +201,7 @@
                 price=context.service.model_costs.get(name, 0.0) / value,
                 first_chunk_s=wait_s + prefill_s,
                 work_s=prefill_s,
+                stream_s=stream_s,
             )
         )
     return options
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -21,6 +21,8 @@
 # Responses to earlier requests that are skipped on one connection before it is
 # abandoned.
 MAX_SKIPPED_RESPONSES = 3
+# A load report at least this fresh tells the queue that a new request finds.
+RECENT_FRESHNESS = 0.8
 
 
 @define(eq=False)
@@ -45,6 +47,8 @@
     uncached_tokens: float = 0.0
     backlog_id: int = 0
     predicted_s: float = 0.0
+    work_s: float = 0.0
+    waiting_at_send: int | None = None
     rollout: RolloutProgress | None = None
     evidence_id: int = 0
 
@@ -92,6 +96,9 @@
         self.backlog_id = gateway.next_exchange_number()
         work_s = prefill.predict_s(self.uncached_tokens)
         self.predicted_s = state.backlog.wait_s(now_s, 0.0) + work_s
+        self.work_s = work_s
+        if state.load.freshness(now_s) > RECENT_FRESHNESS:
+            self.waiting_at_send = state.load.waiting
         state.backlog.send(self.backlog_id, work_s, now_s)
         state.record_cached(keys)
         endpoint = endpoint_id(state.endpoint.instance)
@@ -102,6 +109,11 @@
         latency_s = self.state.backlog.record_first_chunk(self.backlog_id, now_s)
         if latency_s is not None:
             context = self.context
+            if self.waiting_at_send is not None:
+                wait_s = latency_s - self.work_s
+                self.gateway.queue_delay(context.service.name).learn(
+                    self.waiting_at_send, wait_s
+                )
             prefill = self.gateway.prefill_latency(context.service.name, context.model)
             prefill.learn(self.uncached_tokens, latency_s)
 
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -58,6 +58,9 @@
     it can be retried at another endpoint without the caller seeing it.
     """
     splitter = EventSplitter()
+    events_count = 0
+    previous_s: float | None = None
+    streams = gateway.stream_time(context.service.name)
     may_resume = may_retry and context.route.may_repeat
     while True:
         async with asyncio.timeout(EVENT_TIMEOUT_S if may_resume else None):
@@ -77,11 +80,17 @@
             _count_model_size(gateway, context)
             _start_stream(front, head)
             context.events_delivered = True
+        event_s = asyncio.get_running_loop().time()
+        events_count += 1
+        if previous_s is not None:
+            streams.record_interval(event_s - previous_s, event_s)
+        previous_s = event_s
         await front.write(events)
         context.last_event_id = splitter.last_id or context.last_event_id
     if not context.events_delivered:
         _start_stream(front, head)
         context.events_delivered = True
+    streams.record_length(context.route.name, events_count)
     if splitter.rest:
         await front.write(splitter.rest)
     front.finish_response()
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -16,6 +16,7 @@
     ATTEMPT = "attempt"
     CALLER_REFUSED = "caller_refused"
     MODEL_WITHOUT_PRICE = "model_without_price"
+    ESCALATION_POSTPONED = "escalation_postponed"
     CONFIDENCE_UNREADABLE = "confidence_unreadable"
     LOG_LOST = "log_lost"
     LOG_STILL_LOST = "log_still_lost"
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -22,6 +22,11 @@
         "answers by model size, and those dropped for a larger one",
         ("size", "kept"),
     )
+    ESCALATIONS_POSTPONED = (
+        "escalations_postponed_total",
+        "larger models asked later or not at all for lack of capacity",
+        ("outcome",),
+    )
     EJECTIONS = ("ejections_total", "times that an endpoint was left out", ())
     ENDPOINT_CRASHES = (
         "endpoint_crashes_total",
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -4,7 +4,8 @@
 
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.catalogue.repetition import Repetition
-from acaciacove.gateway.choose_model import choose_next_model, learn_confidence
+from acaciacove.gateway.choose_model import learn_confidence
+from acaciacove.gateway.escalation import choose_escalation
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.forward_response import (
     MAX_BUFFERED_BYTES,
@@ -21,7 +22,6 @@
 from acaciacove.gateway.record_result import record_failure, record_result
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.response_summary import ResponseSummary
-from acaciacove.gateway.usable_endpoints import is_endpoint_left
 
 # While a retry is possible, the response head must arrive within this many latency
 # targets. The timeout is never below ``MIN_HEAD_TIMEOUT_S``.
@@ -46,6 +46,9 @@
     if head.load is not None:
         running, waiting, _ = head.load
         state.load.apply_report(running, waiting, now_s)
+        if gateway.settings.overload_control and not head.misdirected:
+            delay = gateway.queue_delay(context.service.name)
+            state.backlog.report_wait(waiting * delay.s_per_waiting, now_s)
     if not head.misdirected:
         _update_limit(gateway, exchange, head, now_s)
         record_notices(gateway, state.endpoint, head, now_s)
@@ -65,12 +68,8 @@
     if not head.is_success or not head.has_receipt or head.encoded:
         return await _read_failure(gateway, context, exchange, head)
     confidence = learn_confidence(gateway, context, state, head)
-    if (
-        confidence is not None
-        and may_escalate
-        and is_endpoint_left(gateway, context, now_s)
-    ):
-        context.next_model = choose_next_model(gateway, context, confidence, now_s)
+    if confidence is not None and may_escalate:
+        context.next_model = await choose_escalation(gateway, context, confidence)
     if context.next_model is not None:
         record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
         gateway.metrics.count(Metric.CASCADE, size_label(context), "no")
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -82,6 +82,7 @@
 ) -> Failure:
     """Try one endpoint after another; return None once the response is delivered."""
     sizes = context.route.model_sizes
+    gateway.usual_target(context.service.name).learn(context.route.latency_target_s)
     if sizes and context.model is None:
         now_s = asyncio.get_running_loop().time()
         context.model = choose_first_model(gateway, context, now_s)
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -68,10 +68,17 @@
     return text == "true"
 
 
+def _has_overload_control(text: str) -> bool:
+    return OVERLOAD_WORD in text.split(",")
+
+
 def _first_port(text: str) -> int:
     return int(text.split(",")[0])
 
 
+# The word among the contracts that calls for overload control.
+OVERLOAD_WORD = "pressure"
+
 FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
     "name": ("nodeName", str),
     "availability_zone": ("zone", str),
@@ -94,6 +101,7 @@
     "propagation_s": ("bounds.configPropagationMs", _seconds),
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
+    "overload_control": ("contracts", _has_overload_control),
     "session_life_s": ("bounds.sessionTtlS", float),
 }
 _REQUIRED = frozenset(
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -66,6 +66,7 @@
     propagation_s: float = field(default=2.0, metadata=check(is_positive))
     drain_s: float = field(default=2.0, metadata=check(is_positive))
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
+    overload_control: bool = False
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
 
     @property
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -25,6 +25,7 @@
     - ``lost_answers``: number of requests that run and get no answer, since their
       connections are closed
     - ``limit_per_s``: rate limit stated in each answer
+    - ``other_running``, ``waiting``: requests of others that are reported with the load
     - ``crashing_bodies``: requests with such a body crash the endpoint
     - ``confidence``: value by model, sent in the response head
     """
@@ -45,5 +46,7 @@
     early_end: bool = False
     lost_answers: int = 0
     limit_per_s: float | None = None
+    other_running: int = 0
+    waiting: int = 0
     crashing_bodies: Container[bytes] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -118,7 +118,8 @@
         return self._matching_requests % behaviour.failing_every == 0
 
     def _fields(self, arrival: EndpointArrival) -> Fields:
-        load = f"{self.running},0,{self.report.slots}"
+        running = self.running + self.behaviour.other_running
+        load = f"{running},{self.behaviour.waiting},{self.report.slots}"
         fields = [
             (names.REQUEST_ID, arrival.request_id.encode()),
             (names.LOAD, load.encode()),
