--- a/acaciacove/gateway/choice/choice_settings.py
+++ b/acaciacove/gateway/choice/choice_settings.py
@@ -19,9 +19,6 @@
     # Cost of one more request in an endpoint's batch apart from the longer queue: it
     # slows all others a little.
     request_ms: float = 25.0
-    # Cost of a request to another zone apart from about 1 ms of network latency:
-    # traffic between zones is billed.
-    other_zone_ms: float = 200.0
     # Expected share of a shared part that is cached at its preferred endpoint although
     # this gateway has not sent it there.
     home_share: float = 0.6
--- a/acaciacove/gateway/endpoint_cost.py
+++ b/acaciacove/gateway/endpoint_cost.py
@@ -67,7 +67,7 @@
         load = state.load.estimate(now_s, baseline_load)
         load += _health_penalty(gateway, state, now_s)
         in_local_zone = state.endpoint.availability_zone == local_zone
-        zone_ms = 0.0 if in_local_zone else choice.other_zone_ms
+        zone_ms = 0.0 if in_local_zone else gateway.settings.other_zone_ms
         other_s = (zone_ms + load * choice.request_ms) / MS
         return state.backlog.wait_s(now_s, baseline_s) + prefill_s + other_s
 
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -1,5 +1,6 @@
 """Decodes the platform's settings file of one process."""
 
+import os
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
@@ -8,27 +9,43 @@
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
+# The platform's file has no field for these settings. ``acaciacove.`` in a field's name
+# keeps it apart from fields that the platform may add.
+ENVIRONMENT_FIELDS = {"ACACIACOVE_OTHER_ZONE_MS": "acaciacove.otherZoneMs"}
 
 
-def read_node_file(path: Path) -> GatewaySettings:
+def read_node_file(
+    path: Path, environment: Mapping[str, str] = os.environ
+) -> GatewaySettings:
     """Read a file of ``a.b=value`` lines; raises InvalidSettingsError with all faults.
 
-    Unknown fields are ignored, because the platform may add new ones.
+    Unknown fields are ignored, because the platform may add new ones. The variables in
+    ``ENVIRONMENT_FIELDS`` take precedence over the file; empty ones count as not set.
     """
     try:
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise InvalidSettingsError([f"cannot read {path}: {error}"]) from error
-    return decode_node_file(text)
+    return decode_node_file(text, environment)
 
 
-def decode_node_file(text: str) -> GatewaySettings:
-    """Decode the text of a settings file; raises InvalidSettingsError."""
+def decode_node_file(
+    text: str, environment: Mapping[str, str] | None = None
+) -> GatewaySettings:
+    """Decode the text of a settings file; raises InvalidSettingsError.
+
+    ``environment`` holds the variables that take precedence over the file.
+    """
     lines = (line.partition("=") for line in text.splitlines())
     fields = {name.strip(): value.strip() for name, found, value in lines if found}
+    given_as: dict[str, str] = {}
+    for variable, source in ENVIRONMENT_FIELDS.items():
+        if environment and environment.get(variable):
+            fields[source] = environment[variable]
+            given_as[source] = variable
     faults: list[str] = []
     values = {
-        name: _value(fields, source, convert, faults)
+        name: _value(fields, source, convert, faults, given_as)
         for name, (source, convert) in FIELDS.items()
         if source in fields or name in _REQUIRED
     }
@@ -47,6 +64,7 @@
     source: str,
     convert: Callable[[str], Any],
     faults: list[str],
+    given_as: Mapping[str, str],
 ) -> Any:
     if source not in fields:
         faults.append(f"{source} is missing")
@@ -54,7 +72,8 @@
     try:
         return convert(fields[source])
     except ValueError:
-        faults.append(f"{source} cannot be read: {fields[source]!r}")
+        name = given_as.get(source, source)
+        faults.append(f"{name} cannot be read: {fields[source]!r}")
         return None
 
 
@@ -95,6 +114,7 @@
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
+    "other_zone_ms": ("acaciacove.otherZoneMs", float),
 }
 _REQUIRED = frozenset(
     {
--- a/acaciacove/platform/node_file_writer.py
+++ b/acaciacove/platform/node_file_writer.py
@@ -5,13 +5,14 @@
 
 MS = 1000.0
 MS_SUFFIX = "Ms"
+SECONDS_SUFFIX = "_s"
 LAST_PORT = 65_535
 
 
 def write_node_file(settings: GatewaySettings) -> str:
     """Return a settings file that ``decode_node_file`` decodes to these settings."""
     lines = [
-        f"{source}={_format_value(source, getattr(settings, name))}"
+        f"{source}={_format_value(name, source, getattr(settings, name))}"
         for name, (source, _) in FIELDS.items()
     ]
     zones = settings.region_of_zone.items()
@@ -19,10 +20,10 @@
     return "\n".join(lines) + "\n"
 
 
-def _format_value(source: str, value: object) -> str:
+def _format_value(name: str, source: str, value: object) -> str:
     if isinstance(value, bool):
         return str(value).lower()
-    if source.endswith(MS_SUFFIX):
+    if source.endswith(MS_SUFFIX) and name.endswith(SECONDS_SUFFIX):
         assert isinstance(value, float)
         return str(value * MS)
     if source == "internalPortRange":
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -37,7 +37,10 @@
 
     ``answer_value_per_1k_tokens`` is the value of a good answer per 1,000 tokens that
     it is charged for, in the unit of the catalogue's prices. A model's price is
-    weighed against it. ``region_of_zone`` maps each availability zone to its region.
+    weighed against it. ``other_zone_ms`` is the cost of a request to an endpoint in
+    another zone, in milliseconds of waiting, apart from about 1 ms of network latency:
+    traffic between zones is billed. At 0 all zones cost the same. ``region_of_zone``
+    maps each availability zone to its region.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
     exporters commonly use.
     """
@@ -63,6 +66,7 @@
     cold_overage: float = field(default=1.2, metadata=check(at_least(0)))
     cold_extra: float = field(default=0.0, metadata=check(at_least(0)))
     answer_value_per_1k_tokens: float = field(default=1.0, metadata=check(is_positive))
+    other_zone_ms: float = field(default=200.0, metadata=check(at_least(0)))
     propagation_s: float = field(default=2.0, metadata=check(is_positive))
     drain_s: float = field(default=2.0, metadata=check(is_positive))
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
