--- a/acaciacove/cli/definition.py
+++ b/acaciacove/cli/definition.py
@@ -8,6 +8,7 @@
 from acaciacove.cli.explain_command import EXPLAIN
 from acaciacove.cli.flag import Flag
 from acaciacove.cli.operator_commands import (
+    GATEWAYS,
     INSTANCE_IN,
     INSTANCE_OUT,
     STATUS,
@@ -55,6 +56,7 @@
     INSTANCE_OUT,
     INSTANCE_IN,
     STATUS,
+    GATEWAYS,
     EXPLAIN,
     DEMO,
     STANDINS,
--- a/acaciacove/cli/operator_commands.py
+++ b/acaciacove/cli/operator_commands.py
@@ -1,6 +1,7 @@
 """Commands for availability zones, instances and the fleet's status."""
 
 from acaciacove.cli import (
+    gateways,
     status,
 )
 from acaciacove.cli.argument import Argument
@@ -19,6 +20,7 @@
     TIMEOUT,
 )
 from acaciacove.settings.decision_settings import DecisionSettings
+from acaciacove.settings.gateways_settings import GatewaysSettings
 from acaciacove.settings.status_settings import StatusSettings
 
 DECISION_FLAGS = (
@@ -110,3 +112,36 @@
         JSON,
     ),
 )
+
+GATEWAYS = Command(
+    words=("gateways",),
+    summary="Show what gateways know of demand, spare capacity and refusals.",
+    help="""
+        Asks gateways for their status on their metrics ports, all at the same time, and
+        prints two tables. The first has a row for each gateway and service: requests
+        per second, usable endpoints, the lowest estimated wait, the admission level,
+        and refusals by reason since the gateway's start. The second has a row for each
+        endpoint over all gateways: its load as last reported, the machine's pace, its
+        slowness and the estimated wait. A last line names the organisations that were
+        refused for overload most.
+
+        A gateway that does not answer in time, or answers something else than a status,
+        is shown with that fault.
+
+        Exit status: 0, or 2 when an address has a fault.
+    """,
+    settings=GatewaysSettings,
+    run=gateways.run,
+    arguments=(
+        Argument(
+            "addresses",
+            "HOST:PORT[,HOST:PORT...]",
+            "Metrics ports of gateways, by IP number; separated by commas or blanks.",
+            variadic=True,
+        ),
+    ),
+    flags=(
+        Flag("timeout_s", "Seconds that one gateway may take to answer.", "SECONDS"),
+        JSON,
+    ),
+)
--- a/acaciacove/gateway/admit.py
+++ b/acaciacove/gateway/admit.py
@@ -103,6 +103,7 @@
         session = hints.session or shared
     now_s = asyncio.get_running_loop().time()
     gateway.budget(service.name).count_request(now_s)
+    gateway.traffic.count_request(service.name, now_s)
     return RequestContext(
         request=request,
         route=route,
--- a/acaciacove/gateway/choice/endpoint_load.py
+++ b/acaciacove/gateway/choice/endpoint_load.py
@@ -17,16 +17,20 @@
     """Local requests in flight and the endpoint's last report.
 
     ``reported`` is the number of running and waiting requests at the last report, and
-    ``reported_local`` that of local requests in flight at that time.
+    ``reported_local`` that of local requests in flight at that time. ``running`` and
+    ``waiting`` are None before the first report.
     """
 
     in_flight: int = 0
     reported: float = 0.0
     reported_local: int = 0
     reported_s: float = -1e9
+    running: int | None = None
+    waiting: int | None = None
 
     def apply_report(self, running: int, waiting: int, now_s: float) -> None:
         """Apply a report that came with a response."""
+        self.running, self.waiting = running, waiting
         self.reported = running + waiting
         self.reported_local = self.in_flight
         self.reported_s = now_s
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -26,6 +26,7 @@
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress
 from acaciacove.gateway.rollout.rollout_settings import RolloutSettings
 from acaciacove.gateway.routing_view import RoutingView
+from acaciacove.gateway.traffic import Traffic
 from acaciacove.messages.work_sent import WorkSent
 from acaciacove.settings.gateway_settings import GatewaySettings
 
@@ -86,6 +87,7 @@
     choice: ChoiceSettings = field(factory=ChoiceSettings)
     random: Random = field(factory=Random)
     budgets: dict[str, RetryBudget] = field(factory=dict)
+    traffic: Traffic = field(factory=Traffic)
     send_counts: dict[str, SlidingWindowCounter] = field(factory=dict)
     confidence: dict[str, ConfidenceCalibration] = field(factory=dict)
     prefill_latencies: dict[tuple[str, str | None], PrefillLatency] = field(
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -4,6 +4,7 @@
 import resource
 
 from acaciacove.decisions.endpoint_backlog import baseline_wait_s
+from acaciacove.gateway.endpoint_condition import EndpointCondition, endpoint_condition
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.gateway_metrics import Gauges
 
@@ -87,22 +88,8 @@
 
 
 def _endpoint_states(gateway: Gateway, now_s: float) -> dict[Labels, float]:
-    """Count endpoints by state; each counts in the first state that applies."""
-    counts = dict.fromkeys(
-        ("leaving", "zone_out", "resting", "ejected", "cold", "usable"), 0.0
-    )
+    """Count endpoints by condition."""
+    counts = dict.fromkeys(EndpointCondition, 0.0)
     for endpoint in gateway.view.endpoints.values():
-        state = gateway.states.of(endpoint)
-        if gateway.states.is_leaving(endpoint):
-            counts["leaving"] += 1
-        elif endpoint.availability_zone in gateway.view.zones_out:
-            counts["zone_out"] += 1
-        elif gateway.states.rest_left_s(endpoint, now_s) > 0.0:
-            counts["resting"] += 1
-        elif state.health.is_ejected(now_s):
-            counts["ejected"] += 1
-        elif endpoint.cold_until_s > now_s:
-            counts["cold"] += 1
-        else:
-            counts["usable"] += 1
-    return {(("state", name),): count for name, count in counts.items()}
+        counts[endpoint_condition(gateway, endpoint, now_s)] += 1
+    return {(("state", condition.value),): count for condition, count in counts.items()}
--- a/acaciacove/gateway/probe_protocol.py
+++ b/acaciacove/gateway/probe_protocol.py
@@ -42,6 +42,11 @@
             if isinstance(event, h11.Request):
                 path = bytes(event.target).decode("latin-1").split("?")[0]
             elif isinstance(event, h11.EndOfMessage):
+                # The status of a large fleet has some hundred kilobytes. A client that
+                # sends more requests without reading would fill the memory with it.
+                if not self._writable.is_set():
+                    self.abort()
+                    return
                 self._answer(self._answer_path(path))
                 if self.h11.our_state is not h11.DONE:
                     self.close()
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -39,6 +39,8 @@
 RELAY_REQUEST_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+JSON_TYPE = b"application/json"
 LISTEN_BACKLOG = 1024
 # Callers give an unread request one second. A start without a usable view after half of
 # that refuses them, in time for an attempt elsewhere.
@@ -67,6 +69,16 @@
     await serve_peers(gateway, metadata)
 
 
+def load_status_page(gateway: Gateway) -> bytes:
+    """Return the status of a gateway as JSON.
+
+    A start does not need the report, so its modules are imported with the first one.
+    """
+    from acaciacove.gateway.gateway_status import status_page
+
+    return status_page(gateway)
+
+
 @define(eq=False)
 class RunningGateway:
     """The tasks of one gateway and the state that they share."""
@@ -112,7 +124,9 @@
         self.gateway.started_s = asyncio.get_running_loop().time()
         self.log.write(Event.STARTED, zone=self.settings.availability_zone)
         ready = await self._listen(self.settings.readiness_address, self._probe)
-        metrics = await self._listen(self.settings.metrics_address, self._probe)
+        metrics = await self._listen(
+            self.settings.metrics_address, self._operator_probe
+        )
         recorder = OutcomeRecorder(self.gateway, self.metadata, self.codec)
         async with background(
             *self._followers(),
@@ -205,6 +219,15 @@
             return ProbeAnswer(200, self.metrics_page())
         return ProbeAnswer(404)
 
+    def _operator_probe(self) -> ProbeProtocol:
+        return ProbeProtocol(self._answer_operator_probe)
+
+    def _answer_operator_probe(self, path: str) -> ProbeAnswer:
+        """Answer on the metrics port, which callers and the balancer do not use."""
+        if path == STATUS_PATH:
+            return ProbeAnswer(200, load_status_page(self.gateway), JSON_TYPE)
+        return self._answer_probe(path)
+
     def metrics_page(self) -> bytes:
         """Return counters, histograms and gauges as text."""
         gateway = self.gateway
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -69,10 +69,16 @@
         front.abort_response()
         return "broken_off"
     if isinstance(failure, Refusal):
+        _count_refusal(gateway, context, failure)
         return await refuse(front, failure)
     return await _forward_failure(front, *failure)
 
 
+def _count_refusal(gateway: Gateway, context: RequestContext, refusal: Refusal) -> None:
+    organisation = context.organisation.name if context.organisation else None
+    gateway.traffic.count_refusal(refusal.reason, context.service.name, organisation)
+
+
 # What the caller gets instead of a delivered response; None once one is delivered.
 Failure = Refusal | tuple[ResponseHead, bytes] | None
 
@@ -247,6 +253,7 @@
     gateway: Gateway, request: CallerRequest, refusal: Refusal, status: int
 ) -> None:
     gateway.metrics.count(Metric.REFUSALS, refusal.reason.value)
+    gateway.traffic.count_refusal(refusal.reason, None, None)
     gateway.log.write(
         Event.CALLER_REFUSED,
         request_id=request.hints.request_id,
