--- a/acaciacove/cli/explain_command.py
+++ b/acaciacove/cli/explain_command.py
@@ -12,8 +12,11 @@
     help="""
         Reads structured log lines of any number of processes, in any order, and prints
         one request's story: who took it, what was believed and how old that was, where
-        it went and why, how it ended, and what else was in trouble then. With --summary
-        it counts how requests ended and why attempts failed, for each ten seconds. With
+        it went and why, how it ended, and what else was in trouble then. For a request
+        that was refused for overload it states why and what the gateway knew, and for a
+        late answer whether it waited in a queue, for a larger model or for a second
+        attempt. With --summary it counts how requests ended and why attempts failed,
+        for each ten seconds, and sums refusals for overload by organisation. With
         --losses it sums, for each ten seconds, answers that were late (in queues, after
         a second try, or for their size alone), callers that left, answers broken off,
         failed or refused, how many answers were poor by their models' own opinions, and
--- a/acaciacove/explain/losses.py
+++ b/acaciacove/explain/losses.py
@@ -81,7 +81,7 @@
 
 
 def _count_request(row: LossRow, fields: dict[str, Any]) -> None:
-    loss = _classify_loss(fields)
+    loss = classify_loss(fields)
     if loss is not None:
         row.losses[loss] += 1
     heads = fields.get("heads") or []
@@ -95,7 +95,8 @@
             row.poor += 1.0 - ConfidenceCalibration().good_probability(confidence)
 
 
-def _classify_loss(fields: dict[str, Any]) -> Loss | None:
+def classify_loss(fields: dict[str, Any]) -> Loss | None:
+    """Return why the request of a ``request`` line was late or failed, if it was."""
     status = str(fields.get("status"))
     if status == "caller_left":
         return Loss.CALLER_LEFT
--- a/acaciacove/explain/request_report.py
+++ b/acaciacove/explain/request_report.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from acaciacove.explain.log_line import LogLine
+from acaciacove.explain.request_cause import request_cause
 from acaciacove.gateway.log_events import Event
 
 # Other events are shown from this long before a request's first line until this long
@@ -42,6 +43,9 @@
     report = [f"request {request_id}"]
     for line in request_lines:
         report += _format_line(line)
+        cause = request_cause(line)
+        if cause is not None:
+            report.append(f"    {cause}")
     report += _format_context(request_lines, lines)
     return report
 
--- a/acaciacove/explain/summary.py
+++ b/acaciacove/explain/summary.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from acaciacove.explain.log_line import LogLine
+from acaciacove.explain.overload_refusals import sum_overload_refusals
 from acaciacove.gateway.log_events import Event
 
 INTERVAL_S = 10.0
@@ -15,7 +16,8 @@
 
 
 def summarise(lines: Iterable[LogLine]) -> list[str]:
-    """Return a table with one row for each ten seconds that have lines."""
+    """Return a row for each ten seconds that have lines, then overload refusals."""
+    lines = list(lines)
     counts_by_interval: dict[float, Counter[str]] = defaultdict(Counter)
     clock_by_interval: dict[float, str] = {}
     for line in lines:
@@ -35,7 +37,7 @@
             for name, n in counts_by_interval[interval_start_s].most_common()
         )
         table.append(f"{clock_by_interval[interval_start_s]}  {counts}")
-    return table
+    return table + sum_overload_refusals(lines)
 
 
 _EVENTS = frozenset(event.value for event in Event)
