--- a/acaciacove/cli/gateway_tables.py
+++ b/acaciacove/cli/gateway_tables.py
@@ -20,9 +20,7 @@
 def service_table(answers: Iterable[GatewayAnswer]) -> Table:
     """Return a table with a row for each gateway and service."""
     columns = ("gateway", "zone", "revision", "known", "service", "requests/s")
-    table = new_table(
-        *columns, "endpoints", "wait s", "level", "refused since the start", "notes"
-    )
+    table = new_table(*columns, "endpoints", "wait s", "level", "refused", "notes")
     for answer in answers:
         status = answer.status
         if status is None:
--- a/acaciacove/explain/request_cause.py
+++ b/acaciacove/explain/request_cause.py
@@ -49,18 +49,20 @@
     if loss not in (Loss.LATE_QUEUED, Loss.LATE_RESENT, Loss.LATE_LARGE):
         return None
     heads = fields.get("heads") or []
-    late = (
-        f"Late: its first piece took {fields['first_piece_s']} s "
-        f"and its target is {fields['target_s']} s; "
-    )
+    waits = []
     if loss is Loss.LATE_RESENT:
-        return f"{late}it waited for a second attempt ({fields['tries']} attempts)."
+        waits.append(f"for a second attempt ({fields['tries']} attempts)")
     if loss is Loss.LATE_QUEUED:
         waited_s = sum(taken - predicted for *_, taken, predicted in heads)
-        return f"{late}it waited in a queue, {waited_s:.2f} s longer than predicted."
+        waits.append(f"in a queue, {waited_s:.2f} s longer than predicted")
     if len(heads) > 1:
-        (_, small, _, taken, _), (_, large, *_) = heads[0], heads[-1]
-        return (
-            f"{late}it waited for a larger model, {large} after {taken} s of {small}."
-        )
-    return f"{late}it waited neither in a queue nor for another attempt or model."
+        smaller_s = sum(taken for *_, taken, _ in heads[:-1])
+        small, large = heads[0][1], heads[-1][1]
+        waits.append(f"for a larger model, {large} after {smaller_s:.2f} s of {small}")
+    waited = (
+        " and ".join(waits) or "neither in a queue nor for another attempt or model"
+    )
+    return (
+        f"Late: its first piece took {fields['first_piece_s']} s "
+        f"and its target is {fields['target_s']} s; it waited {waited}."
+    )
--- a/acaciacove/gateway/gateway_status.py
+++ b/acaciacove/gateway/gateway_status.py
@@ -73,9 +73,13 @@
     )
 
 
-def status_page(gateway: Gateway) -> bytes:
-    """Return the status of a gateway as JSON."""
-    return orjson.dumps(asdict(gateway_status(gateway)))
+def encode_status(status: GatewayStatus) -> bytes:
+    """Encode a status as JSON.
+
+    Objects become dictionaries when orjson reaches them, which takes less time than
+    converting all of them first.
+    """
+    return orjson.dumps(status, default=lambda part: asdict(part, recurse=False))
 
 
 def _service_status(
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -31,6 +31,7 @@
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.routing_view import RoutingView, boot_time_s
 from acaciacove.gateway.serve_request import serve_request
+from acaciacove.gateway.status_page import StatusPage
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 # While other gateways read through this one, its own reads of the log have shorter
@@ -69,16 +70,6 @@
     await serve_peers(gateway, metadata)
 
 
-def load_status_page(gateway: Gateway) -> bytes:
-    """Return the status of a gateway as JSON.
-
-    A start does not need the report, so its modules are imported with the first one.
-    """
-    from acaciacove.gateway.gateway_status import status_page
-
-    return status_page(gateway)
-
-
 @define(eq=False)
 class RunningGateway:
     """The tasks of one gateway and the state that they share."""
@@ -92,6 +83,7 @@
     clock_s: Callable[[], float] = boot_time_s
     open_peers: Callable[[Gateway, MetadataLog], Awaitable[None]] = load_and_gossip
     gateway: Gateway = field(init=False)
+    status: StatusPage = field(init=False)
     operator: OperatorReader = field(init=False)
     endpoints: EndpointReader = field(init=False)
     connections: set[FrontConnection] = field(factory=set)
@@ -100,6 +92,7 @@
         """Create the state that the tasks share."""
         view = RoutingView(self.clock_s)
         self.gateway = Gateway(self.settings, self.dialect, view, self.log)
+        self.status = StatusPage(self.gateway)
         self.metadata = self._relayed(
             InstrumentedLog(self.metadata, self.gateway.metrics)
         )
@@ -225,7 +218,7 @@
     def _answer_operator_probe(self, path: str) -> ProbeAnswer:
         """Answer on the metrics port, which callers and the balancer do not use."""
         if path == STATUS_PATH:
-            return ProbeAnswer(200, load_status_page(self.gateway), JSON_TYPE)
+            return ProbeAnswer(200, self.status.read(), JSON_TYPE)
         return self._answer_probe(path)
 
     def metrics_page(self) -> bytes:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,8 +12,10 @@
 from acaciacove.context import Environment
 from acaciacove.core import main
 from acaciacove.exit_status import ExitStatus
+from acaciacove.explain.log_line import LogLine
 from acaciacove.explain.losses import sum_losses
 from acaciacove.explain.read_lines import read_lines
+from acaciacove.explain.request_cause import request_cause
 from acaciacove.explain.summary import summarise
 
 PAGE = Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
@@ -33,8 +35,8 @@
     return status, env.stdout.getvalue(), env.stderr.getvalue()
 
 
-def test_the_page_explains_three_kinds_of_failure():
-    assert len(CASES) == 3
+def test_the_page_explains_five_kinds_of_failure():
+    assert len(CASES) == 5
 
 
 @pytest.mark.parametrize("case", CASES, ids=lambda case: case["id"])
@@ -138,3 +140,51 @@
     )
     assert total.startswith("all\t7\t")
     assert sum_losses([]) == []
+
+
+def cause_of(**fields):
+    return request_cause(LogLine(0.0, "gateway-0", "request", fields))
+
+
+def test_a_refusal_for_overload_states_what_the_gateway_knew():
+    refused = {"reason": "overloaded", "status": 503, "wait_s": 1.8, "wait_age_s": 0.1}
+    assert cause_of(level=2.5, **refused) == (
+        "Refused at admission level 2.5, which admits more urgent requests: requests "
+        "waited 1.8 s at endpoints, known 0.1 s before."
+    )
+    assert cause_of(level=0, time_s=1.5, **refused).startswith(
+        "Refused because no endpoint could finish it within its time of 1.5 s: "
+    )
+    assert cause_of(reason="overloaded", level=1).endswith("knew of no wait.")
+    assert cause_of(reason="overloaded", status=503) is None
+    assert cause_of(reason="no_endpoint", status=503, level=1) is None
+
+
+def test_a_late_answer_states_what_it_waited_for():
+    late = {"status": "served", "first_piece_s": 3.0, "target_s": 2.0, "tries": 1}
+    sure = ["e", "small", 100.0, 0.3, 0.3]
+    large = ["e", "large", 100.0, 2.6, 2.5]
+    queued = cause_of(heads=[["e", "small", 100.0, 3.0, 0.2]], **late)
+    assert "its target is 2.0 s; it waited in a queue, 2.80 s longer" in queued
+    assert "for a second attempt (2 attempts)" in cause_of(
+        heads=[sure], **(late | {"tries": 2})
+    )
+    assert "it waited for a larger model, large after 0.30 s of small." in cause_of(
+        heads=[sure, large], **(late | {"tries": 2})
+    )
+    assert "neither in a queue" in cause_of(heads=[large], **late)
+    assert cause_of(heads=[sure], **(late | {"first_piece_s": 2.0})) is None
+    assert cause_of(heads=[["another", "form"]], **late) is None
+
+
+def test_the_summary_adds_overload_refusals_by_organisation():
+    def refusal(organisation, reason="overloaded", event="request"):
+        fields = {"organisation": organisation, "reason": reason}
+        return LogLine(0.0, "gateway-0", event, fields)
+
+    lines = [refusal(f"o-{number}") for number in range(30)]
+    lines += [refusal("ozark")] * 3 + [refusal(None, event="caller_refused")] * 2
+    lines += [refusal("quiet", reason="no_endpoint"), refusal("quiet", event="attempt")]
+    *_, last = summarise(lines)
+    begin = "refused for overload by organisation: ozark 3, no organisation 2, o-0 1"
+    assert last.startswith(begin) and last.endswith("o-17 1, 12 more")
--- a/tests/test_gateway_status.py
+++ b/tests/test_gateway_status.py
@@ -42,6 +42,7 @@
         await asyncio.sleep(1.0)
         status, body = await get("/status", 9464)
         assert status == 200 and (await get("/status", 8001))[0] == 404
+        assert (await get("/status", 9464))[1] == body
         found = orjson.loads(body)
         assert (found["name"], found["zone"], found["revision"]) == (
             "gateway-0",
