--- a/acaciacove/gateway/queue_waits.py
+++ b/acaciacove/gateway/queue_waits.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from acaciacove.decisions.endpoint_backlog import baseline_wait_s
+from acaciacove.gateway.choice.endpoint_load import EndpointLoad
 from acaciacove.gateway.choose_endpoint import MAX_COMPARED
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
@@ -57,7 +58,11 @@
     if total_weight <= 0.0:
         return 0.0
     delayed = (
-        weight * (state.load.waiting + RUNNING_DELAY_SHARE * state.load.running)
+        weight * _delayed_requests(state.load)
         for weight, state in zip(weights, states, strict=True)
     )
     return sum(delayed) / total_weight
+
+
+def _delayed_requests(load: EndpointLoad) -> float:
+    return (load.waiting or 0) + RUNNING_DELAY_SHARE * (load.running or 0)
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -31,6 +31,7 @@
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.routing_view import RoutingView, boot_time_s
 from acaciacove.gateway.serve_request import serve_request
+from acaciacove.gateway.status_page import StatusPage
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 # While other gateways read through this one, its own reads of the log have shorter
@@ -39,6 +40,8 @@
 RELAY_REQUEST_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+JSON_TYPE = b"application/json"
 LISTEN_BACKLOG = 1024
 # Callers give an unread request one second. A start without a usable view after half of
 # that refuses them, in time for an attempt elsewhere.
@@ -80,6 +83,7 @@
     clock_s: Callable[[], float] = boot_time_s
     open_peers: Callable[[Gateway, MetadataLog], Awaitable[None]] = load_and_gossip
     gateway: Gateway = field(init=False)
+    status: StatusPage = field(init=False)
     operator: OperatorReader = field(init=False)
     endpoints: EndpointReader = field(init=False)
     connections: set[FrontConnection] = field(factory=set)
@@ -88,6 +92,7 @@
         """Create the state that the tasks share."""
         view = RoutingView(self.clock_s)
         self.gateway = Gateway(self.settings, self.dialect, view, self.log)
+        self.status = StatusPage(self.gateway)
         self.metadata = self._relayed(
             InstrumentedLog(self.metadata, self.gateway.metrics)
         )
@@ -112,7 +117,9 @@
         self.gateway.started_s = asyncio.get_running_loop().time()
         self.log.write(Event.STARTED, zone=self.settings.availability_zone)
         ready = await self._listen(self.settings.readiness_address, self._probe)
-        metrics = await self._listen(self.settings.metrics_address, self._probe)
+        metrics = await self._listen(
+            self.settings.metrics_address, self._operator_probe
+        )
         recorder = OutcomeRecorder(self.gateway, self.metadata, self.codec)
         async with background(
             *self._followers(),
@@ -205,6 +212,15 @@
             return ProbeAnswer(200, self.metrics_page())
         return ProbeAnswer(404)
 
+    def _operator_probe(self) -> ProbeProtocol:
+        return ProbeProtocol(self._answer_operator_probe)
+
+    def _answer_operator_probe(self, path: str) -> ProbeAnswer:
+        """Answer on the metrics port, which callers and the balancer do not use."""
+        if path == STATUS_PATH:
+            return ProbeAnswer(200, self.status.read(), JSON_TYPE)
+        return self._answer_probe(path)
+
     def metrics_page(self) -> bytes:
         """Return counters, histograms and gauges as text."""
         gateway = self.gateway
