--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -1,6 +1,7 @@
 """Decodes the platform's settings file of one process."""
 
 from collections.abc import Callable, Mapping
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -8,6 +9,7 @@
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
+BYTES_PER_MB = 1_000_000
 
 
 def read_node_file(path: Path) -> GatewaySettings:
@@ -62,6 +64,14 @@
     return float(text) / MS
 
 
+def _megabytes(text: str) -> int:
+    """Return bytes; raises ValueError, also for infinity."""
+    megabytes = float(text)
+    if not isfinite(megabytes):
+        raise ValueError(text)
+    return round(megabytes * BYTES_PER_MB)
+
+
 def _flag(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(text)
@@ -95,6 +105,7 @@
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
+    "memory_limit_bytes": ("limits.memoryLimitMb", _megabytes),
 }
 _REQUIRED = frozenset(
     {
--- a/acaciacove/platform/node_file_writer.py
+++ b/acaciacove/platform/node_file_writer.py
@@ -1,10 +1,11 @@
 """Writes settings files in the platform's format, for stand-ins and tests."""
 
-from acaciacove.platform.node_file import FIELDS
+from acaciacove.platform.node_file import BYTES_PER_MB, FIELDS
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
 MS_SUFFIX = "Ms"
+MB_SUFFIX = "Mb"
 LAST_PORT = 65_535
 
 
@@ -25,6 +26,9 @@
     if source.endswith(MS_SUFFIX):
         assert isinstance(value, float)
         return str(value * MS)
+    if source.endswith(MB_SUFFIX):
+        assert isinstance(value, int)
+        return str(value / BYTES_PER_MB)
     if source == "internalPortRange":
         return f"{value},{LAST_PORT}"
     return str(value)
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -38,6 +38,8 @@
     ``answer_value_per_1k_tokens`` is the value of a good answer per 1,000 tokens that
     it is charged for, in the unit of the catalogue's prices. A model's price is
     weighed against it. ``region_of_zone`` maps each availability zone to its region.
+    ``memory_limit_bytes`` is the memory that the process may use; a quarter of it is
+    the limit of the bytes held for callers and endpoints, and 0 sets no limit.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
     exporters commonly use.
     """
@@ -67,6 +69,7 @@
     drain_s: float = field(default=2.0, metadata=check(is_positive))
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
+    memory_limit_bytes: int = field(default=0, metadata=check(at_least(0)))
 
     @property
     def metrics_address(self) -> str:
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -260,6 +260,15 @@
     assert read.revocation_s == 5.0 and read.region_of_zone == {"ozark": "dixie"}
 
 
+def test_memory_limit_of_a_node_file_is_in_megabytes():
+    assert decode_node_file(SETTINGS).memory_limit_bytes == 0
+    read = decode_node_file(SETTINGS + "limits.memoryLimitMb=160\n")
+    assert read.memory_limit_bytes == 160_000_000
+    for text in ("-1", "inf", "nan", "much"):
+        with pytest.raises(InvalidSettingsError):
+            decode_node_file(SETTINGS + f"limits.memoryLimitMb={text}\n")
+
+
 def test_all_faults_of_a_node_file_are_reported():
     text = SETTINGS.replace("nodeName=edge-1\n", "").replace("7340,7355", "many")
     text = text.replace("revocationStrict=true", "revocationStrict=perhaps")
