--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -49,6 +49,7 @@
                         context.fingerprint, state.endpoint
                     )
                 _check_wanted(gateway, state)
+                _check_body_fits(gateway, context, state)
                 _record_sent(gateway, context, state)
             exchange.send()
             outcome = await process_response(
@@ -90,6 +91,22 @@
         raise EndpointUnwillingError(state.endpoint.instance, "it leaves")
 
 
+def _check_body_fits(
+    gateway: Gateway, context: RequestContext, state: EndpointState
+) -> None:
+    """Check that the endpoint has room for the body beside those in flight there.
+
+    Raises EndpointUnwillingError; the request is then sent to another endpoint.
+    """
+    body_bytes = len(context.request.body)
+    other_bytes = state.body_bytes - body_bytes
+    if not gateway.held.budget.may_send(other_bytes, body_bytes):
+        context.tried_instances.add(state.endpoint.instance)
+        raise EndpointUnwillingError(
+            state.endpoint.instance, f"has {other_bytes} bytes of bodies in flight"
+        )
+
+
 @contextmanager
 def _track_in_flight(
     gateway: Gateway, context: RequestContext, state: EndpointState
@@ -97,13 +114,16 @@
     """Count the request in flight, at the endpoint and for a roll-out's old version."""
     progress = gateway.rollouts.get(context.service.name)
     is_old = progress is not None and state.endpoint.version != progress.order.target
+    body_bytes = len(context.request.body)
     state.load.in_flight += 1
+    state.body_bytes += body_bytes
     if progress is not None and is_old:
         progress.old_in_flight += 1
     try:
         yield
     finally:
         state.load.in_flight -= 1
+        state.body_bytes -= body_bytes
         if progress is not None and is_old:
             progress.old_in_flight -= 1
 
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -25,8 +25,8 @@
     """Connections, load, backlog, health and probable cache of an endpoint.
 
     ``crashed`` is set once this incarnation is known to have ended without
-    deregistering. ``instance_hash`` ranks it where all gateways must prefer the same
-    endpoint.
+    deregistering. ``body_bytes`` is the size of this gateway's request bodies in flight
+    there. ``instance_hash`` ranks it where all gateways must prefer the same endpoint.
     """
 
     endpoint: Endpoint
@@ -39,6 +39,7 @@
     limit_share: LimitShare = field(factory=LimitShare)
     cached_parts: OrderedDict[int, None] = field(factory=OrderedDict)
     crashed: bool = False
+    body_bytes: int = 0
     instance_hash: int = field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 import h11
-from attrs import define
+from attrs import define, field
 
+from acaciacove.decisions.byte_account import ByteAccount
 from acaciacove.gateway.choice.prefix_affinity import prefix_keys, uncached_tokens
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import endpoint_id
@@ -32,7 +33,8 @@
     roll-out that the response is evidence for, and ``evidence_id`` identifies the
     request there. ``connection`` is None before one is made. ``sent`` is set before the
     first byte is sent: from then on the endpoint may run the request. ``complete`` is
-    set when the complete response has been read.
+    set when the complete response has been read. ``kept`` counts the bytes of the
+    response that are kept here: a body or an event that is not complete yet.
     """
 
     gateway: Gateway
@@ -47,11 +49,17 @@
     predicted_s: float = 0.0
     rollout: RolloutProgress | None = None
     evidence_id: int = 0
+    kept: ByteAccount = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Count kept bytes in the gateway's budget."""
+        self.kept = ByteAccount(self.gateway.held.budget)
 
     async def open(self, timeout_s: float) -> None:
         """Acquire a connection; raises ConnectFailedError."""
         non_idempotent = not self.context.route.may_repeat
         self.connection = await self.state.pool.acquire(non_idempotent, timeout_s)
+        self.connection.count_held_in(self.gateway.held.budget)
 
     def send(self) -> None:
         """Write the request; raises ConnectionLostError."""
@@ -175,6 +183,7 @@
         while (data := await self.next_data()) is not None:
             chunks.append(data)
             size += len(data)
+            self.kept.set(size)
             if size > limit_bytes:
                 return None
         return b"".join(chunks)
@@ -185,7 +194,9 @@
         self.state.backlog.discard(self.backlog_id, now_s)
         if self.rollout is not None:
             self.rollout.abandon(self.evidence_id, now_s)
+        self.kept.clear()
         if self.connection is not None:
+            self.connection.release_held()
             self.state.pool.release(self.connection, self.complete)
             self.connection = None
 
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from acaciacove.decisions.byte_budget import MAX_ANSWER_BYTES
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.gateway import Gateway
@@ -65,6 +66,7 @@
         if data is None:
             break
         events = splitter.push(data)
+        _keep(gateway, exchange, len(splitter.rest))
         if not events:
             continue
         if not context.events_delivered:
@@ -88,6 +90,19 @@
     return AttemptOutcome.DELIVERED
 
 
+def _keep(gateway: Gateway, exchange: Exchange, rest_bytes: int) -> None:
+    """Count the bytes of an incomplete event.
+
+    Raises InvalidResponseError if the memory is limited and the event too large for it.
+    """
+    exchange.kept.set(rest_bytes)
+    if gateway.held.budget.limit_bytes and rest_bytes > MAX_ANSWER_BYTES:
+        raise InvalidResponseError(
+            f"an event from {exchange.state.endpoint.instance} exceeds"
+            f" {MAX_ANSWER_BYTES} bytes"
+        )
+
+
 def _count_model_size(gateway: Gateway, context: RequestContext) -> None:
     """Count a delivered response by its model size."""
     if context.route.model_sizes:
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.byte_budget import BUDGET_SHARE
 from acaciacove.decisions.confidence_calibration import ConfidenceCalibration
 from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.prefill_latency import PrefillLatency
@@ -17,6 +18,7 @@
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.dialect import Dialect
+from acaciacove.gateway.http.held_bytes import HeldBytes
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.quarantine.crash_detector import CrashDetector
@@ -66,6 +68,7 @@
 class Gateway:
     """The view, limits and other state of one process.
 
+    ``held`` is the budget of bytes held for callers and endpoints.
     ``members`` are the other gateways that are or may be alive. ``members_loaded`` is
     set once their list has been read. ``tails`` hold the records that are relayed to
     them. ``gossip_work`` sends them an update on a prompt that has just been sent,
@@ -83,6 +86,7 @@
     log: EventLog
     metrics: GatewayMetrics = field(factory=GatewayMetrics)
     states: EndpointStates = field(factory=EndpointStates)
+    held: HeldBytes = field(factory=HeldBytes)
     choice: ChoiceSettings = field(factory=ChoiceSettings)
     random: Random = field(factory=Random)
     budgets: dict[str, RetryBudget] = field(factory=dict)
@@ -124,6 +128,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply new limits from now on; earlier requests remain counted."""
         self.settings = settings
+        self.held.budget.limit_bytes = int(BUDGET_SHARE * settings.memory_limit_bytes)
         self.sessions.lifetime_s = settings.session_life_s
         confirm_s = REVOCATION_SHARE * settings.revocation_s
         self.relay_intervals = relay_intervals(
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -43,6 +43,15 @@
         ("caller_connections", "open connections of callers"): {
             (): float(open_connections)
         },
+        ("held_bytes", "bytes held for callers and endpoints"): {
+            (): float(gateway.held.budget.held_bytes)
+        },
+        ("held_bytes_limit", "limit of held bytes; 0 is none"): {
+            (): float(gateway.held.budget.limit_bytes)
+        },
+        ("endpoint_body_bytes", "request bodies in flight, most at one endpoint"): {
+            (): float(max((s.body_bytes for s in gateway.states.all()), default=0))
+        },
         ("handshakes", "connections made to endpoints"): {
             (): float(sum(s.pool.handshakes for s in gateway.states.all()))
         },
--- a/acaciacove/gateway/http/connection.py
+++ b/acaciacove/gateway/http/connection.py
@@ -7,14 +7,20 @@
 
 import h11
 
+from acaciacove.decisions.byte_account import ByteAccount
+from acaciacove.decisions.byte_budget import READ_BYTES, ByteBudget
 from acaciacove.gateway.http.errors import ConnectionLostError
 
 # Reading from the socket pauses when more bytes than this are unread, so that a fast
 # sender is slowed down by flow control instead of filling memory.
 READ_AHEAD_BYTES = 65_536
+# Limits what one read takes from a socket. An asyncio.Protocol reads up to 262,144
+# bytes, so that 300 connections could receive 79 MB before any of them pauses. All
+# connections share it: a read and the copy of its bytes are one step of the event loop.
+_RECEIVE_BUFFER = bytearray(READ_BYTES)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """Adapts asyncio's protocol callbacks to awaitable h11 events.
 
     Subclasses define how the end of the connection is treated.
@@ -26,11 +32,9 @@
         self.transport: asyncio.Transport | None = None
         self.lost = False
         self._eof_seen = False
-        self._unread_bytes = 0
+        self._unread = ByteAccount()
         self._reading_paused = False
         self._input_ready = asyncio.Event()
-        self._writable = asyncio.Event()
-        self._writable.set()
 
     @property
     def is_open(self) -> bool:
@@ -51,16 +55,34 @@
         with contextlib.suppress(AttributeError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def count_unread_in(self, budget: ByteBudget) -> None:
+        """Count received bytes that are not processed yet in a budget from now on."""
+        held_bytes = self._unread.held_bytes
+        self._unread.clear()
+        self._unread = ByteAccount(budget)
+        self._unread.set(held_bytes)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on a copy of the bytes that have been read."""
+        self.data_received(bytes(_RECEIVE_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Feed bytes to the state machine and wake the reader."""
         self.h11.receive_data(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > READ_AHEAD_BYTES and not self._reading_paused:
+        self._unread.set(self._unread.held_bytes + len(data))
+        if self._must_pause_reading() and not self._reading_paused:
             self._reading_paused = True
             assert self.transport is not None
             self.transport.pause_reading()
         self._input_ready.set()
 
+    def _must_pause_reading(self) -> bool:
+        return self._unread.held_bytes > READ_AHEAD_BYTES
+
     def eof_received(self) -> bool:
         """Signal the end of input to the state machine."""
         self._eof_seen = True
@@ -69,18 +91,10 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Wake the reader and the writer; both then raise ConnectionLostError."""
+        """Wake the reader, which then raises ConnectionLostError."""
         self.lost = True
+        self._unread.clear()
         self._input_ready.set()
-        self._writable.set()
-
-    def pause_writing(self) -> None:
-        """Block ``drain``: the other side reads slowly and the buffer is full."""
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        """Unblock ``drain``."""
-        self._writable.set()
 
     async def next_event(self) -> Any:
         """Return the next h11 event.
@@ -90,6 +104,11 @@
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.Data):
+                    unread_bytes = self._unread.held_bytes - len(event.data)
+                    self._unread.set(max(0, unread_bytes))
+                elif isinstance(event, h11.EndOfMessage):
+                    self._count_rest()
                 return event
             if self.lost:
                 raise ConnectionLostError(
@@ -99,8 +118,20 @@
             self._resume_reading()
             await self._input_ready.wait()
 
+    def _count_rest(self) -> None:
+        """Count what follows a complete message, and continue to read.
+
+        While reading is paused, the end of the connection is not noticed: a request
+        whose caller has left would run to its end.
+        """
+        rest, _ = self.h11.trailing_data
+        if len(rest) <= READ_AHEAD_BYTES:
+            self._resume_reading()
+        if not self.lost:
+            self._unread.set(len(rest))
+
     def _resume_reading(self) -> None:
-        self._unread_bytes = 0
+        self._unread.clear()
         if self._reading_paused and self.transport is not None:
             self._reading_paused = False
             self.transport.resume_reading()
@@ -113,15 +144,11 @@
                 f"cannot send {type(event).__name__}: the connection is closed"
             )
         if data:
-            self.transport.write(data)
+            self._write(data)
 
-    async def drain(self) -> None:
-        """Wait while writing is paused because the write buffer is full."""
-        await self._writable.wait()
-        if self.lost:
-            raise ConnectionLostError(
-                "the connection was lost while written bytes were still unsent"
-            )
+    def _write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(data)
 
     def abort(self) -> None:
         """Close immediately and drop unsent bytes."""
--- a/acaciacove/gateway/http/endpoint_connection.py
+++ b/acaciacove/gateway/http/endpoint_connection.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from acaciacove.decisions.byte_account import ByteAccount
+from acaciacove.decisions.byte_budget import ByteBudget
 from acaciacove.gateway.http.connection import HttpConnection
 from acaciacove.gateway.http.errors import (
     ConnectFailedError,
@@ -32,6 +34,7 @@
         self.idle_timeout_s: float | None = None
         self.busy = False
         self._request: h11.Request | None = None
+        self._unsent = ByteAccount()
 
     def data_received(self, data: bytes) -> None:
         """Abort the connection if bytes arrive while no request is outstanding.
@@ -42,8 +45,37 @@
         if not self.busy:
             self.abort()
             return
+        self._count_unsent()
         super().data_received(data)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release what is held for the endpoint."""
+        self._unsent.clear()
+        super().connection_lost(exc)
+
+    def resume_writing(self) -> None:
+        """Count the bytes that the endpoint has taken."""
+        self._count_unsent()
+
+    def count_held_in(self, budget: ByteBudget) -> None:
+        """Count unprocessed and unsent bytes of the next exchange in a budget."""
+        self.count_unread_in(budget)
+        self._unsent.clear()
+        self._unsent = ByteAccount(budget)
+
+    def release_held(self) -> None:
+        """Release the bytes of an exchange that has ended."""
+        self._unread.clear()
+        self._unsent.clear()
+
+    def _count_unsent(self) -> None:
+        if self.transport is not None and not self.lost:
+            self._unsent.set(self.transport.get_write_buffer_size())
+
+    def _must_pause_reading(self) -> bool:
+        """Pause earlier than other connections while the budget is almost used up."""
+        return super()._must_pause_reading() or not self._unread.may_grow()
+
     def send_request(self, request: h11.Request, body: bytes) -> None:
         """Write a complete request."""
         self.busy = True
@@ -55,6 +87,7 @@
             self.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise ConnectionLostError(f"cannot send the request: {error}") from error
+        self._count_unsent()
 
     async def next_response_event(self) -> Any:
         """Return the next event of the response.
--- a/acaciacove/gateway/http/errors.py
+++ b/acaciacove/gateway/http/errors.py
@@ -30,3 +30,7 @@
 
 class CallerDisconnectedError(AcaciacoveError):
     """The caller closed its connection before its response was complete."""
+
+
+class BodyOverBudgetError(AcaciacoveError):
+    """A request body does not fit into the budget of held bytes."""
--- a/acaciacove/gateway/http/front_connection.py
+++ b/acaciacove/gateway/http/front_connection.py
@@ -6,21 +6,28 @@
 
 import h11
 
+from acaciacove.decisions.byte_account import ByteAccount
 from acaciacove.gateway.catalogue.caller_limits import CallerLimits
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.connection import HttpConnection
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.http.errors import (
     BadRequestError,
+    BodyOverBudgetError,
     CallerDisconnectedError,
     ConnectionLostError,
 )
+from acaciacove.gateway.http.held_bytes import HeldBytes
+from acaciacove.gateway.http.output_queue import OutputQueue
+from acaciacove.gateway.http.read_body import (
+    BODY_TOO_LARGE_STATUS,
+    REQUEST_TIMEOUT_STATUS,
+    read_body,
+)
 
 Headers = list[tuple[bytes, bytes]]
 Serve = Callable[[CallerRequest, "FrontConnection"], Awaitable[None]]
 
-REQUEST_TIMEOUT_STATUS = 408
-BODY_TOO_LARGE_STATUS = 413
 HEADER_TOO_LARGE_STATUS = 431
 BAD_REQUEST_STATUS = 400
 # How long the connection stays open for a refused caller to read the refusal.
@@ -45,12 +52,16 @@
         limits: Callable[[], CallerLimits],
         is_draining: Callable[[], bool],
         connections: set["FrontConnection"],
+        held: HeldBytes | None = None,
+        refuse_unread: Serve | None = None,
     ) -> None:
         """Start unconnected.
 
         The connection is a member of ``connections`` while it is open. ``limits`` is
         called for each request. ``is_draining`` returns whether the gateway is
-        shutting down, so that a response also closes the connection.
+        shutting down, so that a response also closes the connection. ``held`` limits
+        the bytes of bodies and unread responses; ``refuse_unread`` responds to a
+        request whose body does not fit, and has been left unread.
         """
         super().__init__(h11.SERVER, limits().max_header_bytes)
         self._serve = serve
@@ -58,16 +69,27 @@
         self._limits = limits
         self._is_draining = is_draining
         self._connections = connections
+        self._held = held or HeldBytes()
+        self._refuse_unread = refuse_unread or serve
+        self._body = ByteAccount(self._held.budget)
+        self._output: OutputQueue | None = None
+        self._room = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._first_byte_s: float | None = None
         self._discarding = False
+        self._must_close = False
         self.serving = False
         self.response_started = False
+        self.request_id: str | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves this connection."""
         super().connection_made(transport)
+        assert self.transport is not None
+        self._output = OutputQueue(self.transport, ByteAccount(self._held.budget))
+        self.count_unread_in(self._held.budget)
         self._connections.add(self)
+        self._held.add(self)
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
@@ -82,15 +104,31 @@
         """Treat the end of the caller's input as a disconnect."""
         if self.serving and self._task is not None:
             self._task.cancel()
+        elif self._output is not None:
+            self._output.move_to_transport()
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work on this caller's request."""
         super().connection_lost(exc)
+        self._release_held()
         self._connections.discard(self)
         if self._task is not None:
             self._task.cancel()
 
+    def _release_held(self) -> None:
+        self._held.discard(self)
+        self._body.clear()
+        if self._output is not None:
+            self._output.clear()
+        self._room.set()
+
+    def close(self) -> None:
+        """Close after everything that was sent has been written."""
+        if self._output is not None and not self.lost:
+            self._output.move_to_transport()
+        super().close()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or served."""
         if not self.serving and self._first_byte_s is None:
@@ -112,16 +150,25 @@
         try:
             request = await self._read_request()
         except BadRequestError as error:
+            self._body.clear()
             await self._refuse_bad_request(error)
             return False
         if request is None:
             return False
         self.serving = True
         self.response_started = False
+        self.request_id = request.hints.request_id
         try:
-            await self._serve(request, self)
+            if self._must_close:
+                await self._refuse_unread(request, self)
+            else:
+                await self._serve(request, self)
         finally:
             self.serving = False
+            self._body.clear()
+        if self._must_close:
+            await self._linger()
+            return False
         return self._prepare_next()
 
     def _prepare_next(self) -> bool:
@@ -149,7 +196,12 @@
         refuse_too_large(head, self._limits())
         arrived_s = self._first_byte_s
         assert arrived_s is not None
-        body = await self._read_body()
+        try:
+            body = await self._read_body(head)
+        except BodyOverBudgetError:
+            self._body.clear()
+            self._must_close = True
+            body = b""
         headers = tuple((bytes(n), bytes(v)) for n, v in head.headers)
         host = dict(headers).get(b"host", b"").decode("latin-1")
         return CallerRequest(
@@ -190,29 +242,19 @@
             return False
         return True
 
-    async def _read_body(self) -> bytes:
-        limits = self._limits()
+    async def _read_body(self, head: h11.Request) -> bytes:
+        declared_bytes = int(dict(head.headers).get(b"content-length", b"0"))
+        if not self._held.fits(declared_bytes):
+            raise BodyOverBudgetError(
+                f"a request body of {declared_bytes} bytes exceeds the free memory"
+            )
         if self.h11.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            try:
-                async with asyncio.timeout(limits.header_timeout_s):
-                    event = await self._next_caller_event()
-            except TimeoutError:
-                raise BadRequestError(REQUEST_TIMEOUT_STATUS, "body too slow") from None
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
-            if not isinstance(event, h11.Data):
-                raise ConnectionLostError(
-                    f"the caller closed the connection after {size} bytes of its"
-                    " request body"
-                )
-            size += len(event.data)
-            if size > limits.max_body_bytes:
-                raise BadRequestError(BODY_TOO_LARGE_STATUS, "body too large")
-            chunks.append(bytes(event.data))
+        return await read_body(
+            self._next_caller_event,
+            lambda size_bytes: self._held.reserve(self._body, size_bytes),
+            self._limits(),
+        )
 
     async def _next_caller_event(self) -> Any:
         try:
@@ -247,7 +289,8 @@
         refusal.
         """
         self._discarding = True
-        assert self.transport is not None
+        assert self.transport is not None and self._output is not None
+        self._output.move_to_transport()
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self._resume_reading()
@@ -264,7 +307,7 @@
         """Send the head of the response."""
         self.response_started = True
         headers = list(headers)
-        if self._is_draining():
+        if self._is_draining() or self._must_close:
             headers.append((b"Connection", b"close"))
         else:
             idle_s = int(self._limits().idle_timeout_s)
@@ -274,14 +317,90 @@
         )
 
     async def write(self, data: bytes) -> None:
-        """Send a chunk of the response body, with flow control."""
+        """Send a chunk of the response body; wait until the answer may grow further.
+
+        Bytes that the caller does not read yet are kept in order.
+        """
+        assert self._output is not None
         self._send_to_caller(h11.Data(data=data))
-        await self.drain()
+        try:
+            while not self.lost and not self._output.may_grow():
+                self._held.wait(self)
+                await self._wait_for_room()
+        finally:
+            self._held.stop_waiting(self)
+        self._check_connected()
 
     def finish_response(self) -> None:
-        """Send the end of the response."""
+        """Send the end of the response; ``flush`` waits until all of it is written."""
         self._send_to_caller(h11.EndOfMessage())
 
+    async def flush(self) -> None:
+        """Wait until the kernel has taken every byte of the response."""
+        while self.unread_bytes:
+            await self._wait_for_room()
+        self._check_connected()
+
+    async def _wait_for_room(self) -> None:
+        self._room.clear()
+        await self._room.wait()
+
+    def _check_connected(self) -> None:
+        assert self.transport is not None
+        if self.lost or self.transport.is_closing():
+            raise CallerDisconnectedError(
+                "the caller closed its connection before it had read the response"
+            )
+
+    def pause_writing(self) -> None:
+        """Keep further bytes until the kernel has taken the earlier ones."""
+        if self._output is not None:
+            self._output.pause()
+
+    def resume_writing(self) -> None:
+        """Write kept bytes, and wake the response's writer."""
+        if self._output is not None:
+            self._output.resume()
+        self._room.set()
+
+    def _write(self, data: bytes) -> None:
+        assert self._output is not None
+        self._output.push(data)
+
+    #
+    # What the budget of held bytes sees of the caller
+    #
+
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of responses that the caller has not read."""
+        if self._output is None or self.lost:
+            return 0
+        return self._output.unread_bytes
+
+    @property
+    def last_read_s(self) -> float:
+        """When the caller last read, on the event loop's clock."""
+        return 0.0 if self._output is None else self._output.last_read_s
+
+    @property
+    def is_denied(self) -> bool:
+        """Whether the budget forbids that the response grows."""
+        return (
+            self._output is not None
+            and not self.lost
+            and self._output.is_denied_by_budget()
+        )
+
+    def wake_writer(self) -> None:
+        """Have ``write`` check again whether the response may grow."""
+        self._room.set()
+
+    def cut(self) -> None:
+        """Disconnect the caller and release its bytes at once."""
+        self.abort()
+        self._release_held()
+
     def abort_response(self) -> None:
         """Abort the connection, so that the response does not look complete."""
         self.abort()
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -16,6 +16,11 @@
         ("kind", "ending"),
     )
     REFUSALS = ("refusals_total", "refusals before any attempt, by reason", ("reason",))
+    CALLERS_CUT = (
+        "callers_cut_total",
+        "callers that read nothing and were disconnected for lack of memory",
+        (),
+    )
     ATTEMPTS = ("attempts_total", "attempts at endpoints by outcome", ("outcome",))
     CASCADE = (
         "cascade_answers_total",
--- a/acaciacove/gateway/probe_protocol.py
+++ b/acaciacove/gateway/probe_protocol.py
@@ -34,6 +34,10 @@
             self._answer_all()
         except h11.ProtocolError:
             self.abort()
+            return
+        # All of it is processed. Counted as unread, the bytes of some hundred probes
+        # on one connection would stop it from being read.
+        self._resume_reading()
 
     def _answer_all(self) -> None:
         path = ""
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -18,11 +18,13 @@
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.http.errors import CallerDisconnectedError, ConnectionLostError
 from acaciacove.gateway.http.front_connection import FrontConnection
+from acaciacove.gateway.http.held_bytes import HoldingCaller
 from acaciacove.gateway.instrumented_log import InstrumentedLog
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import MetadataLog
+from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.operator_reader import OperatorReader
 from acaciacove.gateway.outcome_recorder import OutcomeRecorder
 from acaciacove.gateway.probe_protocol import ProbeAnswer, ProbeProtocol
@@ -30,7 +32,7 @@
 from acaciacove.gateway.record_codec import RecordCodec
 from acaciacove.gateway.relay.relayed_log import RelayedLog
 from acaciacove.gateway.routing_view import RoutingView, boot_time_s
-from acaciacove.gateway.serve_request import serve_request
+from acaciacove.gateway.serve_request import refuse_unread, serve_request
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 # While other gateways read through this one, its own reads of the log have shorter
@@ -91,6 +93,7 @@
         self.metadata = self._relayed(
             InstrumentedLog(self.metadata, self.gateway.metrics)
         )
+        self.gateway.held.report_cut = self._report_cut
         self.operator = OperatorReader(view, self.codec, self.log)
         self.endpoints = EndpointReader(self.gateway, self.codec)
 
@@ -161,7 +164,7 @@
         await self.open_peers(self.gateway, self.metadata)
 
     async def _listen(
-        self, address: str, protocol: Callable[[], asyncio.Protocol]
+        self, address: str, protocol: Callable[[], asyncio.BaseProtocol]
     ) -> asyncio.Server:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -176,6 +179,8 @@
             self._limits,
             lambda: self.gateway.shutting_down,
             self.connections,
+            self.gateway.held,
+            self._refuse_unread,
         )
 
     def _limits(self) -> CallerLimits:
@@ -195,6 +200,20 @@
             )
             raise
 
+    async def _refuse_unread(
+        self, request: CallerRequest, front: FrontConnection
+    ) -> None:
+        await refuse_unread(self.gateway, request, front)
+
+    def _report_cut(self, caller: HoldingCaller, idle_s: float) -> None:
+        self.gateway.metrics.count(Metric.CALLERS_CUT)
+        self.log.write(
+            Event.CALLER_CUT,
+            request_id=caller.request_id,
+            held_bytes=caller.unread_bytes,
+            idle_s=round(idle_s, 3),
+        )
+
     def _probe(self) -> ProbeProtocol:
         return ProbeProtocol(self._answer_probe)
 
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -1,7 +1,9 @@
 """Serves one request, from its admission to its log line."""
 
 import asyncio
+import contextlib
 
+from acaciacove.decisions.byte_budget import CALLER_IDLE_S
 from acaciacove.gateway.admit import admit
 from acaciacove.gateway.attempt import attempt
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
@@ -33,6 +35,9 @@
 # Retry-After is rounded to this, and must not end before the rest does.
 RETRY_AFTER_RESOLUTION_S = 0.01
 REST_SPREAD_SHARE = 0.1
+# Retry-After of a request whose body does not fit into memory. Bodies in progress take
+# about a second to be read and answered.
+BODY_RETRY_AFTER_S = 1.0
 
 
 async def serve_request(
@@ -44,7 +49,22 @@
         refusal_status = await refuse(front, admitted)
         _log_refused(gateway, request, admitted, refusal_status)
         return
-    context = admitted
+    await _serve_admitted(gateway, admitted, front)
+
+
+async def refuse_unread(
+    gateway: Gateway, request: CallerRequest, front: FrontConnection
+) -> None:
+    """Refuse a request whose body has been left unread, for lack of memory."""
+    detail = "the request body exceeds the gateway's free memory"
+    refusal = Refusal(Reason.OVERLOADED, True, detail, BODY_RETRY_AFTER_S)
+    status = await refuse(front, refusal)
+    _log_refused(gateway, request, refusal, status)
+
+
+async def _serve_admitted(
+    gateway: Gateway, context: RequestContext, front: FrontConnection
+) -> None:
     status: int | str = "caller_left"
     try:
         status = await _serve_with_deadline(gateway, context, front)
@@ -64,7 +84,7 @@
             Reason.DEADLINE_EXCEEDED, not context.may_have_run, "no answer in time"
         )
     if failure is None:
-        return "served"
+        return await _deliver_rest(context, front)
     if front.response_started:
         front.abort_response()
         return "broken_off"
@@ -73,6 +93,24 @@
     return await _forward_failure(front, *failure)
 
 
+async def _deliver_rest(context: RequestContext, front: FrontConnection) -> str:
+    """Wait until a complete response is written, however slowly the caller reads.
+
+    It goes on after the deadline, since the endpoint has done the work, but only while
+    the caller reads something.
+    """
+    loop = asyncio.get_running_loop()
+    while front.unread_bytes:
+        until_s = max(context.deadline_s, front.last_read_s + CALLER_IDLE_S)
+        if until_s <= loop.time():
+            front.abort_response()
+            return "broken_off"
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                await front.flush()
+    return "served"
+
+
 # What the caller gets instead of a delivered response; None once one is delivered.
 Failure = Refusal | tuple[ResponseHead, bytes] | None
 
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -167,16 +167,30 @@
         )
         begin = int(arrival.fields.get(names.LAST_EVENT_ID.decode(), "0"))
         for number in range(begin + 1, behaviour.events + 1):
-            event = f"id: {number}\ndata: {model} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {model} {number}".encode()
+            event = event.ljust(behaviour.event_bytes, b".") + b"\n\n"
             if behaviour.cut_after is not None and number > behaviour.cut_after:
                 await front.write(event[: len(event) // 2])
                 front.close()
                 arrival.ended = "broken"
                 return
-            await front.write(event)
+            if not await self._write_patiently(front, event):
+                front.abort()
+                arrival.ended = "unread"
+                return
             await asyncio.sleep(behaviour.gap_s)
         front.finish_response()
 
+    async def _write_patiently(self, front: FrontConnection, event: bytes) -> bool:
+        """Write an event; return False if it is not read within the patience."""
+        try:
+            async with asyncio.timeout(self.behaviour.patience_s):
+                await front.write(event)
+                await front.flush()
+        except TimeoutError:
+            return False
+        return True
+
 
 async def _send_response(
     front: FrontConnection, status: int, fields: Fields, body: bytes
