--- a/acaciacove/decisions/byte_account.py
+++ b/acaciacove/decisions/byte_account.py
@@ -13,7 +13,7 @@
 
     def reserve(self, size_bytes: int) -> bool:
         """Hold more bytes; return False if they do not fit into the budget."""
-        if not self.budget.reserve(size_bytes):
+        if not self.budget.reserve(size_bytes, self.held_bytes):
             return False
         self.held_bytes += size_bytes
         return True
--- a/acaciacove/decisions/byte_budget.py
+++ b/acaciacove/decisions/byte_budget.py
@@ -14,9 +14,9 @@
 MAX_ANSWER_BYTES = 262_144
 # The most that one read from a connection adds.
 READ_BYTES = 16_384
-# The share of the budget that answers leave to request bodies, and to the reads that
-# have been allowed but not made yet.
-GROWTH_RESERVE_SHARE = 0.125
+# The share of the budget that is left to bodies of at most one read, to the first read
+# of each answer, and to reads that have been allowed but not made yet.
+RESERVE_SHARE = 0.125
 # An answer may grow up to this share of the other free bytes. Large holders therefore
 # stop growing first, and answers that hold little still grow.
 GROWTH_SHARE = 0.125
@@ -41,9 +41,19 @@
             return float("inf")
         return max(0, self.limit_bytes - self.held_bytes)
 
-    def reserve(self, size_bytes: int) -> bool:
-        """Hold bytes that have yet to be accepted; return False if they do not fit."""
-        if size_bytes > self.free_bytes:
+    @property
+    def _unreserved_bytes(self) -> float:
+        return self.free_bytes - RESERVE_SHARE * self.limit_bytes
+
+    def may_accept(self, size_bytes: int, held_bytes: int = 0) -> bool:
+        """Return whether a body with some bytes held already may take more."""
+        if held_bytes + size_bytes <= READ_BYTES:
+            return size_bytes <= self.free_bytes
+        return size_bytes <= self._unreserved_bytes
+
+    def reserve(self, size_bytes: int, held_bytes: int = 0) -> bool:
+        """Hold more bytes of a body; return False if they do not fit."""
+        if not self.may_accept(size_bytes, held_bytes):
             return False
         self.held_bytes += size_bytes
         return True
@@ -68,8 +78,8 @@
         One that holds nothing always may: its bytes are passed on at once if the
         other side reads, so quick callers are served while the budget is exhausted.
         """
-        growth_bytes = self.free_bytes - GROWTH_RESERVE_SHARE * self.limit_bytes
-        return not held_bytes or held_bytes + READ_BYTES <= GROWTH_SHARE * growth_bytes
+        allowed_bytes = GROWTH_SHARE * self._unreserved_bytes
+        return not held_bytes or held_bytes + READ_BYTES <= allowed_bytes
 
     def may_send(self, in_flight_bytes: int, body_bytes: int) -> bool:
         """Return whether an endpoint with bodies in flight may be sent another one.
--- a/acaciacove/gateway/http/held_bytes.py
+++ b/acaciacove/gateway/http/held_bytes.py
@@ -75,7 +75,7 @@
         """Return whether a body of this size may be read; idle callers give way."""
         if self.budget.limit_bytes and size_bytes > self.budget.limit_bytes:
             return False
-        while size_bytes > self.budget.free_bytes:
+        while not self.budget.may_accept(size_bytes):
             if not self._cut_idle_caller():
                 return False
         return True
