--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -144,7 +144,6 @@
     log = [json.loads(line) for line in log_path.read_text().splitlines()]
     cut = [line for line in log if line["event"] == "caller_cut"]
     refused = [line for line in log if line["event"] == "caller_refused"]
-    print(f"peak {peak}, cut {len(cut)}, refused {len(refused)}, quick {quick}")
     assert quick == [EVENTS] * 10
     assert peak < MEMORY_LIMIT_BYTES
     assert slow.count(EVENTS) == CALLERS - len(cut) - len(refused)
