--- a/acaciacove/standins/endpoint_arrival.py
+++ b/acaciacove/standins/endpoint_arrival.py
@@ -10,10 +10,10 @@
     ``fields`` maps lower-case header names to values. ``ran`` is false for a refused
     request. ``ended`` is how the run ended: "done", "cut" when the caller
     disconnected, "broken" when the endpoint truncated its answer, "crashed" when
-    the endpoint crashed during the run, "unread" when it lost patience with a reader
-    that read nothing, or "" while it runs. ``ended_s`` is when the
-    run or the refusal ended. ``said_leaving`` and ``retry_after`` are the values of
-    these fields in the answer, None without one.
+    the endpoint crashed during the run, "unread" when its answer was not read in
+    time, or "" while it runs. ``ended_s`` is when the run or the refusal ended.
+    ``said_leaving`` and ``retry_after`` are the values of these fields in the answer,
+    None without one.
     """
 
     at_s: float
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -11,8 +11,8 @@
 
     - ``work_s``: time before an answer or the first event; ``gap_s``: time between
       events
-    - ``event_bytes``: smallest size of an event; ``patience_s``: cuts off an answer of
-      which no byte was read for this long
+    - ``event_bytes``: smallest size of an event
+    - ``unread_timeout_s``: cuts off an answer that is not read for this long
     - ``failing``: answers 500; ``failing_every``: does so for each n-th request, of
       ``failing_path`` only if that is set
     - ``full``: answers 503 and marks the request as not run; ``retry_after`` is the
@@ -35,7 +35,7 @@
     gap_s: float = 0.01
     events: int = 4
     event_bytes: int = 0
-    patience_s: float | None = None
+    unread_timeout_s: float | None = None
     failing: bool = False
     failing_every: int = 0
     failing_path: str = ""
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -174,17 +174,17 @@
                 front.close()
                 arrival.ended = "broken"
                 return
-            if not await self._write_patiently(front, event):
+            if not await self._write_with_timeout(front, event):
                 front.abort()
                 arrival.ended = "unread"
                 return
             await asyncio.sleep(behaviour.gap_s)
         front.finish_response()
 
-    async def _write_patiently(self, front: FrontConnection, event: bytes) -> bool:
-        """Write an event; return False if it is not read within the patience."""
+    async def _write_with_timeout(self, front: FrontConnection, event: bytes) -> bool:
+        """Write an event; return False if it stays unread until the timeout."""
         try:
-            async with asyncio.timeout(self.behaviour.patience_s):
+            async with asyncio.timeout(self.behaviour.unread_timeout_s):
                 await front.write(event)
                 await front.flush()
         except TimeoutError:
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from acaciacove.gateway.catalogue.caller_limits import CallerLimits
+from acaciacove.gateway.http.front_connection import FrontConnection
+from acaciacove.platform.header_fields import DIALECT
 from tests.gateway_world import (
     GATEWAY_HOST,
     KEY,
@@ -149,6 +152,57 @@
     run_fleet(scenario)
 
 
+async def leave_after_body(size):
+    """Send a body over the loopback interface and leave; return how serving ended."""
+    ended = asyncio.get_running_loop().create_future()
+
+    async def serve(request, front):
+        try:
+            await asyncio.sleep(2.0)
+            ended.set_result("ran on")
+        except asyncio.CancelledError:
+            ended.set_result(f"cancelled after {len(request.body)} bytes")
+            raise
+
+    def accept():
+        return FrontConnection(serve, DIALECT, CallerLimits, lambda: False, set())
+
+    server = await asyncio.get_running_loop().create_server(accept, "127.0.0.1", 0)
+    async with server:
+        address = server.sockets[0].getsockname()
+        _, writer = await asyncio.open_connection(*address)
+        head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+        writer.write(head.encode() + b"x" * size)
+        await writer.drain()
+        await asyncio.sleep(0.3)
+        writer.transport.abort()
+        return await ended
+
+
+@pytest.mark.parametrize("size", [10_000, 100_000, 1_000_000])
+def test_caller_that_leaves_cancels_its_request_after_a_body_of_every_size(size):
+    """Guards against a connection that is no longer read after a large body.
+
+    Its end was not noticed, and the request ran on without a caller.
+    """
+    assert asyncio.run(leave_after_body(size)) == f"cancelled after {size} bytes"
+
+
+def test_probes_are_answered_on_one_connection_however_many():
+    """Guards against bytes of answered probes that count as unread for ever."""
+
+    async def scenario(fleet):
+        reader, writer = await asyncio.open_connection(GATEWAY_HOST, 8001)
+        for _ in range(1_000):
+            writer.write(b"GET /readyz HTTP/1.1\r\nHost: a\r\nX-Pad: " + b"x" * 80)
+            writer.write(b"\r\n\r\n")
+            async with asyncio.timeout(1.0):
+                assert b"HTTP/1.1" in await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    run_fleet(scenario)
+
+
 def test_hop_by_hop_headers_are_not_forwarded():
     async def scenario(fleet):
         fields = {"Connection": "X-Private", "X-Private": "1", "X-Public": "2"}
--- a/tests/test_gateway_held_bytes.py
+++ b/tests/test_gateway_held_bytes.py
@@ -31,7 +31,7 @@
 
 def set_engines(fleet, **changes):
     """Have engines answer with 360,000 bytes, more than the network buffers."""
-    values = {"events": EVENTS, "event_bytes": EVENT_BYTES, "patience_s": 3.0}
+    values = {"events": EVENTS, "event_bytes": EVENT_BYTES, "unread_timeout_s": 3.0}
     for server in fleet.endpoints.values():
         server.behaviour = evolve(server.behaviour, **(values | changes))
 
@@ -116,7 +116,7 @@
     """Guards against slow callers that use up the memory for all others."""
 
     async def scenario(fleet):
-        set_engines(fleet, patience_s=None)
+        set_engines(fleet, unread_timeout_s=None)
         slow = [await start_reading_nothing(f"r-{n}") for n in range(50)]
         await asyncio.sleep(5.0)
         held = budget_of(fleet)
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -4,8 +4,6 @@
 import json
 import os
 import re
-import socket
-from contextlib import suppress
 from pathlib import Path
 
 from attrs import evolve
@@ -21,6 +19,7 @@
     GatewayFleet,
     gateway_settings,
 )
+from acaciacove.standins.slow_caller import connect_slow_caller
 from tests.gateway_world import KEY, catalogue, report, route
 
 CALLERS, ENGINES = 300, 6
@@ -32,56 +31,21 @@
     f"Authorization: Bearer {KEY}\r\nAcaciacove-Model: *\r\n"
     "Content-Length: {}\r\n\r\n"
 )
-START_TIMEOUT_S = 30.0
-# With the segments of an Ethernet network, the kernel buffers about 50 kB of an answer.
-# With those of the loopback interface it would buffer all of it.
-SEGMENT_BYTES = 1_000
-
-
-def small_socket():
-    caller = socket.socket()
-    caller.setblocking(False)
-    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-    return caller
-
-
-async def connect_to(host):
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while True:
-            caller = small_socket()
-            try:
-                loop = asyncio.get_running_loop()
-                await loop.sock_connect(caller, (host, FRONT_PORT))
-                return caller
-            except ConnectionRefusedError:
-                caller.close()
-                await asyncio.sleep(0.1)
-
-
-async def send_request(host, request_id, body):
-    caller = await connect_to(host)
-    loop = asyncio.get_running_loop()
-    with suppress(ConnectionError):  # a refusal may overtake the body
-        head = REQUEST.format(request_id, len(body)).encode()
-        await loop.sock_sendall(caller, head + body)
-    return caller
-
-
-async def read_answer(caller):
-    """Return the number of events of a complete answer, 0 of any other."""
-    received = bytearray()
-    loop = asyncio.get_running_loop()
-    with caller:
-        while not received.endswith(b"0\r\n\r\n"):
-            try:
-                data = await loop.sock_recv(caller, 65_536)
-            except ConnectionError:
-                return 0
-            if not data:
-                return 0
-            received += data
-    return received.count(b"\nid: ") if received.startswith(b"HTTP/1.1 200") else 0
+
+
+async def start(host, kind, body, count):
+    """Start requests, one on each connection, without reading their answers."""
+    callers = [await connect_slow_caller(host, FRONT_PORT, 30.0) for _ in range(count)]
+    heads = [REQUEST.format(f"{kind}-{n}", len(body)).encode() for n in range(count)]
+    sent = (c.send(head + body) for c, head in zip(callers, heads, strict=True))
+    await asyncio.gather(*sent)
+    return callers
+
+
+async def read_events(callers):
+    """Return the number of events of each complete answer, 0 of any other."""
+    answers = await asyncio.gather(*(caller.read_answer() for caller in callers))
+    return [answer.count(b"\nid: ") for answer in answers]
 
 
 def peak_bytes(process_id):
@@ -89,13 +53,11 @@
     return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1_024
 
 
-async def open_fleet(host):
-    addresses = addresses_of(os.getpid())
+async def open_fleet(addresses):
     fleet = GatewayFleet(store_host=addresses.log())
     await fleet.open()
     slow = route("slow", "model", Repetition.STREAMING, timeout_s=60.0, max_attempts=1)
-    services = {"model": Service("model", 0)}
-    fleet.publish(catalogue(routes=(slow,), services=services))
+    fleet.publish(catalogue(routes=(slow,), services={"model": Service("model", 0)}))
     behaviour = EndpointBehaviour(
         work_s=1.0, gap_s=0.1, events=EVENTS, event_bytes=EVENT_BYTES
     )
@@ -108,8 +70,8 @@
 
 async def run_with_slow_callers(folder):
     addresses = addresses_of(os.getpid())
+    fleet = await open_fleet(addresses)
     host = addresses.gateway(0)
-    fleet = await open_fleet(host)
     settings = evolve(
         gateway_settings("gateway-0", host, "a"),
         log_address=f"{addresses.log()}:7000",
@@ -119,16 +81,11 @@
     gateway = GatewayProcess(settings, folder)
     await gateway.start()
     try:
-        (await connect_to(host)).close()
-        slow = await asyncio.gather(
-            *(send_request(host, f"slow-{n}", SLOW_BODY) for n in range(CALLERS))
-        )
+        slow = await start(host, "slow", SLOW_BODY, CALLERS)
         await asyncio.sleep(9.0)
-        quick = [await send_request(host, f"quick-{n}", QUICK_BODY) for n in range(10)]
-        quick_events = await asyncio.gather(*map(read_answer, quick))
+        quick = await read_events(await start(host, "quick", QUICK_BODY, 10))
         await asyncio.sleep(2.0)
-        events = await asyncio.gather(*map(read_answer, slow))
-        return quick_events, events, peak_bytes(gateway.process.pid), gateway.log_path
+        return quick, await read_events(slow), peak_bytes(gateway.process.pid)
     finally:
         await gateway.kill()
         await fleet.close()
@@ -140,10 +97,11 @@
     Their bodies and answers are together 4.6 times the budget of held bytes. Without
     it, the process takes more than the limit.
     """
-    quick, slow, peak, log_path = asyncio.run(run_with_slow_callers(tmp_path))
-    log = [json.loads(line) for line in log_path.read_text().splitlines()]
-    cut = [line for line in log if line["event"] == "caller_cut"]
-    refused = [line for line in log if line["event"] == "caller_refused"]
+    quick, slow, peak = asyncio.run(run_with_slow_callers(tmp_path))
+    log = (tmp_path / "gateway-0.log").read_text().splitlines()
+    lines = [json.loads(line) for line in log]
+    cut = [line for line in lines if line["event"] == "caller_cut"]
+    refused = [line for line in lines if line["event"] == "caller_refused"]
     assert quick == [EVENTS] * 10
     assert peak < MEMORY_LIMIT_BYTES
     assert slow.count(EVENTS) == CALLERS - len(cut) - len(refused)
