--- a/acaciacove/gateway/probe_protocol.py
+++ b/acaciacove/gateway/probe_protocol.py
@@ -26,6 +26,15 @@
         """Answer each path with what ``answer`` returns for it."""
         super().__init__(h11.SERVER, MAX_PROBE_HEADER_BYTES)
         self._answer_path = answer
+        self._is_writable = True
+
+    def pause_writing(self) -> None:
+        """Note that the client does not read its answers."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Note that the client reads again."""
+        self._is_writable = True
 
     def data_received(self, data: bytes) -> None:
         """Answer every complete request."""
@@ -34,6 +43,10 @@
             self._answer_all()
         except h11.ProtocolError:
             self.abort()
+            return
+        # All of it is processed. Counted as unread, the bytes of some hundred probes
+        # on one connection would stop it from being read.
+        self._resume_reading()
 
     def _answer_all(self) -> None:
         path = ""
@@ -44,7 +57,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 # The status of a large fleet has some hundred kilobytes. A client that
                 # sends more requests without reading would fill the memory with it.
-                if not self._writable.is_set():
+                if not self._is_writable:
                     self.abort()
                     return
                 self._answer(self._answer_path(path))
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import Callable, Mapping
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,7 @@
 # The platform's file has no field for these settings. ``acaciacove.`` in a field's name
 # keeps it apart from fields that the platform may add.
 ENVIRONMENT_FIELDS = {"ACACIACOVE_OTHER_ZONE_MS": "acaciacove.otherZoneMs"}
+BYTES_PER_MB = 1_000_000
 
 
 def read_node_file(
@@ -81,6 +83,14 @@
     return float(text) / MS
 
 
+def _megabytes(text: str) -> int:
+    """Return bytes; raises ValueError, also for infinity."""
+    megabytes = float(text)
+    if not isfinite(megabytes):
+        raise ValueError(text)
+    return round(megabytes * BYTES_PER_MB)
+
+
 def _flag(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(text)
@@ -123,6 +133,7 @@
     "overload_control": ("contracts", _has_overload_control),
     "session_life_s": ("bounds.sessionTtlS", float),
     "other_zone_ms": ("acaciacove.otherZoneMs", float),
+    "memory_limit_bytes": ("limits.memoryLimitMb", _megabytes),
 }
 _REQUIRED = frozenset(
     {
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -41,6 +41,8 @@
     another zone, in milliseconds of waiting, apart from about 1 ms of network latency:
     traffic between zones is billed. At 0 all zones cost the same. ``region_of_zone``
     maps each availability zone to its region.
+    ``memory_limit_bytes`` is the memory that the process may use; a quarter of it is
+    the limit of the bytes held for callers and endpoints, and 0 sets no limit.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
     exporters commonly use.
     """
@@ -72,6 +74,7 @@
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
     overload_control: bool = False
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
+    memory_limit_bytes: int = field(default=0, metadata=check(at_least(0)))
 
     @property
     def metrics_address(self) -> str:
