--- a/acaciacove/gateway/endpoint_cost.py
+++ b/acaciacove/gateway/endpoint_cost.py
@@ -25,7 +25,10 @@
         state.endpoint.availability_zone == gateway.settings.availability_zone
     )
     zone = 0.0 if in_local_zone else gateway.choice.other_zone_requests
-    load = state.load.estimate(now_s) + _health_penalty(gateway, state, now_s)
+    requests = state.load.estimate(now_s)
+    # At a slow endpoint the requests before this one take longer, and so does this one.
+    delay = (state.pace.slowness(now_s) - 1.0) * (requests + 1.0)
+    load = requests + delay + _health_penalty(gateway, state, now_s)
     return (load + zone, gateway.random.random())
 
 
@@ -60,11 +63,12 @@
     def cost_s(state: EndpointState) -> float:
         expected_share = choice.home_share if state is preferred else 0.0
         tokens = uncached_tokens(state, prompt, keys, expected_share)
+        slowness = state.pace.slowness(now_s)
         prefill_s = (
-            choice.reading_weight * prefill.predict_s(tokens)
+            choice.reading_weight * prefill.predict_s(tokens) * slowness
             + tokens * displacement_s_per_token
         )
-        load = state.load.estimate(now_s, baseline_load)
+        load = state.load.estimate(now_s, baseline_load) * slowness
         load += _health_penalty(gateway, state, now_s)
         in_local_zone = state.endpoint.availability_zone == local_zone
         zone_ms = 0.0 if in_local_zone else choice.other_zone_ms
--- a/acaciacove/gateway/endpoint_state.py
+++ b/acaciacove/gateway/endpoint_state.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from acaciacove.decisions.endpoint_backlog import EndpointBacklog
+from acaciacove.decisions.endpoint_pace import EndpointPace
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.choice.cold_limiter import ColdLimiter
 from acaciacove.gateway.choice.endpoint_health import EndpointHealth
@@ -22,7 +23,7 @@
 
 @define(eq=False)
 class EndpointState:
-    """Connections, load, backlog, health and probable cache of an endpoint.
+    """Connections, load, backlog, pace, health and probable cache of an endpoint.
 
     ``crashed`` is set once this incarnation is known to have ended without
     deregistering. ``instance_hash`` ranks it where all gateways must prefer the same
@@ -33,6 +34,7 @@
     pool: ConnectionPool
     load: EndpointLoad = field(factory=EndpointLoad)
     backlog: EndpointBacklog = field(factory=EndpointBacklog)
+    pace: EndpointPace = field(factory=EndpointPace)
     health: EndpointHealth = field(factory=EndpointHealth)
     cold_limiter: ColdLimiter = field(factory=ColdLimiter)
     stated_limit: StatedLimit = field(factory=StatedLimit)
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -14,6 +14,7 @@
 from acaciacove.gateway.http.errors import ConnectionLostError, InvalidResponseError
 from acaciacove.gateway.http.forward_hints import ForwardHints
 from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress, kind_cell_name
 from acaciacove.messages.work_sent import WorkSent
@@ -28,8 +29,9 @@
     """One request in progress at an endpoint.
 
     ``uncached_tokens`` is the part of the prompt that the endpoint has to process, and
-    ``backlog_id`` identifies the request in the endpoint's backlog. ``rollout`` is the
-    roll-out that the response is evidence for, and ``evidence_id`` identifies the
+    ``backlog_id`` identifies the request in the endpoint's backlog. ``is_wait_short``
+    is set if the known prompts before it take no longer than its own. ``rollout`` is
+    the roll-out that the response is evidence for, and ``evidence_id`` identifies the
     request there. ``connection`` is None before one is made. ``sent`` is set before the
     first byte is sent: from then on the endpoint may run the request. ``complete`` is
     set when the complete response has been read.
@@ -44,6 +46,7 @@
     sent_at_s: float = 0.0
     uncached_tokens: float = 0.0
     backlog_id: int = 0
+    is_wait_short: bool = True
     predicted_s: float = 0.0
     rollout: RolloutProgress | None = None
     evidence_id: int = 0
@@ -73,14 +76,14 @@
             length = str(len(request.body)).encode()
             headers.append((b"content-length", length))
         self.sent = True
-        self._enqueue(now_s)
+        self.enqueue(now_s)
         self._register_evidence(now_s)
         self.connection.send_request(
             h11.Request(method=request.method, target=request.target, headers=headers),
             request.body,
         )
 
-    def _enqueue(self, now_s: float) -> None:
+    def enqueue(self, now_s: float) -> None:
         """Add the request to the endpoint's backlog and gossip it to the peers."""
         prompt = self.context.request.hints.prompt
         if prompt is None:
@@ -91,19 +94,49 @@
         prefill = gateway.prefill_latency(context.service.name, context.model)
         self.backlog_id = gateway.next_exchange_number()
         work_s = prefill.predict_s(self.uncached_tokens)
-        self.predicted_s = state.backlog.wait_s(now_s, 0.0) + work_s
-        state.backlog.send(self.backlog_id, work_s, now_s)
+        local_s = work_s * state.pace.slowness(now_s)
+        self.predicted_s = state.backlog.wait_s(now_s, 0.0) + local_s
+        self.is_wait_short = state.backlog.drained_at_s - now_s <= local_s
+        state.backlog.send(self.backlog_id, local_s, now_s)
         state.record_cached(keys)
         endpoint = endpoint_id(state.endpoint.instance)
         gateway.gossip_work(WorkSent(endpoint, work_s, keys), now_s)
 
     def record_first_chunk(self, now_s: float) -> None:
-        """Update backlog and prefill latency as the response head arrives."""
+        """Update backlog, prefill latency and pace as the response head arrives."""
         latency_s = self.state.backlog.record_first_chunk(self.backlog_id, now_s)
         if latency_s is not None:
             context = self.context
             prefill = self.gateway.prefill_latency(context.service.name, context.model)
-            prefill.learn(self.uncached_tokens, latency_s)
+            slowness = self.state.pace.slowness(now_s)
+            if self.is_wait_short:
+                expected_s = prefill.predict_s(self.uncached_tokens)
+                self._learn_pace(expected_s, latency_s, now_s)
+            prefill.learn(self.uncached_tokens, latency_s / slowness)
+
+    def record_whole_response(self, now_s: float) -> None:
+        """Learn the pace of a plain endpoint from the time of a whole response."""
+        context, pace = self.context, self.state.pace
+        if context.request.hints.prompt is not None or not pace.is_reported:
+            return
+        took_s = now_s - self.sent_at_s
+        usual = self.gateway.response_time(context.service.name, context.route.name)
+        slowness = pace.slowness(now_s)
+        self._learn_pace(usual.mean_s, took_s, now_s)
+        usual.learn(took_s / slowness)
+
+    def _learn_pace(self, expected_s: float, took_s: float, now_s: float) -> None:
+        """Learn the endpoint's own slowness; log it once it becomes known."""
+        endpoint, pace = self.state.endpoint, self.state.pace
+        if pace.learn(expected_s, took_s, now_s):
+            self.gateway.log.write(
+                Event.ENDPOINT_SLOWNESS_KNOWN,
+                routine=True,
+                endpoint=endpoint.instance,
+                incarnation=endpoint.incarnation,
+                own_slowness=round(pace.own_slowness(now_s), 3),
+                machine_pace=round(pace.machine_pace(now_s), 3),
+            )
 
     def _register_evidence(self, now_s: float) -> None:
         context, endpoint = self.context, self.state.endpoint
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -35,6 +35,7 @@
             f"response from {exchange.state.endpoint.instance} is not streamed"
             f" and exceeds {MAX_BUFFERED_BYTES} bytes"
         )
+    exchange.record_whole_response(now_s)
     record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
     context.first_chunk_s = now_s
     exchange.close()
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -8,6 +8,7 @@
 from acaciacove.decisions.confidence_calibration import ConfidenceCalibration
 from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.prefill_latency import PrefillLatency
+from acaciacove.decisions.response_time import ResponseTime
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
@@ -91,6 +92,7 @@
     prefill_latencies: dict[tuple[str, str | None], PrefillLatency] = field(
         factory=dict
     )
+    response_times: dict[tuple[str, str], ResponseTime] = field(factory=dict)
     delay_costs: dict[str, DelayCost] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
@@ -189,6 +191,10 @@
         """Return the prefill latency of a service's model."""
         return self.prefill_latencies.setdefault((service, model), PrefillLatency())
 
+    def response_time(self, service: str, route: str) -> ResponseTime:
+        """Return the time of a route's responses at a service's plain endpoints."""
+        return self.response_times.setdefault((service, route), ResponseTime())
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -6,6 +6,7 @@
 from acaciacove.decisions.endpoint_backlog import baseline_wait_s
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.gateway_metrics import Gauges
+from acaciacove.gateway.pace_gauges import read_pace_gauges
 
 KIB = 1024
 Labels = tuple[tuple[str, str], ...]
@@ -83,6 +84,7 @@
         ("peak_memory_bytes", "peak resident memory"): {
             (): float(usage.ru_maxrss * KIB)
         },
+        **read_pace_gauges(gateway.states.all(), now_s),
     }
 
 
--- a/acaciacove/gateway/http/response_head.py
+++ b/acaciacove/gateway/http/response_head.py
@@ -2,6 +2,8 @@
 
 from attrs import frozen
 
+from acaciacove.gateway.http.load_report import LoadReport
+
 
 @frozen
 class ResponseHead:
@@ -11,8 +13,8 @@
     ``has_receipt`` is set if the endpoint's receipt is present, which shows that the
     endpoint produced the response. ``not_run`` is set if the endpoint states that it
     has not executed the request. ``confidence`` is the model's self-reported
-    confidence, 0 to 100. ``load`` is (running, waiting, slots). ``idle_timeout_s``
-    is how long the endpoint keeps an idle connection open. ``encoded`` is set if the
+    confidence, 0 to 100. ``idle_timeout_s`` is how long the endpoint keeps an idle
+    connection open. ``encoded`` is set if the
     body has a content coding. ``misdirected`` is set if the request reached another
     endpoint than the intended one. ``rate_limit_per_s`` is the rate that the
     endpoint accepts from all gateways together. ``leaving`` is set if the endpoint
@@ -27,7 +29,7 @@
     has_receipt: bool
     not_run: bool
     confidence: float | None
-    load: tuple[int, int, int] | None
+    load: LoadReport | None
     idle_timeout_s: float | None
     encoded: bool
     misdirected: bool
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -33,6 +33,7 @@
     ENDPOINT_LIMITED = "endpoint_limited"
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_RESTING = "endpoint_resting"
+    ENDPOINT_SLOWNESS_KNOWN = "endpoint_slowness_known"
     HEADER_UNREADABLE = "header_unreadable"
     ENDPOINT_CRASHED = "endpoint_crashed"
     CRASH_UNCERTAIN = "crash_uncertain"
--- a/acaciacove/gateway/peers/work_gossip.py
+++ b/acaciacove/gateway/peers/work_gossip.py
@@ -61,5 +61,7 @@
         state = self.states.find(sent.endpoint)
         if state is None:
             return
-        state.backlog.add_peer_work(sent.work_s, now_s)
+        # Peers report the time at normal speed and pace.
+        local_s = sent.work_s * state.pace.slowness(now_s)
+        state.backlog.add_peer_work(local_s, now_s)
         state.record_cached(sent.parts)
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -5,6 +5,7 @@
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.catalogue.repetition import Repetition
 from acaciacove.gateway.choose_model import choose_next_model, learn_confidence
+from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.forward_response import (
     MAX_BUFFERED_BYTES,
@@ -43,9 +44,7 @@
         head = await exchange.read_head()
     state = exchange.state
     now_s = asyncio.get_running_loop().time()
-    if head.load is not None:
-        running, waiting, _ = head.load
-        state.load.apply_report(running, waiting, now_s)
+    _apply_load(state, head, now_s)
     if not head.misdirected:
         _update_limit(gateway, exchange, head, now_s)
         record_notices(gateway, state.endpoint, head, now_s)
@@ -80,6 +79,15 @@
     return await forward_buffered(gateway, context, exchange, head, front)
 
 
+def _apply_load(state: EndpointState, head: ResponseHead, now_s: float) -> None:
+    """Apply the load that a response reports, whether it succeeded or not."""
+    if head.load is None:
+        return
+    state.load.apply_report(head.load.running, head.load.waiting, now_s)
+    if head.load.pace is not None and not head.misdirected:
+        state.pace.report(head.load.pace, now_s)
+
+
 def _update_limit(
     gateway: Gateway, exchange: Exchange, head: ResponseHead, now_s: float
 ) -> None:
--- a/acaciacove/platform/header_fields.py
+++ b/acaciacove/platform/header_fields.py
@@ -6,6 +6,7 @@
 from acaciacove.gateway.http.caller_hints import CallerHints
 from acaciacove.gateway.http.dialect import Dialect, RawHeaders
 from acaciacove.gateway.http.forward_hints import ForwardHints
+from acaciacove.gateway.http.load_report import LoadReport
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.platform import names
 
@@ -89,7 +90,7 @@
         has_receipt=names.RECEIPT in fields,
         not_run=names.NOT_RUN in fields or status == MISDIRECTED_REQUEST,
         confidence=_number(fields.get(names.CONFIDENCE)),
-        load=_load(fields.get(names.LOAD)),
+        load=_load(fields.get(names.LOAD), unreadable),
         idle_timeout_s=_idle_timeout_s(fields.get(names.KEEP_ALIVE)),
         encoded=names.CONTENT_ENCODING in fields,
         misdirected=status == MISDIRECTED_REQUEST,
@@ -106,6 +107,12 @@
 # A longer rest is more likely a fault of the endpoint than its wish.
 MAX_REST_S = 86_400.0
 MAX_LOGGED_VALUE_CHARS = 40
+# A reported count has at most this many digits. A longer one is a fault, and too many
+# digits cannot be converted to a float.
+MAX_COUNT_DIGITS = 9
+PERCENT = 100.0
+MAX_PACE_PERCENT = 100_000
+LOAD_FIGURES = "running,waiting,slots[,pace in percent]"
 
 
 def _first_values(headers: RawHeaders) -> dict[bytes, str]:
@@ -180,12 +187,29 @@
     return Prompt(parts=parts, input_tokens=input_tokens, max_output_tokens=max_output)
 
 
-def _load(text: str | None) -> tuple[int, int, int] | None:
-    try:
-        running, waiting, slots = (int(word) for word in (text or "").split(","))
-    except ValueError:
+def _load(text: str | None, unreadable: list[str]) -> LoadReport | None:
+    """Return the reported load; adds to ``unreadable`` any other value.
+
+    Figures after the fourth are ignored: later versions of endpoints may add some.
+    """
+    if text is None:
+        return None
+    counts = [_count(word) for word in text.split(",")[:4]]
+    if len(counts) >= 3 and None not in counts:
+        running, waiting, slots, *pace_percent = [c for c in counts if c is not None]
+        has_valid_pace = all(0 < pace <= MAX_PACE_PERCENT for pace in pace_percent)
+        if slots >= 1 and has_valid_pace:
+            pace = pace_percent[0] / PERCENT if pace_percent else None
+            return LoadReport(running, waiting, slots, pace)
+    unreadable.append(_describe(names.LOAD, LOAD_FIGURES, text))
+    return None
+
+
+def _count(word: str) -> int | None:
+    digits = word.strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS):
         return None
-    return running, waiting, slots
+    return int(digits)
 
 
 def _idle_timeout_s(text: str | None) -> float | None:
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -25,6 +25,7 @@
     - ``lost_answers``: number of requests that run and get no answer, since their
       connections are closed
     - ``limit_per_s``: rate limit stated in each answer
+    - ``pace_percent``: pace of the machine that is reported with the load
     - ``crashing_bodies``: requests with such a body crash the endpoint
     - ``confidence``: value by model, sent in the response head
     """
@@ -45,5 +46,6 @@
     early_end: bool = False
     lost_answers: int = 0
     limit_per_s: float | None = None
+    pace_percent: int | None = None
     crashing_bodies: Container[bytes] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -119,6 +119,8 @@
 
     def _fields(self, arrival: EndpointArrival) -> Fields:
         load = f"{self.running},0,{self.report.slots}"
+        if self.behaviour.pace_percent is not None:
+            load += f",{self.behaviour.pace_percent}"
         fields = [
             (names.REQUEST_ID, arrival.request_id.encode()),
             (names.LOAD, load.encode()),
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -16,6 +16,7 @@
 from acaciacove.gateway.catalogue.service_share import ServiceShare
 from acaciacove.gateway.endpoint_report import EndpointReport
 from acaciacove.gateway.http.forward_hints import ForwardHints
+from acaciacove.gateway.http.load_report import LoadReport
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.operator_decision import RolloutSpec, ZoneOut
 from acaciacove.gateway.rollout.rollout_state import RolloutState
@@ -230,7 +231,8 @@
             (b"connection", b"keep-alive"),
         ),
     )
-    assert head.has_receipt and not head.not_run and head.load == (3, 1, 8)
+    assert head.has_receipt and not head.not_run
+    assert head.load == LoadReport(3, 1, 8, None) and head.unreadable == ()
     assert head.confidence == 61 and head.idle_timeout_s == 4
     assert {n for n, _ in head.headers}.isdisjoint({b"keep-alive", b"connection"})
     assert read_response(421, b"", ()).not_run
