--- a/acaciacove/bench/pace_trial.py
+++ b/acaciacove/bench/pace_trial.py
@@ -136,12 +136,14 @@
 
     ``busiest`` is the mean over windows of the busiest endpoint's requests over the
     mean endpoint's; ``turns`` are changes of direction per endpoint and window.
-    ``mean_s`` is the mean time of a request, ``oracle_s`` that with perfect knowledge
-    of queues and paces. ``quiet_s`` is the mean time after the neighbours have left.
+    ``mean_s`` is the mean time of a request, ``quiet_s`` that after the neighbours
+    have left. The oracle's values are those with perfect knowledge of queues and paces.
     """
 
     busiest: float
     turns: float
+    oracle_busiest: float
+    oracle_turns: float
     mean_s: float
     oracle_s: float
     quiet_s: float
@@ -165,9 +167,11 @@
             (m.finish_s(work_s, now_s), n) for n, m in enumerate(oracle)
         )
         oracle[number].free_s = finish_s
+        oracle[number].by_window[int(now_s / WINDOW_S)] += 1
         best.append((now_s, finish_s - now_s))
     return PaceTrial(
         *_spread(machines),
+        *_spread(oracle),
         _mean_s(times, WARM_UP_S),
         _mean_s(best, WARM_UP_S),
         _mean_s(times, QUIET_FROM_S),
--- a/acaciacove/decisions/endpoint_pace.py
+++ b/acaciacove/decisions/endpoint_pace.py
@@ -22,13 +22,9 @@
 # Half-life of what is known of the endpoint's own slowness. Hardware does not change
 # during an incarnation, but a wrong estimate keeps requests away that would correct it.
 OWN_HALF_LIFE_S = 60.0
-# Weight of normal speed against one observation that was not slower than estimated. It
-# does not decay. It keeps the estimates of all endpoints from drifting together, away
-# from the service's expected time that they are relative to.
-NORMAL_WEIGHT = 0.2
-# Queueing makes responses later, never earlier. Slower observations get this weight
-# relative to faster ones, which keeps queueing out of the estimate.
-SLOWER_WEIGHT = 0.1
+# Weight of normal speed, in observations. A single one says little: most of its
+# deviation is queueing and the machine's pace between two reports.
+NORMAL_WEIGHT = 3.0
 # Weight that earlier observations keep with each new one.
 DECAY = 0.98
 # An observation further from the expected time than this factor is a stall or a fault.
@@ -84,10 +80,9 @@
             return False
         factor = took_s / (expected_s * self.machine_pace(now_s))
         observed = log(min(MAX_FACTOR, max(1.0 / MAX_FACTOR, factor)))
-        weight = SLOWER_WEIGHT if observed > self._own_log(now_s) else 1.0
         kept = DECAY * self._own_decay(now_s)
-        self._own_sum = kept * self._own_sum + weight * observed
-        self._own_weight = kept * self._own_weight + weight
+        self._own_sum = kept * self._own_sum + observed
+        self._own_weight = kept * self._own_weight + 1.0
         self._learnt_s = now_s
         was_known = self.is_own_known
         if self._own_weight >= KNOWN_WEIGHT:
--- a/acaciacove/decisions/response_time.py
+++ b/acaciacove/decisions/response_time.py
@@ -1,27 +1,35 @@
-"""Estimates the time of a route's responses at an endpoint of normal speed."""
+"""Estimates the usual time of responses over all endpoints of a service."""
+
+from math import exp, log
 
 from attrs import define
 
-# Weight that older responses keep with each new one.
+# Weight that older responses keep with each new one: the mean covers about fifty.
 DECAY = 0.98
-# Queueing makes responses later, never earlier. Slower responses get this weight
-# relative to faster ones, which keeps queueing out of the estimate.
-SLOWER_WEIGHT = 0.1
 
 
 @define
 class ResponseTime:
-    """Mean time of whole responses over a service's endpoints, in seconds.
+    """Geometric mean of the times of responses, relative to a prediction.
 
-    ``learn`` is given times divided by the endpoint's slowness. The mean is an
-    expectile below the middle, as in the estimate of an endpoint's own slowness.
+    An endpoint's own slowness is relative to this mean. The prefill latency cannot
+    take its place: it is kept below the middle to leave out queueing, while the own
+    slowness is a plain mean, and the two would drift apart without end.
     """
 
-    mean_s: float = 0.0
+    _mean_log: float = 0.0
     _weight: float = 0.0
 
-    def learn(self, normal_s: float) -> None:
-        """Add the time of one response at normal speed and pace."""
-        weight = SLOWER_WEIGHT if normal_s > self.mean_s else 1.0
-        self._weight = DECAY * self._weight + weight
-        self.mean_s += weight * (normal_s - self.mean_s) / self._weight
+    def usual_s(self, predicted_s: float) -> float:
+        """Return the usual time of such a response in seconds, 0 if none is known."""
+        return predicted_s * exp(self._mean_log) if self._weight else 0.0
+
+    def learn(self, predicted_s: float, normal_s: float) -> None:
+        """Add one response: its predicted time, and its time at normal speed and pace.
+
+        Both are in seconds; times that are not positive are ignored.
+        """
+        if predicted_s <= 0.0 or normal_s <= 0.0:
+            return
+        self._weight = DECAY * self._weight + 1.0
+        self._mean_log += (log(normal_s / predicted_s) - self._mean_log) / self._weight
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -110,25 +110,33 @@
             prefill = self.gateway.prefill_latency(context.service.name, context.model)
             slowness = self.state.pace.slowness(now_s)
             if self.is_wait_short:
-                expected_s = prefill.predict_s(self.uncached_tokens)
-                self._learn_pace(expected_s, latency_s, now_s)
+                predicted_s = prefill.predict_s(self.uncached_tokens)
+                self._learn_pace(str(context.model), predicted_s, latency_s, now_s)
             prefill.learn(self.uncached_tokens, latency_s / slowness)
 
     def record_whole_response(self, now_s: float) -> None:
         """Learn the pace of a plain endpoint from the time of a whole response."""
-        context, pace = self.context, self.state.pace
-        if context.request.hints.prompt is not None or not pace.is_reported:
+        context = self.context
+        if context.request.hints.prompt is not None:
             return
-        took_s = now_s - self.sent_at_s
-        usual = self.gateway.response_time(context.service.name, context.route.name)
-        slowness = pace.slowness(now_s)
-        self._learn_pace(usual.mean_s, took_s, now_s)
-        usual.learn(took_s / slowness)
-
-    def _learn_pace(self, expected_s: float, took_s: float, now_s: float) -> None:
-        """Learn the endpoint's own slowness; log it once it becomes known."""
+        # Nothing predicts these responses but the earlier ones of the same route.
+        self._learn_pace(context.route.name, 1.0, now_s - self.sent_at_s, now_s)
+
+    def _learn_pace(
+        self, kind: str, predicted_s: float, took_s: float, now_s: float
+    ) -> None:
+        """Learn the endpoint's own slowness against the usual time of such responses.
+
+        ``kind`` is the model or route. A line is logged once the slowness is known.
+        """
         endpoint, pace = self.state.endpoint, self.state.pace
-        if pace.learn(expected_s, took_s, now_s):
+        if not pace.is_reported:
+            return
+        usual = self.gateway.response_time(self.context.service.name, kind)
+        normal_s = took_s / pace.slowness(now_s)
+        is_new = pace.learn(usual.usual_s(predicted_s), took_s, now_s)
+        usual.learn(predicted_s, normal_s)
+        if is_new:
             self.gateway.log.write(
                 Event.ENDPOINT_SLOWNESS_KNOWN,
                 routine=True,
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -191,9 +191,9 @@
         """Return the prefill latency of a service's model."""
         return self.prefill_latencies.setdefault((service, model), PrefillLatency())
 
-    def response_time(self, service: str, route: str) -> ResponseTime:
-        """Return the time of a route's responses at a service's plain endpoints."""
-        return self.response_times.setdefault((service, route), ResponseTime())
+    def response_time(self, service: str, kind: str) -> ResponseTime:
+        """Return the usual time of a service's responses for a model or route."""
+        return self.response_times.setdefault((service, kind), ResponseTime())
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
