--- a/acaciacove/bench/pace_trial.py
+++ b/acaciacove/bench/pace_trial.py
@@ -4,7 +4,7 @@
 0.6, 1 and 1.6 times the normal speed on machines with noisy neighbours. There is no
 network; gateways choose, and learn from responses, by the code that serves requests.
 
-Use: ``python -m acaciacove.bench.pace_trial [SEED]``.
+Use: ``python -m acaciacove.bench.pace_trial FIRST_SEED LAST_SEED``.
 """
 
 from collections import Counter
@@ -305,24 +305,25 @@
 
 
 def main() -> None:
-    """Print a row for each number of gateways and way to estimate the pace."""
-    seed = int(argv[1]) if len(argv) > 1 else 1
+    """Print the means over seeds for each number of gateways and kind of estimate."""
+    seeds = range(int(argv[1]), int(argv[2]) + 1)
     table = Table("requests", "gateways", "pace")
-    for name in ("busiest", "turns", "mean s", "oracle s", "quiet s"):
-        table.add_column(name, justify="right")
+    for column in ("busiest", "oracle", "turns", "oracle", "mean / oracle", "quiet s"):
+        table.add_column(column, justify="right")
     for with_prompts in (True, False):
         for gateways in GATEWAY_COUNTS:
             for make_pace in (EndpointPace, UnusedPace, AgelessPace, LatestPace):
-                trial = play(gateways, seed, make_pace, with_prompts)
+                trials = [play(gateways, s, make_pace, with_prompts) for s in seeds]
                 table.add_row(
                     "prompts" if with_prompts else "plain",
                     str(gateways),
                     make_pace.__name__,
-                    f"{trial.busiest:.2f}",
-                    f"{trial.turns:.3f}",
-                    f"{trial.mean_s:.3f}",
-                    f"{trial.oracle_s:.3f}",
-                    f"{trial.quiet_s:.3f}",
+                    f"{fmean(trial.busiest for trial in trials):.2f}",
+                    f"{fmean(trial.oracle_busiest for trial in trials):.2f}",
+                    f"{fmean(trial.turns for trial in trials):.3f}",
+                    f"{fmean(trial.oracle_turns for trial in trials):.3f}",
+                    f"{fmean(t.mean_s / t.oracle_s for t in trials):.2f}",
+                    f"{fmean(trial.quiet_s for trial in trials):.3f}",
                 )
     Console().print(table)
 
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -22,6 +22,7 @@
     LOG_REGAINED = "log_regained"
     LOG_FAR_BEHIND = "log_far_behind"
     LOG_SOURCE = "log_source"
+    READER_ASKED_AGAIN = "reader_asked_again"
     READER_PUT_OFF = "reader_put_off"
     RECORD_UNREADABLE = "record_unreadable"
     DECISION_KNOWN = "decision_known"
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.relay.relay_intervals import RelayIntervals
@@ -22,11 +24,13 @@
         port: int,
         clock_s: Callable[[], float],
         intervals: Callable[[], RelayIntervals],
+        log: EventLog,
     ) -> None:
         """Start without a connection; ``clock_s`` keeps running during a suspend."""
         self.address = (host, port)
         self._clock_s = clock_s
         self._intervals = intervals
+        self._log = log
         self._connection: Connection | None = None
         # Bytes of the last reply, also of one that did not arrive completely.
         self.received_bytes = 0
@@ -42,9 +46,17 @@
         is_reused = self._connection is not None
         try:
             return await self._request_once(stream, offset, wait_s, transfer_s)
-        except ConnectionError:
+        except ConnectionError as error:
             if not is_reused:
                 raise
+            self._log.write(
+                Event.READER_ASKED_AGAIN,
+                routine=True,
+                peer="{}:{}".format(*self.address),
+                stream=stream,
+                offset=offset,
+                detail=str(error),
+            )
         # The other gateway has restarted since the last request. That it closed the
         # connection then does not mean that it cannot be reached now.
         return await self._request_once(stream, offset, wait_s, transfer_s)
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -198,7 +198,7 @@
         if link is None or link.address != address:
             if link is not None:
                 link.close()
-            link = ReaderLink(*address, self.clock_s, self.relay_intervals)
+            link = ReaderLink(*address, self.clock_s, self.relay_intervals, self.log)
             self._links[(name, stream)] = link
         return link
 
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -47,10 +47,13 @@
     drawn = filter_by_version(gateway, context, allowed, now_s)
     if not gateway.states.notices:
         return drawn
-    willing = [e for e in drawn if gateway.states.is_willing(e, now_s)]
+    unwilling = {e.key for e in allowed if not gateway.states.is_willing(e, now_s)}
+    if not unwilling:
+        return drawn
+    willing = [e for e in drawn if e.key not in unwilling]
     if willing or _is_on_version(gateway, context, now_s):
         return willing
-    others = [e for e in allowed if gateway.states.is_willing(e, now_s)]
+    others = [e for e in allowed if e.key not in unwilling]
     return filter_by_version(gateway, context, others, now_s)
 
 
--- a/tests/test_gateway_late_changes.py
+++ b/tests/test_gateway_late_changes.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from acaciacove.gateway.catalogue.repetition import Repetition
+from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
@@ -154,7 +155,11 @@
         server = await asyncio.start_server(answer, GATEWAY_HOST, PEER_PORT)
         loop = asyncio.get_running_loop()
         link = ReaderLink(
-            GATEWAY_HOST, PEER_PORT, loop.time, lambda: relay_intervals(2.0, 2.0)
+            GATEWAY_HOST,
+            PEER_PORT,
+            loop.time,
+            lambda: relay_intervals(2.0, 2.0),
+            EventLog("gateway-0", descriptor=None),
         )
         try:
             page = await link.request_records("operator", 7, 0.2, transfer_s)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from acaciacove.errors import PlatformUnavailableError
+from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_page import LogPage
 from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_record import LogRecord
@@ -372,7 +373,11 @@
         await asyncio.sleep(2.0)
         reader = fleet.gateways[reader_of(fleet)]
         link = ReaderLink(
-            reader.settings.host, PEER_PORT, fleet.boot_time_s, lambda: INTERVALS
+            reader.settings.host,
+            PEER_PORT,
+            fleet.boot_time_s,
+            lambda: INTERVALS,
+            reader.log,
         )
         offset = reader.gateway.view.operator_revision + 1
         requested_boot_s = fleet.boot_time_s()
@@ -406,11 +411,13 @@
     async def scenario():
         server = await asyncio.start_server(answer, GATEWAY_HOST, PEER_PORT)
         loop = asyncio.get_running_loop()
-        link = ReaderLink(GATEWAY_HOST, PEER_PORT, loop.time, lambda: INTERVALS)
+        log = EventLog("gateway-0", descriptor=None)
+        link = ReaderLink(GATEWAY_HOST, PEER_PORT, loop.time, lambda: INTERVALS, log)
         for _ in range(3):
             page = await link.request_records("operator", 1, 0.1, 0.5)
             assert page is not None
             await asyncio.sleep(0.1)
+        assert [line["event"] for line in log.lines] == ["reader_asked_again"] * 2
         server.close()
         with pytest.raises(OSError):
             await link.request_records("operator", 1, 0.1, 0.5)
