--- a/acaciacove/bench/pace_trial.py
+++ b/acaciacove/bench/pace_trial.py
@@ -325,7 +325,7 @@
                     f"{fmean(t.mean_s / t.oracle_s for t in trials):.2f}",
                     f"{fmean(trial.quiet_s for trial in trials):.3f}",
                 )
-    Console().print(table)
+    Console(soft_wrap=True).print(table)
 
 
 if __name__ == "__main__":
--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -7,9 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciacove.bench.gateway_decision_cost import a_gateway, a_work
 from acaciacove.bench.pace_trial import AgelessPace, UnusedPace, play
 from acaciacove.decisions.endpoint_pace import MAX_REPORT_AGE_S, EndpointPace
+from acaciacove.gateway.exchange import Exchange
 from acaciacove.gateway.http.load_report import LoadReport
+from acaciacove.gateway.peers.work_gossip import WorkGossip
 from acaciacove.platform.header_fields import read_response
 from tests.gateway_world import call, draft, lines, run_fleet
 
@@ -97,6 +100,32 @@
     run_fleet(scenario)
 
 
+def test_work_takes_longer_at_a_slow_endpoint():
+    """Guards against work that is counted at normal speed at a slow machine, and
+    against a prefill latency or gossip that carries one machine's pace to others.
+    """
+    gateway, peer = a_gateway(1), a_gateway(1)
+    (endpoint,) = gateway.view.endpoints.values()
+    state, at_peer = gateway.states.of(endpoint), peer.states.of(endpoint)
+    for pace in (state.pace, at_peer.pace):
+        for _ in range(20):
+            pace.report(3.0, 5.0)
+    slowness = state.pace.slowness(5.0)
+    sent = []
+    gateway.gossip_work = lambda work, now_s: sent.append(work)
+    exchange = Exchange(gateway, a_work(gateway, 1), state)
+    prefill = gateway.prefill_latency("model", "small")
+    normal_s = prefill.predict_s(7200.0)
+    exchange.enqueue(5.0)
+    assert sent[0].work_s == normal_s
+    WorkGossip(tuple, None, peer.states, peer.log).apply(sent[0], 5.0)
+    for backlog in (state.backlog, at_peer.backlog):
+        assert backlog.drained_at_s == pytest.approx(5.0 + slowness * normal_s)
+    later_s = 5.0 + state.pace.slowness(5.0 + slowness * normal_s) * normal_s
+    exchange.record_first_chunk(later_s)
+    assert prefill.predict_s(7200.0) == pytest.approx(normal_s, rel=0.05)
+
+
 # How far the mean time has to be below that without the estimate, or without ageing.
 BETTER = 0.95
 # Gateways herd if requests are more uneven, or turn more often, than with an oracle.
