--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -10,6 +10,7 @@
 from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.prefill_latency import PrefillLatency
 from acaciacove.decisions.queue_delay import QueueDelay
+from acaciacove.decisions.response_time import ResponseTime
 from acaciacove.decisions.stream_time import StreamTime
 from acaciacove.decisions.usual_target import UsualTarget
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
@@ -100,6 +101,7 @@
     prefill_latencies: dict[tuple[str, str | None], PrefillLatency] = field(
         factory=dict
     )
+    response_times: dict[tuple[str, str], ResponseTime] = field(factory=dict)
     delay_costs: dict[str, DelayCost] = field(factory=dict)
     queue_delays: dict[str, QueueDelay] = field(factory=dict)
     stream_times: dict[str, StreamTime] = field(factory=dict)
@@ -214,6 +216,10 @@
         """Return the prefill latency of a service's model."""
         return self.prefill_latencies.setdefault((service, model), PrefillLatency())
 
+    def response_time(self, service: str, kind: str) -> ResponseTime:
+        """Return the usual time of a service's responses for a model or route."""
+        return self.response_times.setdefault((service, kind), ResponseTime())
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
--- a/acaciacove/gateway/gateway_status.py
+++ b/acaciacove/gateway/gateway_status.py
@@ -115,6 +115,7 @@
     state = gateway.states.of(endpoint)
     load = state.load
     has_report = load.running is not None
+    pace = state.pace if state.pace.is_reported else None
     return EndpointStatus(
         instance=endpoint.instance,
         zone=endpoint.availability_zone,
@@ -126,6 +127,8 @@
         running=load.running,
         waiting=load.waiting,
         report_age_s=round(now_s - load.reported_s, DIGITS) if has_report else None,
+        pace=round(pace.machine_pace(now_s), DIGITS) if pace else None,
+        slowness=round(pace.slowness(now_s), DIGITS) if pace else None,
     )
 
 
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -28,6 +28,7 @@
       connections are closed
     - ``limit_per_s``: rate limit stated in each answer
     - ``other_running``, ``waiting``: requests of others that are reported with the load
+    - ``pace_percent``: pace of the machine that is reported with the load
     - ``crashing_bodies``: requests with such a body crash the endpoint
     - ``confidence``: value by model, sent in the response head
     """
@@ -52,5 +53,6 @@
     limit_per_s: float | None = None
     other_running: int = 0
     waiting: int = 0
+    pace_percent: int | None = None
     crashing_bodies: Container[bytes] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -120,6 +120,8 @@
     def _fields(self, arrival: EndpointArrival) -> Fields:
         running = self.running + self.behaviour.other_running
         load = f"{running},{self.behaviour.waiting},{self.report.slots}"
+        if self.behaviour.pace_percent is not None:
+            load += f",{self.behaviour.pace_percent}"
         fields = [
             (names.REQUEST_ID, arrival.request_id.encode()),
             (names.LOAD, load.encode()),
