--- /dev/null
+++ b/acaciacove/decisions/admission_level.py
@@ -0,0 +1,176 @@
+"""Decides which requests are refused while a service is overloaded.
+
+Answers bursts of long prompts, the surge of one organisation, callers that retry at
+once or leave, and the loss of endpoints. The level follows the queueing time, as in
+"Overload Control for Scaling WeChat Microservices" (DAGOR, 2018), by a proportional and
+an integral part, as in PIE (RFC 8033).
+"""
+
+from collections.abc import Sequence
+from math import ceil, exp, log
+
+from attrs import define, field
+
+from acaciacove.decisions.admission_request import AdmissionRequest
+from acaciacove.decisions.minimum_share import MinimumShare
+from acaciacove.decisions.refused_requests import RefusedRequests
+from acaciacove.decisions.token_shares import TokenShares
+
+ADJUST_EVERY_S = 0.1
+# The limit of waits, as a share of the tightest latency target in use. The rest is for
+# the request's own prompt and for what the waits vary by.
+WAIT_SHARE = 0.5
+# The part of the arriving work that is admitted is exp(-pressure). Each second of wait
+# beyond the limit adds this to the pressure, at once and for each second that it lasts.
+PROPORTIONAL_PER_S = 3.0
+INTEGRAL_PER_S2 = 2.0
+# Fall of the integral part per second where nothing waits. Under a limit of a few
+# hundredths of a second, the gain above alone would take minutes.
+MIN_FALL_PER_S = 0.5
+# The minimum shares admit more than this in any case.
+MIN_ADMITTED_SHARE = 0.02
+MAX_INTEGRAL = -log(MIN_ADMITTED_SHARE)
+# Time constant within which the order of the arriving work is known.
+ARRIVALS_S = 1.0
+MIN_BUCKET_TOKENS = 1e-3
+# Without observations for this long, for example after the process was frozen, all
+# requests are admitted.
+MAX_GAP_S = 3.0
+# Within one priority, requests are ordered by the remaining share of their route's time
+# in this many steps.
+TIME_STEPS = 10
+LEVELS = 10
+
+# Priority, whether the organisation is above its fair share, step of remaining time.
+Rank = tuple[int, bool, int]
+
+
+@define
+class AdmissionLevel:
+    """The admission of one service's requests by one gateway.
+
+    ``admitted_share`` is the part of the arriving work that is admitted, in the order
+    of admission. ``wait_s`` and ``limit_s`` are those of the last adjustment. Tokens
+    are shared among organisations by ``shares``.
+    """
+
+    admitted_share: float = 1.0
+    wait_s: float = 0.0
+    limit_s: float = 0.0
+    shares: TokenShares = field(factory=TokenShares)
+    refused: RefusedRequests = field(factory=RefusedRequests)
+    organisations: MinimumShare = field(factory=MinimumShare)
+    routes: MinimumShare = field(factory=MinimumShare)
+    _integral: float = 0.0
+    _adjusted_at_s: float = float("-inf")
+    _arrivals: dict[Rank, float] = field(factory=dict)
+    _cut: Rank | None = None
+    _cut_share: float = 1.0
+    _cut_credit: float = 0.0
+
+    @property
+    def level(self) -> int:
+        """The tenths of the arriving work that are refused, rounded up; 0 is none."""
+        return ceil(LEVELS * (1.0 - self.admitted_share))
+
+    def level_at(self, now_s: float) -> int:
+        """Return the level, 0 if it has not been adjusted for ``MAX_GAP_S``."""
+        return self.level if now_s - self._adjusted_at_s <= MAX_GAP_S else 0
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether the level is to be adjusted."""
+        return now_s - self._adjusted_at_s >= ADJUST_EVERY_S
+
+    def adjust(
+        self, wait_s: float | None, targets_s: Sequence[float], now_s: float
+    ) -> None:
+        """Adjust the level to the observed wait, None where there is none.
+
+        ``targets_s`` are the latency targets of the routes in use.
+        """
+        elapsed_s = now_s - self._adjusted_at_s
+        self._adjusted_at_s = now_s
+        self.wait_s = wait_s or 0.0
+        self.limit_s = WAIT_SHARE * min(targets_s, default=0.0)
+        if wait_s is None or not targets_s or elapsed_s > MAX_GAP_S:
+            self._integral = pressure = 0.0
+        else:
+            excess_s = wait_s - self.limit_s
+            rise_per_s = INTEGRAL_PER_S2 * excess_s
+            if excess_s < 0.0:
+                rise_per_s = min(rise_per_s, MIN_FALL_PER_S * excess_s / self.limit_s)
+            integral = self._integral + elapsed_s * rise_per_s
+            self._integral = max(0.0, min(MAX_INTEGRAL, integral))
+            pressure = self._integral + PROPORTIONAL_PER_S * max(0.0, excess_s)
+        self.admitted_share = max(MIN_ADMITTED_SHARE, exp(-pressure))
+        self.shares.update(now_s)
+        self.refused.remove_due(now_s)
+        self._fade_arrivals(elapsed_s)
+        self._place_cut()
+
+    def admits(self, request: AdmissionRequest, now_s: float) -> bool:
+        """Decide on a request; the order of calls is that of the arrivals.
+
+        A request that is repeated before its caller was to return meets the same level
+        and nothing else. A returning one counts for the order of admission, but earns
+        no minimum share: it did when it was new.
+        """
+        rank = self._rank(request)
+        by_level, is_due = False, False
+        if self.refused.is_early(request.key, now_s):
+            by_level = self._cut is None or rank < self._cut
+        else:
+            self.shares.offer(request.organisation, request.tokens)
+            self._arrivals[rank] = self._arrivals.get(rank, 0.0) + request.tokens
+            by_level = self._is_within_level(rank)
+            is_due = self._is_due(request)
+        if by_level or is_due:
+            self.shares.admit(request.organisation, request.tokens)
+            self.organisations.record_admitted(request.organisation, by_level)
+            self.routes.record_admitted(request.route, by_level)
+        return by_level or is_due
+
+    def _is_due(self, request: AdmissionRequest) -> bool:
+        """Return whether a minimum share requires that the request is admitted."""
+        if not self.refused.is_known(request.key):
+            self.organisations.count(request.organisation)
+            self.routes.count(request.route)
+        return self.organisations.is_due(request.organisation) or self.routes.is_due(
+            request.route
+        )
+
+    def _rank(self, request: AdmissionRequest) -> Rank:
+        share = request.remaining_s / request.time_s if request.time_s > 0.0 else 0.0
+        step = max(0, min(TIME_STEPS, ceil(TIME_STEPS * share)))
+        return (request.priority, self.shares.is_above(request.organisation), step)
+
+    def _is_within_level(self, rank: Rank) -> bool:
+        if self._cut is None or rank < self._cut:
+            return True
+        if rank > self._cut:
+            return False
+        self._cut_credit += self._cut_share
+        if self._cut_credit < 1.0:
+            return False
+        self._cut_credit -= 1.0
+        return True
+
+    def _fade_arrivals(self, elapsed_s: float) -> None:
+        decay = exp(-elapsed_s / ARRIVALS_S)
+        self._arrivals = {
+            rank: tokens * decay
+            for rank, tokens in self._arrivals.items()
+            if tokens * decay >= MIN_BUCKET_TOKENS
+        }
+
+    def _place_cut(self) -> None:
+        """Find the rank up to which the admitted share of the arrivals is used."""
+        self._cut = None
+        if self.admitted_share >= 1.0:
+            return
+        left = self.admitted_share * sum(self._arrivals.values())
+        for rank, tokens in sorted(self._arrivals.items()):
+            if tokens > left:
+                self._cut, self._cut_share = rank, left / tokens
+                return
+            left -= tokens
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -14,6 +14,7 @@
 from acaciacove.gateway.http.errors import ConnectionLostError, InvalidResponseError
 from acaciacove.gateway.http.forward_hints import ForwardHints
 from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.overload_waits import record_end, record_head, record_sent
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.gateway.rollout.rollout_progress import RolloutProgress, kind_cell_name
 from acaciacove.messages.work_sent import WorkSent
@@ -28,7 +29,8 @@
     """One request in progress at an endpoint.
 
     ``uncached_tokens`` is the part of the prompt that the endpoint has to process, and
-    ``backlog_id`` identifies the request in the endpoint's backlog. ``rollout`` is the
+    ``backlog_id`` identifies the request in the endpoint's backlog, ``wait_id`` among
+    those whose waits are observed. ``rollout`` is the
     roll-out that the response is evidence for, and ``evidence_id`` identifies the
     request there. ``connection`` is None before one is made. ``sent`` is set before the
     first byte is sent: from then on the endpoint may run the request. ``complete`` is
@@ -44,6 +46,7 @@
     sent_at_s: float = 0.0
     uncached_tokens: float = 0.0
     backlog_id: int = 0
+    wait_id: int = 0
     predicted_s: float = 0.0
     rollout: RolloutProgress | None = None
     evidence_id: int = 0
@@ -74,6 +77,7 @@
             headers.append((b"content-length", length))
         self.sent = True
         self._enqueue(now_s)
+        self.wait_id = record_sent(self.gateway, context, self.uncached_tokens, now_s)
         self._register_evidence(now_s)
         self.connection.send_request(
             h11.Request(method=request.method, target=request.target, headers=headers),
@@ -99,6 +103,8 @@
 
     def record_first_chunk(self, now_s: float) -> None:
         """Update backlog and prefill latency as the response head arrives."""
+        took_s = now_s - self.sent_at_s
+        record_head(self.gateway, self.context, self.wait_id, took_s, now_s)
         latency_s = self.state.backlog.record_first_chunk(self.backlog_id, now_s)
         if latency_s is not None:
             context = self.context
@@ -183,6 +189,7 @@
         """Release the connection, or close it if the response is not complete."""
         now_s = asyncio.get_running_loop().time()
         self.state.backlog.discard(self.backlog_id, now_s)
+        record_end(self.gateway, self.context, self.wait_id, now_s)
         if self.rollout is not None:
             self.rollout.abandon(self.evidence_id, now_s)
         if self.connection is not None:
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -18,6 +18,7 @@
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.overload_state import OverloadState
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.quarantine.crash_detector import CrashDetector
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
@@ -92,6 +93,7 @@
         factory=dict
     )
     delay_costs: dict[str, DelayCost] = field(factory=dict)
+    overloads: dict[str, OverloadState] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
     members_loaded: bool = False
@@ -174,6 +176,10 @@
         """Return the cost of additional waiting for requests of a service."""
         return self.delay_costs.setdefault(service, DelayCost())
 
+    def overload(self, service: str) -> OverloadState:
+        """Return what overload control knows of a service."""
+        return self.overloads.setdefault(service, OverloadState())
+
     def record_sent(self, service: str, now_s: float) -> None:
         """Count one request that is sent to an endpoint of a service."""
         self.send_counts.setdefault(
--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -53,6 +53,10 @@
         ("usual_wait_seconds", "wait before prompts are read at endpoints"): {
             (): baseline_wait_s((s.backlog for s in gateway.states.all()), now_s)
         },
+        ("admission_level", "tenths of the arriving work that are refused"): {
+            (("service", name),): float(state.level.level_at(now_s))
+            for name, state in gateway.overloads.items()
+        },
         ("rollout", "1 for the phase of a roll-out under way"): {
             (("service", name), ("phase", progress.phase.value)): 1.0
             for name, progress in gateway.rollouts.items()
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -15,6 +15,7 @@
     REQUEST = "request"
     ATTEMPT = "attempt"
     CALLER_REFUSED = "caller_refused"
+    ADMISSION_LEVEL = "admission_level"
     MODEL_WITHOUT_PRICE = "model_without_price"
     CONFIDENCE_UNREADABLE = "confidence_unreadable"
     LOG_LOST = "log_lost"
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -16,6 +16,11 @@
         ("kind", "ending"),
     )
     REFUSALS = ("refusals_total", "refusals before any attempt, by reason", ("reason",))
+    OVERLOAD_REFUSALS = (
+        "overload_refusals_total",
+        "requests refused by overload control, by cause",
+        ("cause",),
+    )
     ATTEMPTS = ("attempts_total", "attempts at endpoints by outcome", ("outcome",))
     CASCADE = (
         "cascade_answers_total",
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -9,6 +9,7 @@
 from acaciacove.gateway.catalogue.service import Service
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.overload_refusal import OverloadRefusal
 from acaciacove.gateway.quarantine.request_fingerprint import request_fingerprint
 from acaciacove.gateway.response_summary import ResponseSummary
 
@@ -26,7 +27,7 @@
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
     attempts as instance and version, and ``responses`` the response heads. ``on_trial``
     is set for a request that is suspected of crashing endpoints; only this gateway may
-    try it.
+    try it. ``overload_refusal`` is set for one that overload control refused.
     """
 
     request: CallerRequest
@@ -50,6 +51,7 @@
     confidences: dict[str, float] = field(factory=dict)
     trail: list[str] = field(factory=list)
     responses: list[ResponseSummary] = field(factory=list)
+    overload_refusal: OverloadRefusal | None = None
 
     @cached_property
     def fingerprint(self) -> int:
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -13,6 +13,7 @@
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.overload_control import refuse_overloaded
 from acaciacove.gateway.quarantine.request_fingerprint import format_fingerprint
 from acaciacove.gateway.refuse import NOT_RUN_STATUSES, refuse
 from acaciacove.gateway.request_context import RequestContext
@@ -81,9 +82,12 @@
     gateway: Gateway, context: RequestContext, front: FrontConnection
 ) -> Failure:
     """Try one endpoint after another; return None once the response is delivered."""
+    now_s = asyncio.get_running_loop().time()
+    overload = refuse_overloaded(gateway, context, now_s)
+    if overload is not None:
+        return overload
     sizes = context.route.model_sizes
     if sizes and context.model is None:
-        now_s = asyncio.get_running_loop().time()
         context.model = choose_first_model(gateway, context, now_s)
     while True:
         now_s = asyncio.get_running_loop().time()
@@ -287,6 +291,20 @@
     return format_fingerprint(context.fingerprint)
 
 
+def _overload_fields(context: RequestContext) -> dict[str, object]:
+    """Return the fields that explain a refusal by overload control, if it was one."""
+    refusal = context.overload_refusal
+    if refusal is None:
+        return {}
+    return {
+        "reason": Reason.OVERLOADED.value,
+        "cause": refusal.cause.value,
+        "level": refusal.level,
+        "wait_s": refusal.wait_s,
+        "wait_age_s": refusal.wait_age_s,
+    }
+
+
 def _log_request(gateway: Gateway, context: RequestContext, status: int | str) -> None:
     now_s = asyncio.get_running_loop().time()
     request = context.request
@@ -317,5 +335,6 @@
         first_piece_s=round(first_s - request.arrived_s, 4) if first_s else None,
         total_s=round(total_s, 4),
         time_s=round(context.deadline_s - request.arrived_s, 3),
+        **_overload_fields(context),
         revision=gateway.view.operator_revision,
     )
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -8,6 +8,8 @@
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
+# The contract of a platform under load, which calls for overload control.
+PRESSURE_CONTRACT = "pressure"
 
 
 def read_node_file(path: Path) -> GatewaySettings:
@@ -68,6 +70,10 @@
     return text == "true"
 
 
+def _has_pressure(text: str) -> bool:
+    return PRESSURE_CONTRACT in (word.strip() for word in text.split(","))
+
+
 def _first_port(text: str) -> int:
     return int(text.split(",")[0])
 
@@ -95,6 +101,7 @@
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
+    "overload_control": ("contracts", _has_pressure),
 }
 _REQUIRED = frozenset(
     {
--- a/acaciacove/platform/node_file_writer.py
+++ b/acaciacove/platform/node_file_writer.py
@@ -1,6 +1,6 @@
 """Writes settings files in the platform's format, for stand-ins and tests."""
 
-from acaciacove.platform.node_file import FIELDS
+from acaciacove.platform.node_file import FIELDS, PRESSURE_CONTRACT
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
@@ -20,6 +20,8 @@
 
 
 def _format_value(source: str, value: object) -> str:
+    if source == "contracts":
+        return PRESSURE_CONTRACT if value else ""
     if isinstance(value, bool):
         return str(value).lower()
     if source.endswith(MS_SUFFIX):
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -39,7 +39,8 @@
     it is charged for, in the unit of the catalogue's prices. A model's price is
     weighed against it. ``region_of_zone`` maps each availability zone to its region.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
-    exporters commonly use.
+    exporters commonly use. With ``overload_control``, requests are refused while waits
+    exceed what the routes in use need.
     """
 
     name: str = field(metadata=check(is_name))
@@ -67,6 +68,7 @@
     drain_s: float = field(default=2.0, metadata=check(is_positive))
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
+    overload_control: bool = False
 
     @property
     def metrics_address(self) -> str:
--- /dev/null
+++ b/tests/test_gateway_overload.py
@@ -0,0 +1,99 @@
+"""Overload control in a gateway, on a virtual clock."""
+
+import asyncio
+
+import pytest
+
+from acaciacove.platform.node_file import decode_node_file
+from acaciacove.reason import Reason
+from tests.gateway_world import call, draft, lines, model_fields, run_fleet, runs_of
+from tests.test_platform_records import SETTINGS
+
+PATHS = {"look": "/look/{}", "draft": "/draft/{}"}
+
+
+async def send(fleet, kind, name, count, per_s=40):
+    """Send requests at a steady rate; return the responses."""
+    fields = model_fields() if kind == "draft" else ()
+    tasks = []
+    for number in range(count):
+        path, request_id = PATHS[kind].format(f"{name}{number}"), f"{name}-{number}"
+        tasks.append(asyncio.create_task(call(path, request_id, fields=fields)))
+        await asyncio.sleep(1.0 / per_s)
+    return [await task for task in tasks]
+
+
+def slow_down(fleet, work_s):
+    for server in fleet.endpoints.values():
+        server.behaviour.work_s = work_s
+
+
+@pytest.mark.parametrize("kind", ["look", "draft"])
+def test_refused_request_was_not_sent_and_may_return(kind):
+    """Guards against untrue refusals, and against Retry-After that is too long."""
+
+    async def scenario(fleet):
+        await send(fleet, kind, "calm", 40)
+        slow_down(fleet, 1.0)
+        responses = await send(fleet, kind, "late", 120)
+        refused = {f"late-{n}": r for n, r in enumerate(responses) if r.status == 503}
+        assert len(refused) > 20
+        logged = {line["request_id"]: line for line in lines(fleet, "request")}
+        for request_id, response in refused.items():
+            assert b'"not_run":true' in response.body
+            assert not [a for a in fleet.arrivals if a.request_id == request_id]
+            assert 0.0 < float(response.headers["retry-after"]) <= 5.0 / 3.0
+            line = logged[request_id]
+            assert line["reason"] == Reason.OVERLOADED and line["level"] > 0
+            assert line["wait_s"] > 0.25 / 2 and line["wait_age_s"] < 3.0
+        levels = [line["level"] for line in lines(fleet, "admission_level")]
+        assert levels[0] > 0
+        slow_down(fleet, 0.02)
+        await asyncio.sleep(
+            max(float(r.headers["retry-after"]) for r in refused.values())
+        )
+        assert {r.status for r in await send(fleet, kind, "back", 40)} == {200}
+
+    run_fleet(scenario, overload_control=True)
+
+
+@pytest.mark.parametrize("work_s, enabled", [(0.1, True), (1.0, False)])
+def test_requests_are_not_refused(work_s, enabled):
+    """Guards against refusals below the limit of waits, and without the setting."""
+
+    async def scenario(fleet):
+        for kind in PATHS:
+            await send(fleet, kind, f"{kind}-calm", 40)
+        slow_down(fleet, work_s)
+        for kind in PATHS:
+            responses = await send(fleet, kind, f"{kind}-later", 80)
+            assert 503 not in {response.status for response in responses}
+        assert not lines(fleet, "admission_level")
+
+    run_fleet(scenario, overload_control=enabled)
+
+
+def test_retry_of_an_admitted_request_is_not_refused():
+    """Guards against refusals, as "not run", of requests that may have run."""
+
+    async def scenario(fleet):
+        fleet.endpoints["model-0"].behaviour.lost_answers = 1
+        gateway = fleet.gateways["gateway-0"].gateway
+        pending = asyncio.create_task(draft("d-1"))
+        await asyncio.sleep(0.005)
+        level = gateway.overload("model").level
+        level.adjust(9.0, [0.5], asyncio.get_running_loop().time())
+        assert level.level == 10
+        assert (await pending).status == 200
+        assert len(runs_of(fleet, "d-1")) == 2
+
+    run_fleet(scenario, overload_control=True)
+
+
+@pytest.mark.parametrize(
+    "line, enabled",
+    [("", False), ("contracts=other", False), ("contracts=other, pressure", True)],
+)
+def test_platform_switches_overload_control_on(line, enabled):
+    """Guards against gateways of other platforms that begin to refuse requests."""
+    assert decode_node_file(f"{SETTINGS}\n{line}\n").overload_control is enabled
