--- a/acaciacove/decisions/admission_level.py
+++ b/acaciacove/decisions/admission_level.py
@@ -15,6 +15,7 @@
 from acaciacove.decisions.minimum_share import MinimumShare
 from acaciacove.decisions.refused_requests import RefusedRequests
 from acaciacove.decisions.token_shares import TokenShares
+from acaciacove.decisions.usual_rate import UsualRate
 
 ADJUST_EVERY_S = 0.1
 # The limit of waits, as a share of the tightest latency target in use. The rest is for
@@ -22,13 +23,16 @@
 WAIT_SHARE = 0.5
 # The part of the arriving work that is admitted is exp(-pressure). Each second of wait
 # beyond the limit adds this to the pressure, at once and for each second that it lasts.
-PROPORTIONAL_PER_S = 3.0
-INTEGRAL_PER_S2 = 2.0
+PROPORTIONAL_PER_S = 6.0
+INTEGRAL_PER_S2 = 4.0
 # Fall of the integral part per second where nothing waits. Under a limit of a few
 # hundredths of a second, the gain above alone would take minutes.
-MIN_FALL_PER_S = 0.5
+MIN_FALL_PER_S = 1.0
 # The minimum shares admit more than this in any case.
 MIN_ADMITTED_SHARE = 0.02
+# The integral part exceeds what reduces the arriving work to that admitted lately by at
+# most this. Without the bound, requests are refused for seconds after a short surge.
+INTEGRAL_MARGIN = 0.5
 MAX_INTEGRAL = -log(MIN_ADMITTED_SHARE)
 # Time constant within which the order of the arriving work is known.
 ARRIVALS_S = 1.0
@@ -40,6 +44,8 @@
 # in this many steps.
 TIME_STEPS = 10
 LEVELS = 10
+# The least part of the capacity that is assumed to be free for callers that return.
+MIN_FREE_SHARE = 0.1
 
 # Priority, whether the organisation is above its fair share, step of remaining time.
 Rank = tuple[int, bool, int]
@@ -61,6 +67,7 @@
     refused: RefusedRequests = field(factory=RefusedRequests)
     organisations: MinimumShare = field(factory=MinimumShare)
     routes: MinimumShare = field(factory=MinimumShare)
+    usual_rate: UsualRate = field(factory=UsualRate)
     _integral: float = 0.0
     _adjusted_at_s: float = float("-inf")
     _arrivals: dict[Rank, float] = field(factory=dict)
@@ -73,6 +80,13 @@
         """The tenths of the arriving work that are refused, rounded up; 0 is none."""
         return ceil(LEVELS * (1.0 - self.admitted_share))
 
+    @property
+    def free_per_s(self) -> float:
+        """Tokens per second that new requests usually leave free, under overload."""
+        capacity_per_s = self.shares.admitted_per_s
+        usual_per_s = self.usual_rate.tokens_per_s
+        return max(capacity_per_s - usual_per_s, MIN_FREE_SHARE * capacity_per_s)
+
     def level_at(self, now_s: float) -> int:
         """Return the level, 0 if it has not been adjusted for ``MAX_GAP_S``."""
         return self.level if now_s - self._adjusted_at_s <= MAX_GAP_S else 0
@@ -100,14 +114,23 @@
             if excess_s < 0.0:
                 rise_per_s = min(rise_per_s, MIN_FALL_PER_S * excess_s / self.limit_s)
             integral = self._integral + elapsed_s * rise_per_s
-            self._integral = max(0.0, min(MAX_INTEGRAL, integral))
+            self._integral = max(0.0, min(self._max_integral(), integral))
             pressure = self._integral + PROPORTIONAL_PER_S * max(0.0, excess_s)
         self.admitted_share = max(MIN_ADMITTED_SHARE, exp(-pressure))
         self.shares.update(now_s)
         self.refused.remove_due(now_s)
+        self.usual_rate.fade(elapsed_s)
         self._fade_arrivals(elapsed_s)
         self._place_cut()
 
+    def _max_integral(self) -> float:
+        """Return the integral part beyond which work is refused for no reason."""
+        offered_per_s = sum(self._arrivals.values()) / ARRIVALS_S
+        admitted_per_s = self.shares.admitted_per_s
+        if offered_per_s <= admitted_per_s or admitted_per_s <= 0.0:
+            return INTEGRAL_MARGIN
+        return min(MAX_INTEGRAL, log(offered_per_s / admitted_per_s) + INTEGRAL_MARGIN)
+
     def admits(self, request: AdmissionRequest, now_s: float) -> bool:
         """Decide on a request; the order of calls is that of the arrivals.
 
@@ -133,6 +156,7 @@
     def _is_due(self, request: AdmissionRequest) -> bool:
         """Return whether a minimum share requires that the request is admitted."""
         if not self.refused.is_known(request.key):
+            self.usual_rate.add(request.tokens)
             self.organisations.count(request.organisation)
             self.routes.count(request.route)
         return self.organisations.is_due(request.organisation) or self.routes.is_due(
--- a/acaciacove/gateway/overload_control.py
+++ b/acaciacove/gateway/overload_control.py
@@ -138,7 +138,7 @@
 ) -> float:
     level = state.level
     drain_s = drain_time_s(
-        level.wait_s, level.refused.returning_tokens, level.shares.admitted_per_s
+        level.wait_s, level.refused.returning_tokens, level.free_per_s
     )
     jitter = gateway.random.random()
     after_s = retry_after_s(drain_s, request.remaining_s, jitter)
