--- a/acaciacove/decisions/admission_level.py
+++ b/acaciacove/decisions/admission_level.py
@@ -25,9 +25,11 @@
 # beyond the limit adds this to the pressure, at once and for each second that it lasts.
 PROPORTIONAL_PER_S = 6.0
 INTEGRAL_PER_S2 = 4.0
-# Fall of the integral part per second where nothing waits. Under a limit of a few
-# hundredths of a second, the gain above alone would take minutes.
-MIN_FALL_PER_S = 1.0
+# Fall of the integral part per second where nothing waits, which ends refusals within a
+# second. Near the limit it falls by the gain above: falling faster there makes the waits
+# oscillate.
+IDLE_FALL_PER_S = 4.0
+IDLE_FALL_EXPONENT = 3.0
 # The minimum shares admit more than this in any case.
 MIN_ADMITTED_SHARE = 0.02
 # The integral part exceeds what reduces the arriving work to that admitted lately by at
@@ -112,7 +114,9 @@
             excess_s = wait_s - self.limit_s
             rise_per_s = INTEGRAL_PER_S2 * excess_s
             if excess_s < 0.0:
-                rise_per_s = min(rise_per_s, MIN_FALL_PER_S * excess_s / self.limit_s)
+                unused_share = -excess_s / self.limit_s
+                fall_per_s = IDLE_FALL_PER_S * unused_share**IDLE_FALL_EXPONENT
+                rise_per_s = min(rise_per_s, -fall_per_s)
             integral = self._integral + elapsed_s * rise_per_s
             self._integral = max(0.0, min(self._max_integral(), integral))
             pressure = self._integral + PROPORTIONAL_PER_S * max(0.0, excess_s)
