--- a/tests/overload_queue.py
+++ b/tests/overload_queue.py
@@ -41,8 +41,8 @@
     return result
 
 
-def play(load, decide=None, retries=0, patience_s=END_S, halved_at_s=END_S):
-    """Play a load; ``decide(request, backlog_s)`` replaces the admission level.
+def play(load, retries=0, patience_s=END_S, halved_at_s=END_S):
+    """Play a load with an admission level.
 
     The result counts tokens and requests. Its ``heads`` are (time, route, latency),
     infinite for a caller that left, and its ``refused`` (Retry-After, time left).
@@ -52,7 +52,7 @@
     random, ids = Random(1), count()
     level, waits = AdmissionLevel(), HeadWaits()
     events = [(at_s, next(ids), at_s, 0, request) for at_s, request in load]
-    queue, backlog, now_s = [], 0.0, 0.0
+    queue, now_s = [], 0.0
     while (now_s := now_s + STEP_S) < END_S:
         rate = TOKENS_PER_S * (0.5 if now_s >= halved_at_s else 1.0)
         if level.is_due(now_s):
@@ -64,12 +64,10 @@
             run.returned[int(now_s)] += request.tokens if tries > retries else 0.0
             names = (request.organisation, request.route)
             run.sent.update(names if not tries else ())
-            admits = level.admits(request, now_s)
-            if decide(request, backlog / rate) if decide else admits:
+            if level.admits(request, now_s):
                 run.admitted.update(names)
                 waits.send(request.key, request.tokens / rate, now_s)
                 queue.append([request.tokens, now_s, request])
-                backlog += request.tokens
                 continue
             returning = level.refused.returning_tokens
             drain_s = drain_time_s(level.wait_s, returning, level.free_per_s)
@@ -82,13 +80,12 @@
                 heappush(events, (again_s, next(ids), first_s, tries + 1, request))
         for item in [item for item in queue if now_s - item[1] > patience_s]:
             queue.remove(item)
-            backlog -= item[0]
             waits.discard(item[2].key, now_s)
             run.heads.append((now_s, item[2].route, inf))
         work = rate * STEP_S
         while queue and work > 0.0:
             done = min(work, queue[0][0])
-            work, backlog, queue[0][0] = work - done, backlog - done, queue[0][0] - done
+            work, queue[0][0] = work - done, queue[0][0] - done
             if queue[0][0] <= 0.0:
                 _, sent_s, request = queue.pop(0)
                 waits.record_head(request.key, now_s)
--- a/tests/test_decisions_overload.py
+++ b/tests/test_decisions_overload.py
@@ -28,8 +28,7 @@
 @pytest.mark.parametrize("name", LOADS)
 def test_urgent_requests_are_admitted_and_served_within_their_target(name, seed):
     """Guards against queues that make urgent requests late, and refusals of them."""
-    arriving, conditions = LOADS[name]
-    run = play(arrivals(seed=seed, **arriving), **conditions)
+    run = play(arrivals(seed=seed, **LOADS[name][0]), **LOADS[name][1])
     latencies_s = [s for at_s, route, s in run.heads if route == "urgent" and at_s > 4]
     in_time = sum(s <= ROUTES["urgent"][1] for s in latencies_s)
     assert in_time >= 0.85 * len(latencies_s)
