--- a/acaciacove/decisions/admission_level.py
+++ b/acaciacove/decisions/admission_level.py
@@ -12,7 +12,7 @@
 from attrs import define, field
 
 from acaciacove.decisions.admission_request import AdmissionRequest
-from acaciacove.decisions.minimum_share import MinimumShare
+from acaciacove.decisions.minimum_share import KEY_SHARE, MinimumShare, key_position
 from acaciacove.decisions.refused_requests import RefusedRequests
 from acaciacove.decisions.token_shares import TokenShares
 from acaciacove.decisions.usual_rate import UsualRate
@@ -20,7 +20,7 @@
 ADJUST_EVERY_S = 0.1
 # The limit of waits, as a share of the tightest latency target in use. The rest is for
 # the request's own prompt and for what the waits vary by.
-WAIT_SHARE = 0.5
+WAIT_SHARE = 1.0 / 3.0
 # The part of the arriving work that is admitted is exp(-pressure). Each second of wait
 # beyond the limit adds this to the pressure, at once and for each second that it lasts.
 PROPORTIONAL_PER_S = 6.0
@@ -36,8 +36,10 @@
 # most this. Without the bound, requests are refused for seconds after a short surge.
 INTEGRAL_MARGIN = 0.5
 MAX_INTEGRAL = -log(MIN_ADMITTED_SHARE)
-# Time constant within which the order of the arriving work is known.
-ARRIVALS_S = 1.0
+# Time constant within which the order of the arriving work is known. With 1 s, six
+# gateways that shared a service's requests let urgent ones wait longer: each of them
+# knew too few arrivals.
+ARRIVALS_S = 2.5
 MIN_BUCKET_TOKENS = 1e-3
 # Without observations for this long, for example after the process was frozen, all
 # requests are admitted.
@@ -67,15 +69,13 @@
     limit_s: float = 0.0
     shares: TokenShares = field(factory=TokenShares)
     refused: RefusedRequests = field(factory=RefusedRequests)
-    organisations: MinimumShare = field(factory=MinimumShare)
-    routes: MinimumShare = field(factory=MinimumShare)
+    minimum_share: MinimumShare = field(factory=MinimumShare)
     usual_rate: UsualRate = field(factory=UsualRate)
     _integral: float = 0.0
     _adjusted_at_s: float = float("-inf")
     _arrivals: dict[Rank, float] = field(factory=dict)
     _cut: Rank | None = None
     _cut_share: float = 1.0
-    _cut_credit: float = 0.0
 
     @property
     def level(self) -> int:
@@ -138,50 +138,37 @@
     def admits(self, request: AdmissionRequest, now_s: float) -> bool:
         """Decide on a request; the order of calls is that of the arrivals.
 
-        A request that is repeated before its caller was to return meets the same level
-        and nothing else. A returning one counts for the order of admission, but earns
-        no minimum share: it did when it was new.
+        The decision follows from the level and the request's rank and key. A request
+        that is repeated at once therefore meets the same decision, here and at any
+        other gateway. It does not count for the order of the arriving work.
         """
-        rank = self._rank(request)
-        by_level, is_due = False, False
-        if self.refused.is_early(request.key, now_s):
-            by_level = self._cut is None or rank < self._cut
-        else:
+        rank, position = self._rank(request), key_position(request.key)
+        names = (f"organisation {request.organisation}", f"route {request.route}")
+        if not self.refused.is_early(request.key, now_s):
             self.shares.offer(request.organisation, request.tokens)
             self._arrivals[rank] = self._arrivals.get(rank, 0.0) + request.tokens
-            by_level = self._is_within_level(rank)
-            is_due = self._is_due(request)
-        if by_level or is_due:
-            self.shares.admit(request.organisation, request.tokens)
-            self.organisations.record_admitted(request.organisation, by_level)
-            self.routes.record_admitted(request.route, by_level)
-        return by_level or is_due
-
-    def _is_due(self, request: AdmissionRequest) -> bool:
-        """Return whether a minimum share requires that the request is admitted."""
         if not self.refused.is_known(request.key):
             self.usual_rate.add(request.tokens)
-            self.organisations.count(request.organisation)
-            self.routes.count(request.route)
-        return self.organisations.is_due(request.organisation) or self.routes.is_due(
-            request.route
+        is_admitted = (
+            position < KEY_SHARE
+            or self._is_within_level(rank, position)
+            or any(map(self.minimum_share.is_due, names))
         )
+        if is_admitted:
+            self.shares.admit(request.organisation, request.tokens)
+        for name in names:
+            self.minimum_share.record(name, is_admitted)
+        return is_admitted
 
     def _rank(self, request: AdmissionRequest) -> Rank:
         share = request.remaining_s / request.time_s if request.time_s > 0.0 else 0.0
         step = max(0, min(TIME_STEPS, ceil(TIME_STEPS * share)))
         return (request.priority, self.shares.is_above(request.organisation), step)
 
-    def _is_within_level(self, rank: Rank) -> bool:
+    def _is_within_level(self, rank: Rank, position: float) -> bool:
         if self._cut is None or rank < self._cut:
             return True
-        if rank > self._cut:
-            return False
-        self._cut_credit += self._cut_share
-        if self._cut_credit < 1.0:
-            return False
-        self._cut_credit -= 1.0
-        return True
+        return rank == self._cut and position < self._cut_share
 
     def _fade_arrivals(self, elapsed_s: float) -> None:
         decay = exp(-elapsed_s / ARRIVALS_S)
--- a/acaciacove/decisions/minimum_share.py
+++ b/acaciacove/decisions/minimum_share.py
@@ -4,42 +4,44 @@
 
 from attrs import define, field
 
-# The share of a name's requests that is admitted.
-SHARE = 0.1
-# Bounds of a name's credit, in requests. A name is due from the upper one; the lower
-# one limits for how long it pays for an admission that another name was due.
-DUE_CREDIT = 1.0
-MIN_CREDIT = -1.0
-# Credits start and are compared with this tolerance: ten tenths are less than 1.
-ROUNDING = 1e-9
-# Organisations and routes whose credits are kept; those unseen for longest go first.
+# The share of requests that is admitted whatever the level, chosen by their keys.
+KEY_SHARE = 0.1
+# Of this many consecutive requests of a name, one is admitted whatever its key. It is
+# four times the number that the share gives: callers that retry at once send a refused
+# request four times, and their attempts must not earn more than the requests do.
+MAX_REFUSED = 40
+# Organisations and routes that are counted; those unseen for longest go first.
 MAX_NAMES = 4_096
+# Fractional part of the golden ratio in units of 2**-64. Multiples of it are spread
+# evenly, so consecutive keys are too, and one key over consecutive periods.
+KEY_STEP = 0x9E3779B97F4A7C15
+KEYS = 1 << 64
+
+
+def key_position(key: int) -> float:
+    """Return a position from 0 to 1 that is the same for a key in all gateways."""
+    return key * KEY_STEP % KEYS / KEYS
 
 
 @define
 class MinimumShare:
-    """Credits of names, each earning a tenth of a request per request, not randomly.
+    """Consecutive refusals of organisations and routes.
 
-    An admission costs one credit. One that the level allows takes at most what has been
-    earned; one that was due to another name may be paid later. Each request has two
-    names, its organisation and its route, and counts for both in this way.
+    Which requests are admitted follows from their keys, so that a repeated request
+    gets the same answer from every gateway.
     """
 
-    _credits: OrderedDict[str, float] = field(factory=OrderedDict)
-
-    def count(self, name: str) -> None:
-        """Count a request of a name."""
-        credit = min(DUE_CREDIT, self._credits.pop(name, 0.0) + SHARE)
-        self._credits[name] = credit
-        while len(self._credits) > MAX_NAMES:
-            self._credits.popitem(last=False)
+    _refused: OrderedDict[str, int] = field(factory=OrderedDict)
 
     def is_due(self, name: str) -> bool:
-        """Return whether a request of a name must be admitted."""
-        return self._credits.get(name, 0.0) >= DUE_CREDIT - ROUNDING
-
-    def record_admitted(self, name: str, by_level: bool) -> None:
-        """Charge an admission to a name."""
-        credit = self._credits.get(name, 0.0)
-        floor = min(credit, 0.0) if by_level else MIN_CREDIT
-        self._credits[name] = max(floor, credit - 1.0)
+        """Return whether the next request of a name must be admitted."""
+        return self._refused.get(name, 0) >= MAX_REFUSED - 1
+
+    def record(self, name: str, admitted: bool) -> None:
+        """Record the decision on a request of a name."""
+        refused = self._refused.pop(name, 0)
+        if admitted:
+            return
+        self._refused[name] = refused + 1
+        while len(self._refused) > MAX_NAMES:
+            self._refused.popitem(last=False)
--- a/acaciacove/gateway/overload_control.py
+++ b/acaciacove/gateway/overload_control.py
@@ -1,6 +1,7 @@
 """Overload control: refuses requests that a service has no capacity for."""
 
 from statistics import median
+from time import time
 
 from acaciacove.decisions.admission_request import AdmissionRequest
 from acaciacove.decisions.endpoint_backlog import baseline_wait_s
@@ -19,6 +20,9 @@
 
 # The work of a request without a prompt.
 PLAIN_TOKENS = 1.0
+# Equal requests get equal decisions at all gateways for this long. Without an end, some
+# would be refused throughout an overload; it is far longer than clocks differ.
+KEY_PERIOD_S = 30.0
 DETAILS = {
     RefusalCause.LEVEL: "the service is overloaded",
     RefusalCause.DEADLINE: "no endpoint can respond before the deadline",
@@ -55,7 +59,7 @@
 def _admission_request(context: RequestContext, now_s: float) -> AdmissionRequest:
     prompt = context.request.hints.prompt
     return AdmissionRequest(
-        key=context.fingerprint,
+        key=context.fingerprint + int(time() / KEY_PERIOD_S),
         priority=context.priority,
         organisation=context.organisation.name if context.organisation else "",
         route=context.route.name,
