--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -24,6 +24,7 @@
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.http.held_bytes import HeldBytes
 from acaciacove.gateway.log_stream import LogStream
+from acaciacove.gateway.overload_state import OverloadState
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.gateway.quarantine.crash_detector import CrashDetector
 from acaciacove.gateway.quarantine.request_guard import RequestGuard
@@ -106,6 +107,7 @@
     queue_delays: dict[str, QueueDelay] = field(factory=dict)
     stream_times: dict[str, StreamTime] = field(factory=dict)
     usual_targets: dict[str, UsualTarget] = field(factory=dict)
+    overloads: dict[str, OverloadState] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
     members_loaded: bool = False
@@ -201,6 +203,10 @@
         """Return the usual latency target of a service's requests."""
         return self.usual_targets.setdefault(service, UsualTarget())
 
+    def overload(self, service: str) -> OverloadState:
+        """Return what overload control knows of a service."""
+        return self.overloads.setdefault(service, OverloadState())
+
     def record_sent(self, service: str, now_s: float) -> None:
         """Count one request that is sent to an endpoint of a service."""
         self.send_counts.setdefault(
--- a/acaciacove/gateway/gateway_status.py
+++ b/acaciacove/gateway/gateway_status.py
@@ -106,6 +106,7 @@
         refusals=gateway.traffic.refusals(name),
         endpoints=tuple(reports),
         wait_s=min(waits_s, default=None),
+        admission_level=_admission_level(gateway, name, now_s),
     )
 
 
@@ -132,5 +133,12 @@
     )
 
 
+def _admission_level(gateway: Gateway, service: str, now_s: float) -> int | None:
+    """Return the level of a service, None where overload control is off."""
+    if not gateway.settings.overload_control:
+        return None
+    return gateway.overload(service).level.level_at(now_s)
+
+
 def _finite(value: float) -> float | None:
     return round(value, DIGITS) if math.isfinite(value) else None
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -16,6 +16,7 @@
     ATTEMPT = "attempt"
     CALLER_REFUSED = "caller_refused"
     CALLER_CUT = "caller_cut"
+    ADMISSION_LEVEL = "admission_level"
     MODEL_WITHOUT_PRICE = "model_without_price"
     ESCALATION_POSTPONED = "escalation_postponed"
     CONFIDENCE_UNREADABLE = "confidence_unreadable"
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -21,6 +21,11 @@
         "callers that read nothing and were disconnected for lack of memory",
         (),
     )
+    OVERLOAD_REFUSALS = (
+        "overload_refusals_total",
+        "requests refused by overload control, by cause",
+        ("cause",),
+    )
     ATTEMPTS = ("attempts_total", "attempts at endpoints by outcome", ("outcome",))
     CASCADE = (
         "cascade_answers_total",
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -14,6 +14,8 @@
 # keeps it apart from fields that the platform may add.
 ENVIRONMENT_FIELDS = {"ACACIACOVE_OTHER_ZONE_MS": "acaciacove.otherZoneMs"}
 BYTES_PER_MB = 1_000_000
+# The contract of a platform under load, which calls for overload control.
+PRESSURE_CONTRACT = "pressure"
 
 
 def read_node_file(
@@ -97,17 +99,14 @@
     return text == "true"
 
 
-def _has_overload_control(text: str) -> bool:
-    return OVERLOAD_WORD in text.split(",")
+def _has_pressure(text: str) -> bool:
+    return PRESSURE_CONTRACT in (word.strip() for word in text.split(","))
 
 
 def _first_port(text: str) -> int:
     return int(text.split(",")[0])
 
 
-# The word among the contracts that calls for overload control.
-OVERLOAD_WORD = "pressure"
-
 FIELDS: dict[str, tuple[str, Callable[[str], Any]]] = {
     "name": ("nodeName", str),
     "availability_zone": ("zone", str),
@@ -130,10 +129,10 @@
     "propagation_s": ("bounds.configPropagationMs", _seconds),
     "drain_s": ("bounds.drainTimeoutMs", _seconds),
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
-    "overload_control": ("contracts", _has_overload_control),
     "session_life_s": ("bounds.sessionTtlS", float),
     "other_zone_ms": ("acaciacove.otherZoneMs", float),
     "memory_limit_bytes": ("limits.memoryLimitMb", _megabytes),
+    "overload_control": ("contracts", _has_pressure),
 }
 _REQUIRED = frozenset(
     {
--- a/acaciacove/platform/node_file_writer.py
+++ b/acaciacove/platform/node_file_writer.py
@@ -1,6 +1,10 @@
 """Writes settings files in the platform's format, for stand-ins and tests."""
 
-from acaciacove.platform.node_file import BYTES_PER_MB, FIELDS
+from acaciacove.platform.node_file import (
+    BYTES_PER_MB,
+    FIELDS,
+    PRESSURE_CONTRACT,
+)
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 MS = 1000.0
@@ -22,6 +26,8 @@
 
 
 def _format_value(name: str, source: str, value: object) -> str:
+    if source == "contracts":
+        return PRESSURE_CONTRACT if value else ""
     if isinstance(value, bool):
         return str(value).lower()
     if source.endswith(MS_SUFFIX) and name.endswith(SECONDS_SUFFIX):
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -44,7 +44,8 @@
     ``memory_limit_bytes`` is the memory that the process may use; a quarter of it is
     the limit of the bytes held for callers and endpoints, and 0 sets no limit.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
-    exporters commonly use.
+    exporters commonly use. With ``overload_control``, requests are refused while waits
+    exceed what the routes in use need.
     """
 
     name: str = field(metadata=check(is_name))
