--- a/acaciacove/decisions/stream_time.py
+++ b/acaciacove/decisions/stream_time.py
@@ -32,6 +32,8 @@
 
     def record_interval(self, interval_s: float, now_s: float) -> None:
         """Record the time between two events of any stream in progress."""
+        if now_s - self._updated_s >= MAX_AGE_S:
+            self.interval_s = self.quiet_interval_s
         self.interval_s += INTERVAL_WEIGHT * (interval_s - self.interval_s)
         faster = interval_s < self.quiet_interval_s
         weight = FASTER_WEIGHT if faster else SLOWER_WEIGHT
--- a/acaciacove/decisions/usual_target.py
+++ b/acaciacove/decisions/usual_target.py
@@ -1,4 +1,7 @@
-"""Usual latency target of the requests that wait behind a new one."""
+"""Usual latency target of the requests that wait behind a new one.
+
+Answers a burst of long prompts with patient callers, which delays urgent requests.
+"""
 
 from attrs import define
 
@@ -17,7 +20,9 @@
     _inverse: float = 0.0
 
     def learn(self, target_s: float) -> None:
-        """Add a request."""
+        """Add a request; one without a latency target does not count."""
+        if target_s <= 0.0:
+            return
         inverse = 1.0 / target_s
         if not self._inverse:
             self._inverse = inverse
--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -89,7 +89,8 @@
         latency,
         may_escalate_twice=context.sent_count + 2 <= context.route.max_attempts,
     )
-    if chosen is None or latency.delayed_per_s > MAX_EXPLORATION_DELAYED_PER_S:
+    delayed_per_s = _delayed_per_s(gateway, context, queues, now_s)
+    if chosen is None or delayed_per_s > MAX_EXPLORATION_DELAYED_PER_S:
         return chosen
     return _explore(gateway, calibration, model, larger) or chosen
 
@@ -149,22 +150,29 @@
     return sqrt(setting * VALUE_PER_MAX_PRICE * max_price)
 
 
+def _delayed_per_s(
+    gateway: Gateway, context: RequestContext, queues: QueueWaits, now_s: float
+) -> float:
+    """Return the requests that wait at an endpoint, by Little's law."""
+    sent_per_s = gateway.sent_per_s(context.service.name, now_s) * gateway.gateway_count
+    return sent_per_s / max(1, queues.endpoints) * queues.mean_s
+
+
 def _latency_context(
     gateway: Gateway, context: RequestContext, queues: QueueWaits, now_s: float
 ) -> LatencyContext:
-    sent_per_s = gateway.sent_per_s(context.service.name, now_s) * gateway.gateway_count
     arrived_s = context.request.arrived_s
     latency = LatencyContext(
         elapsed_s=now_s - arrived_s,
         target_s=context.route.latency_target_s,
-        delayed_per_s=sent_per_s / max(1, queues.endpoints) * queues.mean_s,
+        delayed_per_s=_delayed_per_s(gateway, context, queues, now_s),
         delay_weight=gateway.delay_cost(context.service.name).weight,
     )
     if not gateway.settings.overload_control:
         return latency
     return evolve(
         latency,
-        delayed_per_s=max(latency.delayed_per_s, queues.mean_delayed),
+        delayed_per_s=max(latency.delayed_per_s, queues.mean_delayed_requests),
         deadline_s=context.deadline_s - arrived_s,
         delayed_target_s=gateway.usual_target(context.service.name).target_s,
     )
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -24,7 +24,7 @@
 # Responses to earlier requests that are skipped on one connection before it is
 # abandoned.
 MAX_SKIPPED_RESPONSES = 3
-# A load report at least this fresh tells the queue that a new request finds.
+# The queue that a new request finds is known from a load report of the last 0.6 s.
 RECENT_FRESHNESS = 0.8
 
 
@@ -129,9 +129,9 @@
         if latency_s is not None:
             context = self.context
             if self.waiting_at_send is not None:
-                wait_s = latency_s - self.work_s
+                wait_s = took_s - self.work_s
                 self.gateway.queue_delay(context.service.name).learn(
-                    self.waiting_at_send, wait_s
+                    self.waiting_at_send, wait_s / self.state.pace.slowness(now_s)
                 )
             prefill = self.gateway.prefill_latency(context.service.name, context.model)
             slowness = self.state.pace.slowness(now_s)
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -19,6 +19,8 @@
 MAX_BUFFERED_BYTES = 65_536
 # Timeout between two events of a stream that may be resumed.
 EVENT_TIMEOUT_S = 2.5
+# A write that takes longer waits for the caller.
+MAX_WRITE_S = 0.005
 
 
 async def forward_buffered(
@@ -60,6 +62,8 @@
     it can be retried at another endpoint without the caller seeing it.
     """
     splitter = EventSplitter()
+    loop = asyncio.get_running_loop()
+    resumed = context.last_event_id is not None
     events_count = 0
     previous_s: float | None = None
     streams = gateway.stream_time(context.service.name)
@@ -78,22 +82,27 @@
             context.first_chunk_s = now_s
             waited_s = now_s - context.request.arrived_s
             target_s = context.route.latency_target_s
+            # The time for which an escalation was postponed is no delay of an endpoint.
+            waited_s -= context.postponed_s
             gateway.delay_cost(context.service.name).learn(waited_s, target_s)
-            record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
+            took_s = now_s - exchange.sent_at_s - context.postponed_s
+            record_result(gateway, exchange, False, took_s)
             _count_model_size(gateway, context)
             _start_stream(front, head)
             context.events_delivered = True
-        event_s = asyncio.get_running_loop().time()
+        event_s = loop.time()
         events_count += 1
-        if previous_s is not None:
+        if previous_s is not None and not context.postponed_s:
             streams.record_interval(event_s - previous_s, event_s)
-        previous_s = event_s
         await front.write(events)
+        # After a wait for the caller, the next event has been here for some time.
+        previous_s = event_s if loop.time() - event_s < MAX_WRITE_S else None
         context.last_event_id = splitter.last_id or context.last_event_id
     if not context.events_delivered:
         _start_stream(front, head)
         context.events_delivered = True
-    streams.record_length(context.route.name, events_count)
+    if not resumed:
+        streams.record_length(context.route.name, events_count)
     if splitter.rest:
         await front.write(splitter.rest)
     front.finish_response()
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -79,7 +79,7 @@
     set once their list has been read. ``tails`` hold the records that are relayed to
     them. ``gossip_work`` sends them an update on a prompt that has just been sent,
     ``gossip_limit`` one on a limit that an endpoint states. The process serves since
-    ``started_s``.
+    ``started_s``. The last postponed escalation was sent at ``last_release_s``.
 
     This gateway has read the outcomes of roll-outs up to ``outcomes_offset``, the last
     new ones at ``outcomes_changed_s``. Some other gateway has read them up to
@@ -119,6 +119,7 @@
     gossip_limit: GossipLimit = no_limit_gossip
     shutting_down: bool = False
     started_s: float = float("-inf")
+    last_release_s: float = float("-inf")
     _last_exchange_number: int = 0
     _peers: frozenset[str] = frozenset()
     _peers_source: dict[str, Peer] | None = None
@@ -226,6 +227,10 @@
         """Return the usual time of a service's responses for a model or route."""
         return self.response_times.setdefault((service, kind), ResponseTime())
 
+    def has_retry_budget(self, service: str, now_s: float) -> bool:
+        """Return whether one more retry or escalation may be sent for a service."""
+        return self.budget(service).remaining(now_s, self.gateway_count) >= 1.0
+
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
--- a/acaciacove/gateway/http/connection.py
+++ b/acaciacove/gateway/http/connection.py
@@ -46,6 +46,11 @@
             or self.transport.is_closing()
         )
 
+    @property
+    def is_reading_paused(self) -> bool:
+        """Return whether bytes of the other side are left in the kernel."""
+        return self._reading_paused
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and disable Nagle's algorithm."""
         assert isinstance(transport, asyncio.Transport)
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -65,7 +65,7 @@
         return await _read_failure(gateway, context, exchange, head)
     confidence = learn_confidence(gateway, context, state, head)
     if confidence is not None and may_escalate:
-        context.next_model = await choose_escalation(gateway, context, confidence)
+        context.next_model = await choose_escalation(gateway, exchange, confidence)
     if context.next_model is not None:
         record_result(gateway, exchange, False, now_s - exchange.sent_at_s)
         gateway.metrics.count(Metric.CASCADE, size_label(context), "no")
@@ -88,7 +88,8 @@
     state.load.apply_report(head.load.running, head.load.waiting, now_s)
     if gateway.settings.overload_control and not head.misdirected:
         s_per_waiting = gateway.queue_delay(context.service.name).s_per_waiting
-        state.backlog.report_wait(head.load.waiting * s_per_waiting, now_s)
+        wait_s = head.load.waiting * s_per_waiting * state.pace.slowness(now_s)
+        state.backlog.report_wait(wait_s, now_s)
     if head.load.pace is not None and not head.misdirected:
         state.pace.report(head.load.pace, now_s)
 
--- a/acaciacove/gateway/queue_waits.py
+++ b/acaciacove/gateway/queue_waits.py
@@ -17,14 +17,16 @@
 class QueueWaits:
     """Waits of a service's endpoints: the mean and the minimum.
 
-    ``mean_delayed`` is the mean number of requests at an endpoint that more work there
-    delays, by the endpoints' recent reports.
+    ``mean_delayed_requests`` is the mean number of requests at an endpoint that more
+    work there delays: by recent reports, and those sent from here since. Without any
+    recent report, ``has_reports`` is false.
     """
 
     endpoints: int
     mean_s: float
     min_s: float
-    mean_delayed: float = 0.0
+    mean_delayed_requests: float = 0.0
+    has_reports: bool = False
 
 
 def queue_waits(gateway: Gateway, service: str, now_s: float) -> QueueWaits:
@@ -47,11 +49,12 @@
         len(endpoints),
         sum(waits_s) / len(waits_s),
         min(waits_s),
-        _mean_delayed(states, now_s),
+        _mean_delayed_requests(states, now_s),
+        any(state.load.freshness(now_s) > 0.0 for state in states),
     )
 
 
-def _mean_delayed(states: list[EndpointState], now_s: float) -> float:
+def _mean_delayed_requests(states: list[EndpointState], now_s: float) -> float:
     """Return the mean of the reports, weighted by their freshness."""
     weights = [state.load.freshness(now_s) for state in states]
     total_weight = sum(weights)
@@ -65,4 +68,6 @@
 
 
 def _delayed_requests(load: EndpointLoad) -> float:
-    return (load.waiting or 0) + RUNNING_DELAY_SHARE * (load.running or 0)
+    sent_since = max(0, load.in_flight - load.reported_local)
+    reported = (load.waiting or 0) + RUNNING_DELAY_SHARE * (load.running or 0)
+    return reported + sent_since
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -27,7 +27,8 @@
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
     attempts as instance and version, and ``responses`` the response heads. ``on_trial``
     is set for a request that is suspected of crashing endpoints; only this gateway may
-    try it. ``overload_refusal`` is set for one that overload control refused.
+    try it. ``postponed_s`` is how long its escalation waited for capacity.
+    ``overload_refusal`` is set for one that overload control refused.
     """
 
     request: CallerRequest
@@ -47,6 +48,7 @@
     events_delivered: bool = False
     first_chunk_s: float | None = None
     on_trial: bool = False
+    postponed_s: float = 0.0
     next_model: str | None = None
     confidences: dict[str, float] = field(factory=dict)
     trail: list[str] = field(factory=list)
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -136,7 +136,9 @@
         context.model = choose_first_model(gateway, context, now_s)
     while True:
         now_s = asyncio.get_running_loop().time()
-        if context.sent_count and not _has_retry_budget(gateway, context, now_s):
+        if context.sent_count and not gateway.has_retry_budget(
+            context.service.name, now_s
+        ):
             return _final_failure(gateway, context, now_s, budget_left=False)
         refusal = _quarantine_refusal(gateway, context, now_s)
         if refusal is not None:
@@ -199,12 +201,8 @@
         return False
     if context.events_delivered:
         return False
-    return _has_retry_budget(gateway, context, asyncio.get_running_loop().time())
-
-
-def _has_retry_budget(gateway: Gateway, context: RequestContext, now_s: float) -> bool:
-    budget = gateway.budget(context.service.name)
-    return budget.remaining(now_s, gateway.gateway_count) >= 1.0
+    now_s = asyncio.get_running_loop().time()
+    return gateway.has_retry_budget(context.service.name, now_s)
 
 
 def _may_retry(context: RequestContext, outcome: AttemptOutcome) -> bool:
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -65,11 +65,6 @@
     return gateway.sessions.get(service, context.session, now_s) is not None
 
 
-def is_endpoint_left(gateway: Gateway, context: RequestContext, now_s: float) -> bool:
-    """Return whether the request may go on to an endpoint, limits apart."""
-    return bool(_willing_endpoints(gateway, context, now_s))
-
-
 def rest_left_s(
     gateway: Gateway, context: RequestContext, now_s: float
 ) -> float | None:
--- a/tests/test_gateway_escalation.py
+++ b/tests/test_gateway_escalation.py
@@ -120,9 +120,12 @@
         await asyncio.sleep(0.15)
         assert len(runs_of(fleet, "r-1")) == 1
         report_queue(fleet, 0, 0)
-        for number in range(12):
+        new = [
             asyncio.ensure_future(draft(f"new-{number}", key=f"n{number}"))
+            for number in range(12)
+        ]
         answer = await asked
+        await asyncio.gather(*new)
         models = [a.fields["acaciacove-model"] for a in runs_of(fleet, "r-1")]
         assert answer.status == 200 and models == ["small", "large"]
 
