--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -9,18 +9,15 @@
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.choose_endpoint import choose_endpoint
 from acaciacove.gateway.choose_model import choose_first_model
+from acaciacove.gateway.final_failure import Failure, final_failure, no_endpoint
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.http.response_head import ResponseHead
-from acaciacove.gateway.log_events import Event
-from acaciacove.gateway.metric import Metric
+from acaciacove.gateway.log_request import log_attempt, log_refused, log_request
 from acaciacove.gateway.overload_control import refuse_overloaded
-from acaciacove.gateway.quarantine.request_fingerprint import format_fingerprint
-from acaciacove.gateway.refuse import NOT_RUN_STATUSES, refuse
+from acaciacove.gateway.refuse import refuse
 from acaciacove.gateway.request_context import RequestContext
-from acaciacove.gateway.response_summary import ResponseSummary
-from acaciacove.gateway.usable_endpoints import next_slot_in_s, rest_left_s
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
 
@@ -28,14 +25,6 @@
 # made costs milliseconds and runs nothing, so it does not count against the route's
 # ``max_attempts``.
 MAX_ATTEMPTS = 6
-# Retry-After where all endpoints are full: a slot becomes free within about the
-# duration of a request.
-FULL_RETRY_AFTER_S = 0.4
-NO_ENDPOINT_RETRY_AFTER_S = 0.8
-MIN_RETRY_AFTER_S = 0.1
-# Retry-After is rounded to this, and must not end before the rest does.
-RETRY_AFTER_RESOLUTION_S = 0.01
-REST_SPREAD_SHARE = 0.1
 # Retry-After of a request whose body does not fit into memory. Bodies in progress take
 # about a second to be read and answered.
 BODY_RETRY_AFTER_S = 1.0
@@ -48,7 +37,7 @@
     admitted = admit(gateway, request)
     if isinstance(admitted, Refusal):
         refusal_status = await refuse(front, admitted)
-        _log_refused(gateway, request, admitted, refusal_status)
+        log_refused(gateway, request, admitted, refusal_status)
         return
     await _serve_admitted(gateway, admitted, front)
 
@@ -60,7 +49,7 @@
     detail = "the request body exceeds the gateway's free memory"
     refusal = Refusal(Reason.OVERLOADED, True, detail, BODY_RETRY_AFTER_S)
     status = await refuse(front, refusal)
-    _log_refused(gateway, request, refusal, status)
+    log_refused(gateway, request, refusal, status)
 
 
 async def _serve_admitted(
@@ -70,7 +59,7 @@
     try:
         status = await _serve_with_deadline(gateway, context, front)
     finally:
-        _log_request(gateway, context, status)
+        log_request(gateway, context, status)
 
 
 async def _serve_with_deadline(
@@ -118,10 +107,6 @@
     return "served"
 
 
-# What the caller gets instead of a delivered response; None once one is delivered.
-Failure = Refusal | tuple[ResponseHead, bytes] | None
-
-
 async def _serve(
     gateway: Gateway, context: RequestContext, front: FrontConnection
 ) -> Failure:
@@ -139,17 +124,17 @@
         if context.sent_count and not gateway.has_retry_budget(
             context.service.name, now_s
         ):
-            return _final_failure(gateway, context, now_s, budget_left=False)
+            return final_failure(gateway, context, now_s, budget_left=False)
         refusal = _quarantine_refusal(gateway, context, now_s)
         if refusal is not None:
             return (
                 refusal
                 if not context.may_have_run
-                else _final_failure(gateway, context, now_s, budget_left=True)
+                else final_failure(gateway, context, now_s, budget_left=True)
             )
         state = choose_endpoint(gateway, context, now_s)
         if state is None:
-            return _no_endpoint(gateway, context, now_s)
+            return no_endpoint(gateway, context, now_s)
         if context.sent_count:
             gateway.budget(context.service.name).consume(now_s, gateway.gateway_count)
         context.attempt_count += 1
@@ -164,7 +149,7 @@
             may_retry,
             may_retry and _may_escalate(gateway, context),
         )
-        _log_attempt(gateway, context, outcome)
+        log_attempt(gateway, context, outcome)
         if outcome is AttemptOutcome.DELIVERED:
             _record_served(gateway, context)
             return None
@@ -174,7 +159,7 @@
             continue
         if not _may_retry(context, outcome):
             now_s = asyncio.get_running_loop().time()
-            return _final_failure(gateway, context, now_s, budget_left=True)
+            return final_failure(gateway, context, now_s, budget_left=True)
 
 
 def _quarantine_refusal(
@@ -223,55 +208,6 @@
     return context.route.may_repeat
 
 
-def _final_failure(
-    gateway: Gateway, context: RequestContext, now_s: float, budget_left: bool
-) -> Failure:
-    """Return the failure of a request that no endpoint served."""
-    if context.last_failure is not None and not _promises_not_run(context):
-        return context.last_failure
-    if context.may_have_run:
-        return Refusal(Reason.OUTCOME_UNKNOWN, False, "the answer was lost")
-    rest_s = rest_left_s(gateway, context, now_s)
-    if rest_s is not None:
-        return _refuse_while_resting(gateway, rest_s)
-    if not context.attempt_count:
-        return Refusal(
-            Reason.NO_ENDPOINT,
-            True,
-            "no endpoint may be used",
-            NO_ENDPOINT_RETRY_AFTER_S,
-        )
-    reason = Reason.OVERLOADED if budget_left else Reason.BUDGET_EXHAUSTED
-    return Refusal(reason, True, "no endpoint took the request", FULL_RETRY_AFTER_S)
-
-
-def _refuse_while_resting(gateway: Gateway, rest_s: float) -> Refusal:
-    """Return the refusal of a request for which all endpoints have asked for rest.
-
-    The callers' returns are spread: all at once, they would overload the first endpoint
-    that is back.
-    """
-    after_s = rest_s * gateway.random.uniform(1.0, 1.0 + REST_SPREAD_SHARE)
-    detail = "all endpoints have asked for rest"
-    return Refusal(Reason.OVERLOADED, True, detail, after_s + RETRY_AFTER_RESOLUTION_S)
-
-
-def _no_endpoint(gateway: Gateway, context: RequestContext, now_s: float) -> Failure:
-    """Return the failure of a request for which no endpoint may be used now."""
-    wait_s = next_slot_in_s(gateway, context, now_s)
-    if context.attempt_count or context.last_failure is not None or wait_s is None:
-        return _final_failure(gateway, context, now_s, budget_left=True)
-    detail = "endpoints have stated limits, which are reached"
-    return Refusal(Reason.OVERLOADED, True, detail, max(wait_s, MIN_RETRY_AFTER_S))
-
-
-def _promises_not_run(context: RequestContext) -> bool:
-    """Return whether the last failure promises "not run", which may be untrue."""
-    assert context.last_failure is not None
-    head, _ = context.last_failure
-    return head.status in NOT_RUN_STATUSES
-
-
 async def _forward_failure(
     front: FrontConnection, head: ResponseHead, body: bytes
 ) -> int:
@@ -282,103 +218,3 @@
     await front.write(body)
     front.finish_response()
     return head.status
-
-
-def _response_fields(summary: ResponseSummary) -> list[object]:
-    """Return endpoint, model, confidence, and actual and predicted head latency."""
-    taken, predicted = round(summary.head_latency_s, 3), round(summary.predicted_s, 3)
-    return [summary.endpoint, summary.model, summary.confidence, taken, predicted]
-
-
-def _log_refused(
-    gateway: Gateway, request: CallerRequest, refusal: Refusal, status: int
-) -> None:
-    gateway.metrics.count(Metric.REFUSALS, refusal.reason.value)
-    gateway.traffic.count_refusal(refusal.reason, None, None)
-    gateway.log.write(
-        Event.CALLER_REFUSED,
-        request_id=request.hints.request_id,
-        status=status,
-        reason=refusal.reason.value,
-        host=request.host,
-        path=request.path[:MAX_LOGGED_PATH_CHARS],
-        confirmed_age_s=round(gateway.view.confirmed_age_s, 3),
-        revision=gateway.view.operator_revision,
-    )
-
-
-MAX_LOGGED_PATH_CHARS = 100
-
-
-def _log_attempt(
-    gateway: Gateway, context: RequestContext, outcome: AttemptOutcome
-) -> None:
-    gateway.metrics.count(Metric.ATTEMPTS, outcome.value)
-    if outcome is AttemptOutcome.DELIVERED:
-        return
-    gateway.log.write(
-        Event.ATTEMPT,
-        routine=outcome is AttemptOutcome.LOW_CONFIDENCE,
-        request_id=context.request.hints.request_id,
-        number=context.sent_count,
-        endpoint=context.trail[-1] if context.trail else None,
-        model=context.model,
-        outcome=outcome.value,
-        fingerprint=_fingerprint_of(context, outcome),
-    )
-
-
-def _fingerprint_of(context: RequestContext, outcome: AttemptOutcome) -> str | None:
-    """Return the request's fingerprint if the endpoint may have crashed under it."""
-    if outcome not in (AttemptOutcome.LOST, AttemptOutcome.BROKEN):
-        return None
-    return format_fingerprint(context.fingerprint)
-
-
-def _overload_fields(context: RequestContext) -> dict[str, object]:
-    """Return the fields that explain a refusal by overload control, if it was one."""
-    refusal = context.overload_refusal
-    if refusal is None:
-        return {}
-    return {
-        "reason": Reason.OVERLOADED.value,
-        "cause": refusal.cause.value,
-        "level": refusal.level,
-        "wait_s": refusal.wait_s,
-        "wait_age_s": refusal.wait_age_s,
-    }
-
-
-def _log_request(gateway: Gateway, context: RequestContext, status: int | str) -> None:
-    now_s = asyncio.get_running_loop().time()
-    request = context.request
-    first_s = context.first_chunk_s
-    kind = context.route.repetition.value
-    prompt = request.hints.prompt
-    gateway.metrics.count(Metric.REQUESTS, kind, str(status))
-    total_s = now_s - request.arrived_s
-    gateway.metrics.count(Metric.REQUEST_SECONDS, kind, amount=total_s)
-    if first_s is not None:
-        first_chunk_s = first_s - request.arrived_s
-        gateway.metrics.count(Metric.FIRST_CHUNK_SECONDS, kind, amount=first_chunk_s)
-    gateway.log.write(
-        Event.REQUEST,
-        routine=status == "served",
-        request_id=request.hints.request_id,
-        route=context.route.name,
-        service=context.service.name,
-        organisation=context.organisation.name if context.organisation else None,
-        session=context.session,
-        status=status,
-        model=context.model,
-        trail=context.trail,
-        heads=[_response_fields(summary) for summary in context.responses],
-        input_tokens=prompt.input_tokens if prompt else None,
-        target_s=context.route.latency_target_s,
-        tries=context.attempt_count,
-        first_piece_s=round(first_s - request.arrived_s, 4) if first_s else None,
-        total_s=round(total_s, 4),
-        time_s=round(context.deadline_s - request.arrived_s, 3),
-        **_overload_fields(context),
-        revision=gateway.view.operator_revision,
-    )
