--- a/tests/test_gateway_escalation.py
+++ b/tests/test_gateway_escalation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,7 +12,7 @@
 from acaciacove.decisions.queue_delay import QueueDelay
 from acaciacove.decisions.stream_time import MAX_AGE_S, StreamTime
 from acaciacove.decisions.usual_target import UsualTarget
-from tests.gateway_world import draft, run_fleet, runs_of
+from tests.gateway_world import catalogue, draft, lines, run_fleet, runs_of
 
 TARGET_S = 0.5
 
@@ -69,6 +70,9 @@
 
 @given(st.lists(st.floats(0.0, 10.0), max_size=60), st.integers(1, 500))
 def test_stream_times_stay_within_the_observed_range(intervals_s, events):
+    """Guards against expected times that are negative or longer than any stream, which
+    would permit or refuse all larger models.
+    """
     streams = StreamTime()
     streams.record_length("draft", events)
     for number, interval_s in enumerate(intervals_s):
@@ -87,6 +91,9 @@
 
 
 def test_the_usual_target_weighs_urgent_requests():
+    """Guards against a mean that patient callers dominate: the delay of urgent requests
+    would cost too little.
+    """
     usual = UsualTarget()
     assert usual.target_s is None
     for number in range(400):
@@ -102,13 +109,36 @@
         server.behaviour.waiting = waiting
 
 
-async def fill_queue(fleet):
+async def fill_queue(fleet, running=40):
     """Let the gateway learn from some answers that endpoints are full."""
-    report_queue(fleet, 40, 30)
+    report_queue(fleet, running, 30)
     for number in range(6):
         await draft(f"warm-{number}", key=f"w{number}")
 
 
+def catalogue_with(limit=100, **changes):
+    """Return a catalogue with changed routes and this connection limit of models."""
+    base = catalogue()
+    model = evolve(base.services["model"], connection_limit=limit)
+    routes = tuple(evolve(route, **changes) for route in base.routes)
+    return evolve(base, routes=routes, services=base.services | {"model": model})
+
+
+def models_of(fleet, request_id):
+    """Return the models that executed a request."""
+    return [a.fields["acaciacove-model"] for a in runs_of(fleet, request_id)]
+
+
+def outcomes(fleet, request_id="r-1"):
+    """Return how the postponed escalations of a request ended."""
+    postponed = lines(fleet, "escalation_postponed")
+    return [line["outcome"] for line in postponed if line["request_id"] == request_id]
+
+
+def gateway_of(fleet):
+    return fleet.gateways["gateway-0"].gateway
+
+
 def test_a_larger_model_is_asked_once_endpoints_have_capacity():
     """Guards against poor answers in a short burst, where waiting a part of the latency
     target would have been enough.
@@ -145,6 +175,7 @@
         models = [a.fields["acaciacove-model"] for a in runs_of(fleet, "r-1")]
         assert answer.status == 200 and answer.complete and models == ["small"]
         assert loop.time() - began_s <= TARGET_S
+        assert outcomes(fleet) == ["kept"]
 
     run_fleet(scenario, overload_control=True)
 
@@ -158,5 +189,84 @@
         assert [a.fields["acaciacove-model"] for a in runs_of(fleet, "r-1")][-1] == (
             "large"
         )
+        assert not lines(fleet, "escalation_postponed")
 
     run_fleet(scenario)
+
+
+def test_an_answer_is_kept_if_limits_leave_no_endpoint():
+    """Guards against status 502 for an answer that was dropped for nothing."""
+
+    async def scenario(fleet):
+        report_queue(fleet, 0, 0)
+        fleet.endpoints["model-0"].behaviour.limit_per_s = 2.0
+        requests = [draft(f"r-{number}", key=f"k{number}") for number in range(10)]
+        answers = await asyncio.gather(*requests)
+        assert {answer.status for answer in answers} == {200}
+        assert len(fleet.arrivals) < 20
+
+    run_fleet(scenario, models=1)
+
+
+def test_an_answer_is_kept_if_the_retry_budget_is_used_up():
+    """Guards against status 502 for concurrent requests that spend the same budget."""
+
+    async def scenario(fleet):
+        report_queue(fleet, 0, 0)
+        requests = [draft(f"r-{number}", key=f"k{number}") for number in range(40)]
+        answers = await asyncio.gather(*requests)
+        assert {answer.status for answer in answers} == {200}
+        assert 42 <= len(fleet.arrivals) <= 47
+
+    run_fleet(scenario, retry_extra=5, retry_ratio=0.05)
+
+
+def test_the_place_of_the_request_itself_does_not_count():
+    """Guards against poor answers where the limit is one connection per endpoint."""
+
+    async def scenario(fleet):
+        report_queue(fleet, 0, 0)
+        assert (await draft("r-1")).status == 200
+        assert models_of(fleet, "r-1") == ["small", "large"]
+
+    run_fleet(scenario, models=1, published=catalogue_with(limit=1))
+
+
+def test_reported_queues_reach_the_backlog_and_are_learnt():
+    """Guards against waits that are predicted without the endpoints' reports."""
+
+    async def scenario(fleet):
+        report_queue(fleet, 0, 30)
+        await draft("r-1")
+        gateway, now_s = gateway_of(fleet), asyncio.get_running_loop().time()
+        (state,) = [
+            gateway.states.of(endpoint)
+            for endpoint in gateway.view.endpoints.values()
+            if endpoint.service == "model"
+        ]
+        assert state.backlog.wait_s(now_s, 0.0) > 1.0
+        await draft("r-2")
+        assert gateway.queue_delay("model").s_per_waiting < 0.02
+
+    run_fleet(scenario, models=1, overload_control=True)
+
+
+def test_deadline_and_usual_target_reach_the_plan():
+    """Guards against estimates that are learnt and then not used."""
+
+    async def scenario(fleet):
+        gateway = gateway_of(fleet)
+        report_queue(fleet, 1, 0)
+        await draft("r-0")
+        gateway.stream_time("model").events["draft"] = 10_000
+        await draft("r-1")
+        gateway.stream_time("model").events["draft"] = 4
+        for _ in range(400):
+            gateway.usual_target("model").learn(0.001)
+        await draft("r-2")
+        assert models_of(fleet, "r-0")[-1] == "large"
+        assert models_of(fleet, "r-1") == ["small"] and not outcomes(fleet)
+        assert models_of(fleet, "r-2") == ["small"]
+        assert outcomes(fleet, "r-2") == ["kept"]
+
+    run_fleet(scenario, overload_control=True)
