--- a/acaciacove/decisions/stream_time.py
+++ b/acaciacove/decisions/stream_time.py
@@ -45,6 +45,12 @@
         known = self.events.get(route, float(events))
         self.events[route] = known + LENGTH_WEIGHT * (events - known)
 
+    def slowdown(self, now_s: float) -> float:
+        """Return the share of the time between events that is beyond the quiet one."""
+        if now_s - self._updated_s >= MAX_AGE_S or self.interval_s <= 0.0:
+            return 0.0
+        return max(0.0, 1.0 - self.quiet_interval_s / self.interval_s)
+
     def expected_s(self, route: str, now_s: float) -> float:
         """Return the expected seconds from the first event of an answer to its end."""
         is_recent = now_s - self._updated_s < MAX_AGE_S
--- a/acaciacove/gateway/escalation.py
+++ b/acaciacove/gateway/escalation.py
@@ -15,6 +15,8 @@
 # and its variation, without which all gateways would check at the same time.
 POLL_S = 0.1
 POLL_SPREAD = (0.5, 1.5)
+# A shorter pause may be below the resolution of the clock, and would never end.
+MIN_PAUSE_S = 0.001
 # An escalation is postponed until this share of the latency target has passed, the rest
 # being for the larger model's prompt, and until this share of the time to the deadline,
 # the rest being for the whole answer of either model.
@@ -43,6 +45,8 @@
         return chosen
     if not _is_worth_without_delays(gateway, context, confidence, now_s):
         return None
+    # The head was in time. Left pending, the answer would count as late evidence.
+    exchange.record_evidence(False, now_s - exchange.sent_at_s)
     outcome = "cancelled"
     try:
         chosen = await _wait_for_capacity(gateway, exchange, confidence)
@@ -105,7 +109,7 @@
     )
     while (now_s := loop.time()) < until_s and _may_wait(gateway, exchange):
         pause_s = POLL_S * gateway.random.uniform(*POLL_SPREAD)
-        await asyncio.sleep(min(pause_s, until_s - now_s))
+        await asyncio.sleep(max(MIN_PAUSE_S, min(pause_s, until_s - now_s)))
         now_s = loop.time()
         chosen = _choose_released(gateway, exchange, confidence, now_s)
         if chosen is not None:
--- a/acaciacove/gateway/queue_waits.py
+++ b/acaciacove/gateway/queue_waits.py
@@ -8,9 +8,10 @@
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.gateway import Gateway
 
-# A running stream that is delayed by a second counts as this many waiting requests. Its
-# first event is out; only its later events and its end are delayed.
-RUNNING_DELAY_SHARE = 0.4
+# A running stream that is delayed by a second counts as up to this many waiting ones.
+# Its first event is out; only its later events and its end are delayed. While streams
+# run at their usual pace, such a delay goes unnoticed.
+MAX_RUNNING_DELAY_SHARE = 0.4
 
 
 @frozen
@@ -49,25 +50,31 @@
         len(endpoints),
         sum(waits_s) / len(waits_s),
         min(waits_s),
-        _mean_delayed_requests(states, now_s),
+        _mean_delayed_requests(
+            states,
+            MAX_RUNNING_DELAY_SHARE * gateway.stream_time(service).slowdown(now_s),
+            now_s,
+        ),
         any(state.load.freshness(now_s) > 0.0 for state in states),
     )
 
 
-def _mean_delayed_requests(states: list[EndpointState], now_s: float) -> float:
+def _mean_delayed_requests(
+    states: list[EndpointState], running_share: float, now_s: float
+) -> float:
     """Return the mean of the reports, weighted by their freshness."""
     weights = [state.load.freshness(now_s) for state in states]
     total_weight = sum(weights)
     if total_weight <= 0.0:
         return 0.0
     delayed = (
-        weight * _delayed_requests(state.load)
+        weight * _delayed_requests(state.load, running_share)
         for weight, state in zip(weights, states, strict=True)
     )
     return sum(delayed) / total_weight
 
 
-def _delayed_requests(load: EndpointLoad) -> float:
+def _delayed_requests(load: EndpointLoad, running_share: float) -> float:
     sent_since = max(0, load.in_flight - load.reported_local)
-    reported = (load.waiting or 0) + RUNNING_DELAY_SHARE * (load.running or 0)
+    reported = (load.waiting or 0) + running_share * (load.running or 0)
     return reported + sent_since
--- a/tests/test_gateway_escalation.py
+++ b/tests/test_gateway_escalation.py
@@ -12,6 +12,8 @@
 from acaciacove.decisions.queue_delay import QueueDelay
 from acaciacove.decisions.stream_time import MAX_AGE_S, StreamTime
 from acaciacove.decisions.usual_target import UsualTarget
+from acaciacove.gateway.escalation import RELEASE_INTERVAL_S
+from acaciacove.gateway.operator_decision import RolloutSpec
 from tests.gateway_world import catalogue, draft, lines, run_fleet, runs_of
 
 TARGET_S = 0.5
@@ -109,11 +111,19 @@
         server.behaviour.waiting = waiting
 
 
+def slow_streams(fleet):
+    """Let the gateway learn that streams take ten times as long as usual."""
+    now_s = asyncio.get_running_loop().time()
+    for _ in range(100):
+        gateway_of(fleet).stream_time("model").record_interval(0.1, now_s)
+
+
 async def fill_queue(fleet, running=40):
     """Let the gateway learn from some answers that endpoints are full."""
     report_queue(fleet, running, 30)
     for number in range(6):
         await draft(f"warm-{number}", key=f"w{number}")
+    slow_streams(fleet)
 
 
 def catalogue_with(limit=100, **changes):
@@ -232,6 +242,80 @@
     run_fleet(scenario, models=1, published=catalogue_with(limit=1))
 
 
+def test_the_deadline_bounds_postponement():
+    """Guards against status 504 for an answer that was there in time."""
+
+    async def scenario(fleet):
+        await fill_queue(fleet, running=4000)
+        began_s = asyncio.get_running_loop().time()
+        answer = await draft("r-1")
+        assert answer.status == 200 and answer.complete
+        assert answer.at_s - began_s < 0.8 and outcomes(fleet) == ["kept"]
+
+    published = catalogue_with(timeout_s=1.0, latency_target_s=4.0)
+    run_fleet(scenario, overload_control=True, published=published)
+
+
+def test_postponed_time_is_not_learnt():
+    """Guards against a gateway that takes its own waiting for slow endpoints, in the
+    cost of delays, the interval between events and the evidence of a roll-out.
+    """
+
+    async def scenario(fleet):
+        for server in fleet.endpoints.values():
+            server.behaviour.gap_s, server.behaviour.events = 0.1, 10
+        fleet.roll_out(RolloutSpec("model", "v2", 60.0))
+        for number in range(12):
+            await draft(f"calm-{number}", key=f"c{number}")
+        await fill_queue(fleet)
+        gateway = gateway_of(fleet)
+        streams, cost = gateway.stream_time("model"), gateway.delay_cost("model")
+        # Calm streams have been learnt: 0.1 s between events, 10 events.
+        assert streams.interval_s > 0.05 and streams.events["draft"] == 10
+        before = streams.interval_s, cost.slope
+        await draft("r-1")
+        assert outcomes(fleet) == ["kept"]
+        assert streams.interval_s == before[0] and cost.slope < before[1]
+        cells = gateway.rollouts["model"].cells(False).values()
+        assert sum(cell.timed for cell in cells) >= 7
+        assert max(cell.typical_s for cell in cells) < 0.03
+        assert sum(cell.late for cell in cells) == 0
+
+    run_fleet(scenario, overload_control=True)
+
+
+def test_expired_reports_are_no_capacity():
+    """Guards against escalations into full endpoints that only have not reported."""
+
+    async def scenario(fleet):
+        await fill_queue(fleet, running=4000)
+        await draft("r-1")
+        assert models_of(fleet, "r-1") == ["small"] and outcomes(fleet) == ["kept"]
+
+    published = catalogue_with(timeout_s=20.0, latency_target_s=6.0)
+    run_fleet(scenario, overload_control=True, published=published)
+
+
+def test_postponed_requests_are_released_one_after_the_other():
+    """Guards against filling the endpoints again before the first report shows it."""
+
+    async def scenario(fleet):
+        await fill_queue(fleet, running=4000)
+        ids = [f"r-{number}" for number in range(8)]
+        asked = [asyncio.ensure_future(draft(i, key=i)) for i in ids]
+        await asyncio.sleep(0.3)
+        report_queue(fleet, 0, 0)
+        await asyncio.gather(*(draft(f"new-{n}", key=f"n{n}") for n in range(12)))
+        await asyncio.gather(*asked)
+        times_s = sorted(runs_of(fleet, i)[-1].at_s for i in ids)
+        assert all(models_of(fleet, i) == ["small", "large"] for i in ids)
+        gaps_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
+        assert min(gaps_s) > 0.9 * RELEASE_INTERVAL_S
+
+    published = catalogue_with(timeout_s=20.0, latency_target_s=6.0)
+    run_fleet(scenario, overload_control=True, published=published)
+
+
 def test_reported_queues_reach_the_backlog_and_are_learnt():
     """Guards against waits that are predicted without the endpoints' reports."""
 
@@ -261,6 +345,7 @@
         gateway.stream_time("model").events["draft"] = 10_000
         await draft("r-1")
         gateway.stream_time("model").events["draft"] = 4
+        slow_streams(fleet)
         for _ in range(400):
             gateway.usual_target("model").learn(0.001)
         await draft("r-2")
