--- a/acaciacove/soak/call_record.py
+++ b/acaciacove/soak/call_record.py
@@ -12,6 +12,8 @@
     ``sent_body`` is what the caller sent, ``body`` what it received.
     ``status`` is None while no answer came. ``complete`` is set when the answer was
     received up to the end of its framing, ``closed`` if the connection ended before.
+    ``retry_after`` is that field. ``read_pause_s`` is how long a slow caller
+    reads nothing: infinite for one that never reads, None for a quick caller.
     """
 
     request_id: str
@@ -26,3 +28,5 @@
     receipt: str = ""
     sent_body: bytes = b"body"
     body: bytes = b""
+    retry_after: str | None = None
+    read_pause_s: float | None = None
--- a/acaciacove/soak/check_answers.py
+++ b/acaciacove/soak/check_answers.py
@@ -5,7 +5,7 @@
 
 from acaciacove.gateway.refuse import NOT_RUN_STATUSES
 from acaciacove.platform import names
-from acaciacove.soak.bounds import REVOCATION_S
+from acaciacove.soak.bounds import LONG_EVENT_BYTES, REVOCATION_S
 from acaciacove.soak.call_kind import AT_MOST_ONCE_KINDS, CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.soak_catalogue import SIZES, organisation_of
@@ -14,7 +14,7 @@
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
 
 SUCCESS = 200
-EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) (\d+)\n\n")
+EVENT = re.compile(rb"id: (\d+)\ndata: \w+ \d+(\.*)\n\n")
 
 
 def check_answers(trace: SoakTrace) -> Iterator[Violation]:
@@ -43,8 +43,11 @@
     if request_id != call.request_id or instance not in instances:
         yield _violation(Promise.COMPLETE, call, f"receipt {call.receipt!r}")
     elif call.kind is CallKind.DRAFT:
-        events = EVENT.findall(call.body)
-        numbers = [int(number) for number, _, _ in events]
+        numbers = [
+            int(event[1])
+            for event in EVENT.finditer(call.body)
+            if not event[2] or len(event[0].rstrip()) == LONG_EVENT_BYTES
+        ]
         rest = EVENT.sub(b"", call.body)
         if numbers != list(range(1, EndpointBehaviour().events + 1)) or rest:
             yield _violation(Promise.COMPLETE, call, f"events {numbers}, rest {rest!r}")
--- /dev/null
+++ b/acaciacove/soak/check_load.py
@@ -0,0 +1,75 @@
+"""Checks refusals by overload control, minimum shares, and answers read slowly."""
+
+import math
+from collections import Counter
+from collections.abc import Iterator
+
+from acaciacove.gateway.overload_control import DETAILS
+from acaciacove.soak.bounds import CALLER_TIME_S, MAX_RETRY_AFTER_SHARE
+from acaciacove.soak.call_record import CallRecord
+from acaciacove.soak.soak_catalogue import organisation_of
+from acaciacove.soak.soak_trace import SoakTrace
+from acaciacove.soak.violation import Promise, Violation
+
+OVERLOAD_DETAILS = tuple(detail.encode() for detail in DETAILS.values())
+MAX_RETRY_AFTER_S = CALLER_TIME_S * MAX_RETRY_AFTER_SHARE
+# An organisation that asked less often may have had no luck.
+MIN_CALLS = 20
+
+
+def check_load(trace: SoakTrace) -> Iterator[Violation]:
+    """Yield the broken promises about overload and slow callers."""
+    arrived = {arrival.request_id for arrival in trace.arrivals}
+    for call in trace.calls:
+        if is_overload_refusal(call):
+            yield from _check_refusal(call, call.request_id in arrived)
+        yield from _check_read_on(trace, call)
+    yield from _check_minimum_share(trace)
+
+
+def is_overload_refusal(call: CallRecord) -> bool:
+    """Return whether overload control has refused a call."""
+    return call.status == 503 and any(text in call.body for text in OVERLOAD_DETAILS)
+
+
+def _check_refusal(call: CallRecord, has_arrived: bool) -> Iterator[Violation]:
+    """Check that no endpoint got the request, and when its caller may return."""
+    if has_arrived:
+        yield Violation(Promise.REFUSED, f"{call.request_id} was sent to an endpoint")
+    try:
+        after_s = float(call.retry_after or "")
+    except ValueError:
+        after_s = math.nan
+    if not 0.0 < after_s <= MAX_RETRY_AFTER_S:
+        detail = f"{call.request_id}: Retry-After {call.retry_after!r}"
+        yield Violation(Promise.REFUSED, detail)
+
+
+def _check_minimum_share(trace: SoakTrace) -> Iterator[Violation]:
+    """Check that each organisation is served, from calls with keys in force."""
+    asked: Counter[str] = Counter()
+    served: Counter[str] = Counter()
+    for call in trace.calls:
+        is_valid = call.sent_s < trace.revoked_s.get(call.key, math.inf)
+        if is_valid and call.sent_body not in trace.crashing:
+            asked[organisation_of(call.key)] += 1
+            served[organisation_of(call.key)] += call.status == 200
+    for organisation, count in asked.items():
+        if count >= MIN_CALLS and not served[organisation] and served.total():
+            detail = f"{organisation}: none of {count} calls was served"
+            yield Violation(Promise.MINIMUM_SHARE, detail)
+
+
+def _check_read_on(trace: SoakTrace, call: CallRecord) -> Iterator[Violation]:
+    """Check that an answer that is read on ends; ``check_answers`` checks its content.
+
+    A call without an end was cut off by the end of the run.
+    """
+    pause_s = call.read_pause_s
+    if pause_s is None or not math.isfinite(pause_s) or not call.ended_s:
+        return
+    if call.status != 200 or call.complete or call.closed:
+        return
+    if trace.is_unaffected(call.gateway, call.sent_s, call.ended_s):
+        detail = f"{call.request_id} neither ended nor broke off"
+        yield Violation(Promise.READ_ON, f"{detail}, {len(call.body)} bytes")
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -50,6 +50,10 @@
     # Many versions of a large catalogue.
     CATALOGUE_GROWS = "catalogue_grows"
     ZONE_OUT = "zone_out"
+    # All endpoints of one service have a queue of other work.
+    ENDPOINTS_QUEUE = "endpoints_queue"
+    # Some callers read long answers late, slowly or not at all.
+    CALLERS_SLOW = "callers_slow"
 
 
 GATEWAY_FAULTS = frozenset({FaultKind.TERMINATE, FaultKind.KILL, FaultKind.PAUSE})
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -47,16 +47,27 @@
     FaultKind.CATALOGUE_GROWS,
 )
 REST_DURATION_S = 4.0
+# Queues and slow callers last long enough for admission levels to rise and for buffers
+# to fill.
+LOAD_INTERVAL_S = (3.0, 6.0)
+LOAD_KINDS = (FaultKind.ENDPOINTS_QUEUE, FaultKind.CALLERS_SLOW)
+LOAD_DURATION_S = 4.0
 # The catalogue grows while the log refuses all calls, and a key is revoked as soon as
 # it takes them again.
 GROWTH_S = 2.5
 GROWTH_MARGIN_S = 0.1
-# Unannounced departures, the log's refusals before them and notices are drawn
+# Unannounced departures, the log's refusals before them, notices and loads are drawn
 # separately.
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
-    if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY, *NOTICE_KINDS)
+    if kind
+    not in (
+        FaultKind.ENDPOINT_REMOVED,
+        FaultKind.LOG_TURNS_AWAY,
+        *NOTICE_KINDS,
+        *LOAD_KINDS,
+    )
 ]
 
 
@@ -97,6 +108,7 @@
         drawn = [fault for fault in drawn if fault[1] not in LOG_FAULTS]
     drawn += _draw_departures(Random(f"leaves/{settings.seed}"), last_s)
     drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
+    drawn += _draw_loads(Random(f"loads/{settings.seed}"), last_s)
     plan = [
         PlannedFault(number, *fault) for number, fault in enumerate(sorted(drawn), 1)
     ]
@@ -149,6 +161,17 @@
     return drawn
 
 
+def _draw_loads(random: Random, last_s: float) -> list[DrawnFault]:
+    """Draw queues at endpoints and slow callers, from a separate generator."""
+    drawn: list[DrawnFault] = []
+    at_s = FIRST_FAULT_S + random.uniform(*LOAD_INTERVAL_S) / 2.0
+    while at_s < last_s:
+        kind = random.choice(LOAD_KINDS)
+        drawn.append((at_s, kind, random.randrange(1_000_000), LOAD_DURATION_S))
+        at_s += random.uniform(*LOAD_INTERVAL_S)
+    return drawn
+
+
 def _draw_growth(at_s: float, target: int) -> list[DrawnFault]:
     """Return a burst of changes during an outage, and a revocation after it."""
     outage_s = GROWTH_S + 2.0 * GROWTH_MARGIN_S
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable, Sequence
 
-from acaciacove.soak.bounds import LIMIT_PER_S, REST_S
+from acaciacove.soak.bounds import LIMIT_PER_S, LONG_EVENT_BYTES, REST_S
 from acaciacove.soak.fault_kind import (
     DELAYING,
     DEPARTURES,
@@ -36,6 +36,11 @@
 ADDED_ROUTES = 450
 VERSION_INTERVAL_S = 0.08
 MIN_KEYS = 3
+# A head that takes longer than the latency target makes admission levels rise.
+QUEUE_WORK_S = 0.7
+QUEUE_WAITING = 40
+# An endpoint cuts off a long answer that is not read for this long.
+UNREAD_TIMEOUT_S = 2.0
 
 
 async def inject_faults(
@@ -68,6 +73,10 @@
         await _grow_catalogue(environment, fault)
     elif fault.kind is FaultKind.REQUEST_CRASHES:
         _add_crashing_request(environment, fault)
+    elif fault.kind is FaultKind.ENDPOINTS_QUEUE:
+        await _queue_work(environment, fault)
+    elif fault.kind is FaultKind.CALLERS_SLOW:
+        await _slow_callers(environment, fault)
     elif fault.kind is FaultKind.ZONE_OUT:
         await _take_zone_out(environment, fault)
     else:
@@ -222,6 +231,41 @@
     await _record_until_undone(environment, fault, zone, undo)
 
 
+async def _queue_work(environment: SoakEnvironment, fault: PlannedFault) -> None:
+    """Give every endpoint of one service a queue, which it also reports."""
+    names = sorted(environment.servers)
+    service = environment.servers[names[fault.target % len(names)]].report.service
+    servers = [s for s in environment.servers.values() if s.report.service == service]
+    for server in servers:
+        server.behaviour.other_running = server.report.slots
+        server.behaviour.waiting = QUEUE_WAITING
+        server.behaviour.work_s = QUEUE_WORK_S
+
+    def undo() -> None:
+        for server in servers:
+            server.behaviour.other_running = server.behaviour.waiting = 0
+            server.behaviour.work_s = EndpointBehaviour().work_s
+
+    await _record_until_undone(environment, fault, service, undo)
+
+
+async def _slow_callers(environment: SoakEnvironment, fault: PlannedFault) -> None:
+    """Have some callers read slowly, and endpoints send long answers."""
+    behaviours = [server.behaviour for server in environment.servers.values()]
+    for behaviour in behaviours:
+        behaviour.event_bytes = LONG_EVENT_BYTES
+        behaviour.unread_timeout_s = UNREAD_TIMEOUT_S
+    environment.are_callers_slow = True
+
+    def undo() -> None:
+        environment.are_callers_slow = False
+        for behaviour in behaviours:
+            behaviour.event_bytes = 0
+            behaviour.unread_timeout_s = None
+
+    await _record_until_undone(environment, fault, "callers", undo)
+
+
 async def _inject_endpoint_fault(
     environment: SoakEnvironment, fault: PlannedFault
 ) -> None:
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -12,6 +12,7 @@
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
+from acaciacove.soak.check_load import check_load, is_overload_refusal
 from acaciacove.soak.check_notices import check_notices
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_plan import plan_faults
@@ -74,6 +75,7 @@
     async with background(
         environment.send_heartbeats(),
         environment.watch_stalls(),
+        environment.change_paces(),
         _probe_readiness(environment),
         *callers,
     ):
@@ -129,6 +131,12 @@
         injected=Counter(fault.kind for fault in environment.faults),
         answers=Counter(str(call.status or "none") for call in trace.calls),
         arrivals=len(trace.arrivals),
+        overload_refusals=sum(is_overload_refusal(call) for call in trace.calls),
+        slow_calls=Counter(
+            "whole" if call.complete else "broken off" if call.closed else "none"
+            for call in trace.calls
+            if call.read_pause_s is not None
+        ),
         stalls=len(trace.stalls),
         served_after_recovery=(served, len(calls)),
         violations=(
@@ -137,6 +145,7 @@
             *check_crashes(trace),
             *check_limits(trace),
             *check_notices(trace),
+            *check_load(trace),
         ),
         log_folder=str(environment.folder),
     )
--- a/acaciacove/soak/soak_caller.py
+++ b/acaciacove/soak/soak_caller.py
@@ -1,18 +1,20 @@
 """Callers of a soak, which record each request and its answer."""
 
 import asyncio
+import math
 from random import Random
 
 import h11
 
 from acaciacove.platform import names
 from acaciacove.soak.addresses import FRONT_PORT
+from acaciacove.soak.bounds import CALLER_TIME_S
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.soak_catalogue import HOST, KEYS
 from acaciacove.soak.soak_environment import SoakEnvironment
+from acaciacove.standins.slow_caller import connect_slow_caller
 
-DEADLINE_S = 3.0
 # How long a caller waits for an answer beyond its deadline.
 ANSWER_GRACE_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
@@ -22,6 +24,15 @@
 # Share of calls that repeat a request that crashes endpoints.
 CRASHING_SHARE = 0.1
 READ_BYTES = 65_536
+# Share of calls that are read slowly while callers are slow; of these, how many never.
+SLOW_SHARE = 0.4
+NEVER_READ_SHARE = 0.25
+READ_PAUSE_S = (0.5, 3.0)
+SLOW_READ_BYTES = 4_096
+SLOW_READ_INTERVAL_S = 0.01
+# How much longer slow callers wait: beyond their pause by several times what it takes
+# to read a long answer at their rate.
+SLOW_GRACE_S = 3.0
 MS = 1000.0
 
 
@@ -33,6 +44,8 @@
         self._number = number
         self._environment = environment
         self._random = Random(f"{environment.settings.seed}/caller/{number}")
+        self._slow_random = Random(f"{environment.settings.seed}/slow/{number}")
+        self._read_pause_s: float | None = None
         self._gateway = 0
         self._sent = 0
         self._connection = h11.Connection(h11.CLIENT)
@@ -44,12 +57,22 @@
         try:
             while True:
                 await asyncio.sleep(self._random.expovariate(1.0 / MEAN_THINK_TIME_S))
+                self._draw_read_pause()
                 if self._writer is None and not await self._connect():
                     continue
                 await self._call()
         finally:
             self._disconnect()
 
+    def _draw_read_pause(self) -> None:
+        """Decide whether the next call is read slowly, on a connection of its own."""
+        self._read_pause_s = None
+        random = self._slow_random
+        if self._environment.are_callers_slow and random.random() < SLOW_SHARE:
+            self._disconnect()
+            is_read = random.random() >= NEVER_READ_SHARE
+            self._read_pause_s = random.uniform(*READ_PAUSE_S) if is_read else math.inf
+
     async def _connect(self) -> bool:
         ready = sorted(self._environment.ready) or range(
             len(self._environment.gateways)
@@ -59,14 +82,22 @@
         self._connection = h11.Connection(h11.CLIENT)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                self._reader, self._writer = await asyncio.open_connection(
-                    host, FRONT_PORT
-                )
+                self._reader, self._writer = await self._open_connection(host)
         except (OSError, TimeoutError):
             # Nothing was sent, so there is nothing to record for the checks.
             return False
         return True
 
+    async def _open_connection(
+        self, host: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._read_pause_s is None:
+            return await asyncio.open_connection(host, FRONT_PORT)
+        caller = await connect_slow_caller(host, FRONT_PORT, CONNECT_TIMEOUT_S)
+        return await asyncio.open_connection(
+            sock=caller.connection, limit=SLOW_READ_BYTES
+        )
+
     async def _call(self) -> None:
         loop = asyncio.get_running_loop()
         self._sent += 1
@@ -76,11 +107,17 @@
             key=self._key(),
             gateway=self._gateway,
             sent_s=loop.time(),
+            read_pause_s=self._read_pause_s,
         )
-        self._make_crashing(call)
+        timeout_s = CALLER_TIME_S + ANSWER_GRACE_S
+        if call.read_pause_s is None:
+            self._make_crashing(call)
+        else:
+            call.kind = CallKind.DRAFT
+            timeout_s += SLOW_GRACE_S
         self._environment.calls.append(call)
         try:
-            async with asyncio.timeout(DEADLINE_S + ANSWER_GRACE_S):
+            async with asyncio.timeout(timeout_s):
                 self._send(call)
                 await self._read(call)
         except TimeoutError:
@@ -90,7 +127,8 @@
             call.closed = True
             self._disconnect()
         call.ended_s = loop.time()
-        if self._connection.our_state is h11.DONE and call.complete:
+        is_quick = call.read_pause_s is None
+        if is_quick and self._connection.our_state is h11.DONE and call.complete:
             try:
                 self._connection.start_next_cycle()
             except h11.LocalProtocolError:
@@ -118,7 +156,7 @@
             (b"Host", HOST.encode()),
             (names.REQUEST_ID, call.request_id.encode()),
             (names.AUTHORIZATION, f"Bearer {call.key}".encode()),
-            (names.DEADLINE_MS, str(int(DEADLINE_S * MS)).encode()),
+            (names.DEADLINE_MS, str(int(CALLER_TIME_S * MS)).encode()),
             (b"Content-Length", str(len(call.sent_body)).encode()),
         ]
         if call.kind is CallKind.DRAFT:
@@ -143,15 +181,21 @@
 
     async def _read(self, call: CallRecord) -> None:
         assert self._reader is not None
+        read_bytes, interval_s = READ_BYTES, 0.0
+        if call.read_pause_s is not None:
+            read_bytes, interval_s = SLOW_READ_BYTES, SLOW_READ_INTERVAL_S
+            await asyncio.sleep(call.read_pause_s)
         while True:
             event = self._connection.next_event()
             if event is h11.NEED_DATA:
-                data = await self._reader.read(READ_BYTES)
+                await asyncio.sleep(interval_s)
+                data = await self._reader.read(read_bytes)
                 self._connection.receive_data(data)
             elif isinstance(event, h11.Response):
                 call.status = event.status_code
                 fields = {n.decode(): v.decode() for n, v in event.headers}
                 call.receipt = fields.get(names.RECEIPT.decode(), "")
+                call.retry_after = fields.get(names.RETRY_AFTER.decode())
             elif isinstance(event, h11.Data):
                 call.body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from pathlib import Path
+from random import Random
 
 from attrs import define, evolve, field
 
@@ -24,6 +25,7 @@
     GRACE_S,
     HEARTBEAT_S,
     LINK_BYTES_PER_S,
+    MEMORY_LIMIT_BYTES,
     PROPAGATION_S,
     RETRY_EXTRA,
     RETRY_RATIO,
@@ -48,6 +50,9 @@
 # machine, during which the soak's time measurements are not valid.
 STALL_STEP_S = 0.05
 STALL_S = 0.25
+# Endpoints of every other two seeds report a pace, which changes many times a second.
+PACE_INTERVAL_S = 0.05
+MIN_PACE_PERCENT, MAX_PACE_PERCENT = 50, 300
 
 
 @define(eq=False)
@@ -75,6 +80,7 @@
     revoked_s: dict[str, float] = field(factory=dict)
     crashing: dict[bytes, str] = field(factory=dict)
     zones_out: set[str] = field(factory=set)
+    are_callers_slow: bool = False
     catalogue_version: int = 1
     _last_heartbeats_s: dict[str, float] = field(factory=dict)
     _endpoints_started: int = 0
@@ -215,6 +221,8 @@
             retry_ratio=RETRY_RATIO,
             retry_extra=RETRY_EXTRA,
             retry_window_s=RETRY_WINDOW_S,
+            overload_control=self.settings.seed % 2 == 1,
+            memory_limit_bytes=MEMORY_LIMIT_BYTES,
         )
 
     async def send_heartbeats(self) -> None:
@@ -243,6 +251,19 @@
         ):
             store.append(ENDPOINTS, instance, b"")
 
+    async def change_paces(self) -> None:
+        """Change the pace that endpoints report and keep, until cancelled."""
+        if self.settings.seed // 2 % 2:
+            return
+        random = Random(f"paces/{self.settings.seed}")
+        gap_s = EndpointBehaviour().gap_s
+        while True:
+            for server in self.servers.values():
+                pace_percent = random.randint(MIN_PACE_PERCENT, MAX_PACE_PERCENT)
+                server.behaviour.pace_percent = pace_percent
+                server.behaviour.gap_s = gap_s * pace_percent / 100.0
+            await asyncio.sleep(PACE_INTERVAL_S)
+
     async def watch_stalls(self) -> None:
         """Record stalls of this process, until cancelled."""
         loop = asyncio.get_running_loop()
--- a/acaciacove/soak/soak_report.py
+++ b/acaciacove/soak/soak_report.py
@@ -21,6 +21,8 @@
     injected: Counter[FaultKind]
     answers: Counter[str]
     arrivals: int
+    overload_refusals: int
+    slow_calls: Counter[str]
     stalls: int
     served_after_recovery: tuple[int, int]
     violations: tuple[Violation, ...]
@@ -31,9 +33,12 @@
         served, sent = self.served_after_recovery
         answers = ", ".join(f"{k}: {n}" for k, n in sorted(self.answers.items()))
         faults = ", ".join(f"{k.value}: {n}" for k, n in sorted(self.injected.items()))
+        slow = ", ".join(f"{k}: {n}" for k, n in sorted(self.slow_calls.items()))
         lines = [
             f"requests by answer: {answers}",
             f"arrivals at endpoints: {self.arrivals}",
+            f"refusals by overload control: {self.overload_refusals}",
+            f"answers to slow callers: {slow}",
             f"faults played: {faults or 'none'}",
             f"served once all was back: {served} of {sent}",
             f"stalls of this machine, left out of checks with a time: {self.stalls}",
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -1,14 +1,17 @@
 """Each check of a soak finds its violation, and accepts allowed behaviour."""
 
+import math
+
 import pytest
 
 from acaciacove.platform import names
-from acaciacove.soak.bounds import LIMIT_OVERAGE
+from acaciacove.soak.bounds import LIMIT_OVERAGE, LONG_EVENT_BYTES
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
+from acaciacove.soak.check_load import check_load
 from acaciacove.soak.check_notices import check_notices
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_kind import DEPARTURES, FaultKind
@@ -20,6 +23,10 @@
 
 KEY = "key-0"
 EVENTS = b"".join(b"id: %d\ndata: small %d\n\n" % (n, n) for n in range(1, 5))
+LONG_EVENTS = b"".join(
+    event.ljust(LONG_EVENT_BYTES, b".") + b"\n\n"
+    for event in EVENTS.split(b"\n\n")[:-1]
+)
 
 
 def a_call(number=1, kind=CallKind.BOOK, **changes):
@@ -66,8 +73,9 @@
 
 def test_a_served_request_breaks_nothing():
     assert promises_broken(calls=[a_call()], arrivals=[an_arrival()]) == set()
-    draft = a_call(kind=CallKind.DRAFT, body=EVENTS)
-    assert promises_broken(calls=[draft], arrivals=[an_arrival()]) == set()
+    for events in (EVENTS, LONG_EVENTS):
+        draft = a_call(kind=CallKind.DRAFT, body=events)
+        assert promises_broken(calls=[draft], arrivals=[an_arrival()]) == set()
 
 
 def test_a_booking_that_runs_twice_is_found():
@@ -96,6 +104,8 @@
         {"receipt": ""},
         {"kind": CallKind.DRAFT, "body": EVENTS[:-20]},
         {"kind": CallKind.DRAFT, "body": EVENTS + EVENTS},
+        {"kind": CallKind.DRAFT, "body": LONG_EVENTS.replace(b"..", b".", 1)},
+        {"kind": CallKind.DRAFT, "body": LONG_EVENTS[: -LONG_EVENT_BYTES - 2]},
         {"kind": CallKind.DRAFT, "body": EVENTS + b"id: 5"},
     ],
 )
@@ -351,3 +361,33 @@
     assert notices_broken(run, revoked_s={KEY: 18.1}) == []
     away = [InjectedFault(FaultKind.LOG_REFUSES, "log", 15.0, 17.1)]
     assert notices_broken(run, revoked_s={KEY: 17.9}, faults=away) == []
+
+
+def load_broken(calls, **trace):
+    return [v.promise for v in check_load(SoakTrace(calls=calls, **trace))]
+
+
+def test_a_refusal_by_overload_control_that_ran_or_misleads_is_found():
+    """Guards against refusals of sent requests, and callers told to return too late."""
+    refused = {"status": 503, "body": b'{"detail":"the service is overloaded"}'}
+    for value in (None, "", "x", "nan", "0.00", "-1", "1.01"):
+        assert load_broken([a_call(**refused, retry_after=value)]) == [Promise.REFUSED]
+    call = a_call(**refused, retry_after="1.00")
+    assert load_broken([call]) == []
+    assert load_broken([call], arrivals=[an_arrival()]) == [Promise.REFUSED]
+
+
+def test_an_organisation_that_is_never_served_is_found():
+    """Guards against a level that shuts an organisation out."""
+    shut_out = [a_call(n, key="key-1", status=503) for n in range(20)]
+    assert load_broken([a_call(), *shut_out]) == [Promise.MINIMUM_SHARE]
+    assert load_broken(shut_out) == load_broken([a_call(), *shut_out[1:]]) == []
+    assert load_broken([a_call(), *shut_out], revoked_s={"key-1": 9.0}) == []
+
+
+def test_an_answer_that_neither_ends_nor_breaks_off_is_found():
+    """Guards against a gateway that forgets an answer which its caller reads late."""
+    stuck = {"complete": False, "body": b"id: 1"}
+    assert load_broken([a_call(**stuck, read_pause_s=1.0)]) == [Promise.READ_ON]
+    for changes in ({"read_pause_s": math.inf}, {"read_pause_s": 1.0, "closed": True}):
+        assert load_broken([a_call(**stuck, **changes)]) == []
