--- a/acaciacove/soak/check_load.py
+++ b/acaciacove/soak/check_load.py
@@ -1,6 +1,7 @@
 """Checks refusals by overload control, minimum shares, and answers read slowly."""
 
 import math
+import re
 from collections import Counter
 from collections.abc import Iterator
 
@@ -13,6 +14,7 @@
 
 OVERLOAD_DETAILS = tuple(detail.encode() for detail in DETAILS.values())
 MAX_RETRY_AFTER_S = CALLER_TIME_S * MAX_RETRY_AFTER_SHARE
+TWO_DECIMALS = re.compile(r"[0-9]+\.[0-9]{2}")
 # An organisation that asked less often may have had no luck.
 MIN_CALLS = 20
 
@@ -32,17 +34,22 @@
     return call.status == 503 and any(text in call.body for text in OVERLOAD_DETAILS)
 
 
+def is_read_on(call: CallRecord) -> bool:
+    """Return whether a slow caller has read on, up to the end of its call.
+
+    A call without an end was cut off by the end of the run.
+    """
+    pause_s = call.read_pause_s
+    return pause_s is not None and math.isfinite(pause_s) and call.ended_s > 0.0
+
+
 def _check_refusal(call: CallRecord, has_arrived: bool) -> Iterator[Violation]:
     """Check that no endpoint got the request, and when its caller may return."""
     if has_arrived:
         yield Violation(Promise.REFUSED, f"{call.request_id} was sent to an endpoint")
-    try:
-        after_s = float(call.retry_after or "")
-    except ValueError:
-        after_s = math.nan
-    if not 0.0 < after_s <= MAX_RETRY_AFTER_S:
-        detail = f"{call.request_id}: Retry-After {call.retry_after!r}"
-        yield Violation(Promise.REFUSED, detail)
+    value = call.retry_after or ""
+    if not TWO_DECIMALS.fullmatch(value) or not 0.0 < float(value) <= MAX_RETRY_AFTER_S:
+        yield Violation(Promise.REFUSED, f"{call.request_id}: Retry-After {value!r}")
 
 
 def _check_minimum_share(trace: SoakTrace) -> Iterator[Violation]:
@@ -61,15 +68,8 @@
 
 
 def _check_read_on(trace: SoakTrace, call: CallRecord) -> Iterator[Violation]:
-    """Check that an answer that is read on ends; ``check_answers`` checks its content.
-
-    A call without an end was cut off by the end of the run.
-    """
-    pause_s = call.read_pause_s
-    if pause_s is None or not math.isfinite(pause_s) or not call.ended_s:
-        return
-    if call.status != 200 or call.complete or call.closed:
-        return
-    if trace.is_unaffected(call.gateway, call.sent_s, call.ended_s):
+    """Check that an answer that is read on ends. ``check_answers`` checks its bytes."""
+    is_stuck = is_read_on(call) and not call.complete and not call.closed
+    if is_stuck and trace.is_unaffected(call.gateway, call.sent_s, call.ended_s):
         detail = f"{call.request_id} neither ended nor broke off"
         yield Violation(Promise.READ_ON, f"{detail}, {len(call.body)} bytes")
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -48,8 +48,8 @@
 )
 REST_DURATION_S = 4.0
 # Queues and slow callers last long enough for admission levels to rise and for buffers
-# to fill.
-LOAD_INTERVAL_S = (3.0, 6.0)
+# to fill, and end before the next ones begin.
+LOAD_INTERVAL_S = (4.0, 6.0)
 LOAD_KINDS = (FaultKind.ENDPOINTS_QUEUE, FaultKind.CALLERS_SLOW)
 LOAD_DURATION_S = 4.0
 # The catalogue grows while the log refuses all calls, and a key is revoked as soon as
@@ -61,13 +61,8 @@
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
-    if kind
-    not in (
-        FaultKind.ENDPOINT_REMOVED,
-        FaultKind.LOG_TURNS_AWAY,
-        *NOTICE_KINDS,
-        *LOAD_KINDS,
-    )
+    if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
+    and kind not in NOTICE_KINDS + LOAD_KINDS
 ]
 
 
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -38,7 +38,8 @@
 MIN_KEYS = 3
 # A head that takes longer than the latency target makes admission levels rise.
 QUEUE_WORK_S = 0.7
-QUEUE_WAITING = 40
+# So many requests of others run, and so many wait.
+QUEUED_REQUESTS = 64
 # An endpoint cuts off a long answer that is not read for this long.
 UNREAD_TIMEOUT_S = 2.0
 
@@ -236,34 +237,30 @@
     names = sorted(environment.servers)
     service = environment.servers[names[fault.target % len(names)]].report.service
     servers = [s for s in environment.servers.values() if s.report.service == service]
-    for server in servers:
-        server.behaviour.other_running = server.report.slots
-        server.behaviour.waiting = QUEUE_WAITING
-        server.behaviour.work_s = QUEUE_WORK_S
 
-    def undo() -> None:
+    def queue(requests: int, work_s: float) -> None:
         for server in servers:
-            server.behaviour.other_running = server.behaviour.waiting = 0
-            server.behaviour.work_s = EndpointBehaviour().work_s
+            server.behaviour.other_running = server.behaviour.waiting = requests
+            server.behaviour.work_s = work_s
 
-    await _record_until_undone(environment, fault, service, undo)
+    queue(QUEUED_REQUESTS, QUEUE_WORK_S)
+    usual_work_s = EndpointBehaviour().work_s
+    await _record_until_undone(
+        environment, fault, service, lambda: queue(0, usual_work_s)
+    )
 
 
 async def _slow_callers(environment: SoakEnvironment, fault: PlannedFault) -> None:
     """Have some callers read slowly, and endpoints send long answers."""
-    behaviours = [server.behaviour for server in environment.servers.values()]
-    for behaviour in behaviours:
-        behaviour.event_bytes = LONG_EVENT_BYTES
-        behaviour.unread_timeout_s = UNREAD_TIMEOUT_S
-    environment.are_callers_slow = True
 
-    def undo() -> None:
-        environment.are_callers_slow = False
-        for behaviour in behaviours:
-            behaviour.event_bytes = 0
-            behaviour.unread_timeout_s = None
+    def slow_down(is_slow: bool) -> None:
+        environment.are_callers_slow = is_slow
+        for server in environment.servers.values():
+            server.behaviour.event_bytes = LONG_EVENT_BYTES if is_slow else 0
+            server.behaviour.unread_timeout_s = UNREAD_TIMEOUT_S if is_slow else None
 
-    await _record_until_undone(environment, fault, "callers", undo)
+    slow_down(True)
+    await _record_until_undone(environment, fault, "callers", lambda: slow_down(False))
 
 
 async def _inject_endpoint_fault(
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -12,7 +12,7 @@
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_limits import check_limits
-from acaciacove.soak.check_load import check_load, is_overload_refusal
+from acaciacove.soak.check_load import check_load, is_overload_refusal, is_read_on
 from acaciacove.soak.check_notices import check_notices
 from acaciacove.soak.check_operations import check_operations
 from acaciacove.soak.fault_plan import plan_faults
@@ -135,7 +135,7 @@
         slow_calls=Counter(
             "whole" if call.complete else "broken off" if call.closed else "none"
             for call in trace.calls
-            if call.read_pause_s is not None
+            if is_read_on(call)
         ),
         stalls=len(trace.stalls),
         served_after_recovery=(served, len(calls)),
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -256,12 +256,13 @@
         if self.settings.seed // 2 % 2:
             return
         random = Random(f"paces/{self.settings.seed}")
-        gap_s = EndpointBehaviour().gap_s
         while True:
             for server in self.servers.values():
                 pace_percent = random.randint(MIN_PACE_PERCENT, MAX_PACE_PERCENT)
                 server.behaviour.pace_percent = pace_percent
-                server.behaviour.gap_s = gap_s * pace_percent / 100.0
+                server.behaviour.gap_s = (
+                    EndpointBehaviour().gap_s * pace_percent / 100.0
+                )
             await asyncio.sleep(PACE_INTERVAL_S)
 
     async def watch_stalls(self) -> None:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -370,7 +370,7 @@
 def test_a_refusal_by_overload_control_that_ran_or_misleads_is_found():
     """Guards against refusals of sent requests, and callers told to return too late."""
     refused = {"status": 503, "body": b'{"detail":"the service is overloaded"}'}
-    for value in (None, "", "x", "nan", "0.00", "-1", "1.01"):
+    for value in (None, "", "x", "nan", "1", "0.00", "-0.10", "1.01"):
         assert load_broken([a_call(**refused, retry_after=value)]) == [Promise.REFUSED]
     call = a_call(**refused, retry_after="1.00")
     assert load_broken([call]) == []
