--- a/acaciacove/soak/bounds.py
+++ b/acaciacove/soak/bounds.py
@@ -16,10 +16,9 @@
 # endpoint; what it sends before that is not counted.
 LIMIT_NOTICE_S = 0.5
 REST_S = 3.0
-# How long callers give a request, and the largest share of it
-# that Retry-After may take.
+# How long callers give a request, and the longest Retry-After of overload control.
 CALLER_TIME_S = 3.0
-MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
+MAX_RETRY_AFTER_S = CALLER_TIME_S / 3.0
 # A quarter of it holds a few of the answers that slow callers leave unread.
 MEMORY_LIMIT_BYTES = 4_000_000
 # Four events of this size are more than the kernel buffers for a slow caller.
--- a/acaciacove/soak/check_load.py
+++ b/acaciacove/soak/check_load.py
@@ -6,14 +6,13 @@
 from collections.abc import Iterator
 
 from acaciacove.gateway.overload_control import DETAILS
-from acaciacove.soak.bounds import CALLER_TIME_S, MAX_RETRY_AFTER_SHARE
+from acaciacove.soak.bounds import MAX_RETRY_AFTER_S
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.soak_catalogue import organisation_of
 from acaciacove.soak.soak_trace import SoakTrace
 from acaciacove.soak.violation import Promise, Violation
 
 OVERLOAD_DETAILS = tuple(detail.encode() for detail in DETAILS.values())
-MAX_RETRY_AFTER_S = CALLER_TIME_S * MAX_RETRY_AFTER_SHARE
 TWO_DECIMALS = re.compile(r"[0-9]+\.[0-9]{2}")
 # An organisation that asked less often may have had no luck.
 MIN_CALLS = 20
@@ -39,8 +38,7 @@
 
     A call without an end was cut off by the end of the run.
     """
-    pause_s = call.read_pause_s
-    return pause_s is not None and math.isfinite(pause_s) and call.ended_s > 0.0
+    return call.read_pause_s not in (None, math.inf) and call.ended_s > 0.0
 
 
 def _check_refusal(call: CallRecord, has_arrived: bool) -> Iterator[Violation]:
