--- a/acaciacove/explain/request_cause.py
+++ b/acaciacove/explain/request_cause.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from acaciacove.decisions.refusal_cause import RefusalCause
 from acaciacove.explain.log_line import LogLine
 from acaciacove.explain.losses import Loss, classify_loss
 from acaciacove.explain.overload_refusals import is_overload_refusal
@@ -32,7 +33,7 @@
     level, wait_s, wait_age_s = (fields.get(name) for name in OVERLOAD_FIELDS)
     if level is None and wait_s is None:
         return None
-    if level:
+    if fields.get("cause") != RefusalCause.DEADLINE.value:
         why = f"Refused at admission level {level}, which admits more urgent requests"
     else:
         limit_s = fields.get("time_s")
@@ -55,6 +56,8 @@
     if loss is Loss.LATE_QUEUED:
         waited_s = sum(taken - predicted for *_, taken, predicted in heads)
         waits.append(f"in a queue, {waited_s:.2f} s longer than predicted")
+    if fields.get("postponed_s"):
+        waits.append(f"{fields['postponed_s']} s for capacity of a larger model")
     if len(heads) > 1:
         smaller_s = sum(taken for *_, taken, _ in heads[:-1])
         small, large = heads[0][1], heads[-1][1]
--- a/acaciacove/gateway/log_request.py
+++ b/acaciacove/gateway/log_request.py
@@ -80,6 +80,13 @@
     }
 
 
+def _postponed_fields(context: RequestContext) -> dict[str, float]:
+    """Return how long the request's escalation was postponed, if it was."""
+    if not context.postponed_s:
+        return {}
+    return {"postponed_s": round(context.postponed_s, 3)}
+
+
 def log_request(gateway: Gateway, context: RequestContext, status: int | str) -> None:
     """Log and count a request that has ended with this status."""
     now_s = asyncio.get_running_loop().time()
@@ -111,6 +118,7 @@
         first_piece_s=round(first_s - request.arrived_s, 4) if first_s else None,
         total_s=round(total_s, 4),
         time_s=round(context.deadline_s - request.arrived_s, 3),
+        **_postponed_fields(context),
         **_overload_fields(context),
         revision=gateway.view.operator_revision,
     )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -148,11 +148,11 @@
 
 def test_a_refusal_for_overload_states_what_the_gateway_knew():
     refused = {"reason": "overloaded", "status": 503, "wait_s": 1.8, "wait_age_s": 0.1}
-    assert cause_of(level=2.5, **refused) == (
-        "Refused at admission level 2.5, which admits more urgent requests: requests "
+    assert cause_of(level=2, cause="level", **refused) == (
+        "Refused at admission level 2, which admits more urgent requests: requests "
         "waited 1.8 s at endpoints, known 0.1 s before."
     )
-    assert cause_of(level=0, time_s=1.5, **refused).startswith(
+    assert cause_of(level=5, cause="deadline", time_s=1.5, **refused).startswith(
         "Refused because no endpoint could finish it within its time of 1.5 s: "
     )
     assert cause_of(reason="overloaded", level=1).endswith("knew of no wait.")
@@ -165,6 +165,8 @@
     sure = ["e", "small", 100.0, 0.3, 0.3]
     large = ["e", "large", 100.0, 2.6, 2.5]
     queued = cause_of(heads=[["e", "small", 100.0, 3.0, 0.2]], **late)
+    postponed = cause_of(heads=[sure, large], postponed_s=0.9, **late)
+    assert "it waited 0.9 s for capacity of a larger model and" in postponed
     assert "its target is 2.0 s; it waited in a queue, 2.80 s longer" in queued
     assert "for a second attempt (2 attempts)" in cause_of(
         heads=[sure], **(late | {"tries": 2})
