--- a/acaciacove/cli/query_gateway.py
+++ b/acaciacove/cli/query_gateway.py
@@ -7,11 +7,10 @@
 
 from acaciacove.adapters.http_json import call_json
 from acaciacove.cli.gateway_answer import GatewayAnswer
+from acaciacove.cli.status_query import BAD_ANSWER, NO_ANSWER, status_url
 from acaciacove.errors import PlatformUnavailableError
 from acaciacove.gateway.gateway_status import GatewayStatus
 
-NO_ANSWER = "no answer"
-BAD_ANSWER = "answered something else than a status"
 HTTP_OK = 200
 CONVERTER = Converter()
 
@@ -19,8 +18,7 @@
 async def query_gateway(client: Any, address: str, timeout_s: float) -> GatewayAnswer:
     """Return an answer; if no valid status comes in time, its ``fault`` says why."""
     host, _, port = address.rpartition(":")
-    host = f"[{host}]" if ":" in host and not host.startswith("[") else host
-    url = f"http://{host}:{port}/status"
+    url = status_url(host, port)
     try:
         answer = await call_json(client, "GET", url, timeout_s=timeout_s)
     except PlatformUnavailableError as error:
--- a/acaciacove/cli/query_instance.py
+++ b/acaciacove/cli/query_instance.py
@@ -6,13 +6,12 @@
 
 from acaciacove.adapters.http_json import call_json
 from acaciacove.cli.instance_report import InstanceReport
+from acaciacove.cli.status_query import BAD_ANSWER, NO_ANSWER, status_url
 from acaciacove.errors import PlatformUnavailableError
 from acaciacove.fleet.fleet_state import FleetState
 from acaciacove.fleet.instance import Instance
 
 NO_PORT = "no HTTP port listed"
-NO_ANSWER = "no answer"
-BAD_ANSWER = "answered something else than a status"
 
 
 async def query_instance(
@@ -22,8 +21,7 @@
     listed = _report_from_list(instance, fleet)
     if not instance.http_port:
         return evolve(listed, fault=NO_PORT)
-    host = f"[{instance.host}]" if ":" in instance.host else instance.host
-    url = f"http://{host}:{instance.http_port}/status"
+    url = status_url(instance.host, instance.http_port)
     try:
         answer = await call_json(client, "GET", url, timeout_s=timeout_s)
     except PlatformUnavailableError:
