--- a/acaciacove/gateway/choose_model.py
+++ b/acaciacove/gateway/choose_model.py
@@ -62,10 +62,12 @@
     confidence: float,
     now_s: float,
     count_delays: bool = True,
+    queues: QueueWaits | None = None,
 ) -> str | None:
     """Return the model to escalate to, or None where the response is to be kept.
 
-    Without ``count_delays`` the requests behind this one are left out.
+    Without ``count_delays`` the requests behind this one are left out. ``queues`` are
+    the present waits of the service's endpoints, if they are known already.
     """
     sizes = context.route.model_sizes
     model = context.model
@@ -73,12 +75,13 @@
         return None
     assert model is not None
     larger = sizes[sizes.index(model) + 1 :]
-    queues = queue_waits(gateway, context.service.name, now_s)
+    queues = queues or queue_waits(gateway, context.service.name, now_s)
     options = _model_options(gateway, context, larger, queues.min_s, now_s)
     calibration = gateway.confidences(context.service.name)
     for option in options:
         calibration.offset(model, option.name, option.is_largest)
-    latency = _latency_context(gateway, context, queues, now_s)
+    waiting = _waiting_requests(gateway, context, queues, now_s)
+    latency = _latency_context(gateway, context, queues, waiting, now_s)
     if not count_delays:
         latency = evolve(latency, delayed_per_s=0.0)
     chosen = next_model(
@@ -89,8 +92,7 @@
         latency,
         may_escalate_twice=context.sent_count + 2 <= context.route.max_attempts,
     )
-    delayed_per_s = _delayed_per_s(gateway, context, queues, now_s)
-    if chosen is None or delayed_per_s > MAX_EXPLORATION_DELAYED_PER_S:
+    if chosen is None or waiting > MAX_EXPLORATION_DELAYED_PER_S:
         return chosen
     return _explore(gateway, calibration, model, larger) or chosen
 
@@ -150,7 +152,7 @@
     return sqrt(setting * VALUE_PER_MAX_PRICE * max_price)
 
 
-def _delayed_per_s(
+def _waiting_requests(
     gateway: Gateway, context: RequestContext, queues: QueueWaits, now_s: float
 ) -> float:
     """Return the requests that wait at an endpoint, by Little's law."""
@@ -159,22 +161,26 @@
 
 
 def _latency_context(
-    gateway: Gateway, context: RequestContext, queues: QueueWaits, now_s: float
+    gateway: Gateway,
+    context: RequestContext,
+    queues: QueueWaits,
+    waiting: float,
+    now_s: float,
 ) -> LatencyContext:
     arrived_s = context.request.arrived_s
     latency = LatencyContext(
         elapsed_s=now_s - arrived_s,
         target_s=context.route.latency_target_s,
-        delayed_per_s=_delayed_per_s(gateway, context, queues, now_s),
+        delayed_per_s=waiting,
         delay_weight=gateway.delay_cost(context.service.name).weight,
     )
     if not gateway.settings.overload_control:
         return latency
     return evolve(
         latency,
-        delayed_per_s=max(latency.delayed_per_s, queues.mean_delayed_requests),
+        delayed_per_s=max(waiting, queues.mean_delayed_requests),
         deadline_s=context.deadline_s - arrived_s,
-        delayed_target_s=gateway.usual_target(context.service.name).target_s,
+        delayed_target_s=gateway.overload(context.service.name).usual_target.target_s,
     )
 
 
@@ -196,7 +202,7 @@
     prefill_s = 0.0
     stream_s = 0.0
     if gateway.settings.overload_control:
-        streams = gateway.stream_time(context.service.name)
+        streams = gateway.overload(context.service.name).streams
         stream_s = streams.expected_s(context.route.name, now_s)
     for name in models:
         prefill = gateway.prefill_latency(context.service.name, name)
--- a/acaciacove/gateway/escalation.py
+++ b/acaciacove/gateway/escalation.py
@@ -136,9 +136,10 @@
     if now_s - gateway.last_release_s < RELEASE_INTERVAL_S:
         return None
     context = exchange.context
-    if not queue_waits(gateway, context.service.name, now_s).has_reports:
+    queues = queue_waits(gateway, context.service.name, now_s)
+    if not queues.has_reports:
         return None
-    chosen = choose_next_model(gateway, context, confidence, now_s)
+    chosen = choose_next_model(gateway, context, confidence, now_s, queues=queues)
     if chosen is None or not _may_send(gateway, exchange, now_s):
         return None
     return chosen
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -112,7 +112,8 @@
         work_s = prefill.predict_s(self.uncached_tokens)
         local_s = work_s * state.pace.slowness(now_s)
         self.work_s = local_s
-        if state.load.freshness(now_s) > RECENT_FRESHNESS:
+        is_queue_known = state.load.freshness(now_s) > RECENT_FRESHNESS
+        if gateway.settings.overload_control and is_queue_known:
             self.waiting_at_send = state.load.waiting
         self.predicted_s = state.backlog.wait_s(now_s, 0.0) + local_s
         self.is_wait_short = state.backlog.drained_at_s - now_s <= local_s
@@ -128,13 +129,13 @@
         latency_s = self.state.backlog.record_first_chunk(self.backlog_id, now_s)
         if latency_s is not None:
             context = self.context
-            if self.waiting_at_send is not None:
-                wait_s = took_s - self.work_s
-                self.gateway.queue_delay(context.service.name).learn(
-                    self.waiting_at_send, wait_s / self.state.pace.slowness(now_s)
-                )
-            prefill = self.gateway.prefill_latency(context.service.name, context.model)
+            service = context.service.name
             slowness = self.state.pace.slowness(now_s)
+            if self.waiting_at_send is not None:
+                wait_s = (took_s - self.work_s) / slowness
+                delay = self.gateway.overload(service).queue_delay
+                delay.learn(self.waiting_at_send, wait_s)
+            prefill = self.gateway.prefill_latency(service, context.model)
             if self.is_wait_short:
                 predicted_s = prefill.predict_s(self.uncached_tokens)
                 self._learn_pace(str(context.model), predicted_s, latency_s, now_s)
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -13,14 +13,13 @@
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.record_result import record_result
 from acaciacove.gateway.request_context import RequestContext
+from acaciacove.gateway.stream_recorder import new_stream_recorder
 
 # Responses up to this size that are not streamed are buffered, so that a broken one can
 # be retried without the caller seeing it. Larger ones fail.
 MAX_BUFFERED_BYTES = 65_536
 # Timeout between two events of a stream that may be resumed.
 EVENT_TIMEOUT_S = 2.5
-# A write that takes longer waits for the caller.
-MAX_WRITE_S = 0.005
 
 
 async def forward_buffered(
@@ -63,10 +62,7 @@
     """
     splitter = EventSplitter()
     loop = asyncio.get_running_loop()
-    resumed = context.last_event_id is not None
-    events_count = 0
-    previous_s: float | None = None
-    streams = gateway.stream_time(context.service.name)
+    recorder = new_stream_recorder(gateway, context)
     may_resume = may_retry and context.route.may_repeat
     while True:
         async with asyncio.timeout(EVENT_TIMEOUT_S if may_resume else None):
@@ -77,8 +73,8 @@
         _keep(gateway, exchange, len(splitter.rest))
         if not events:
             continue
+        now_s = loop.time()
         if not context.events_delivered:
-            now_s = asyncio.get_running_loop().time()
             context.first_chunk_s = now_s
             waited_s = now_s - context.request.arrived_s
             target_s = context.route.latency_target_s
@@ -90,19 +86,14 @@
             _count_model_size(gateway, context)
             _start_stream(front, head)
             context.events_delivered = True
-        event_s = loop.time()
-        events_count += 1
-        if previous_s is not None and not context.postponed_s:
-            streams.record_interval(event_s - previous_s, event_s)
+        recorder.record_event(now_s)
         await front.write(events)
-        # After a wait for the caller, the next event has been here for some time.
-        previous_s = event_s if loop.time() - event_s < MAX_WRITE_S else None
+        recorder.record_written(loop.time())
         context.last_event_id = splitter.last_id or context.last_event_id
     if not context.events_delivered:
         _start_stream(front, head)
         context.events_delivered = True
-    if not resumed:
-        streams.record_length(context.route.name, events_count)
+    recorder.record_end()
     if splitter.rest:
         await front.write(splitter.rest)
     front.finish_response()
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -9,10 +9,7 @@
 from acaciacove.decisions.confidence_calibration import ConfidenceCalibration
 from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.prefill_latency import PrefillLatency
-from acaciacove.decisions.queue_delay import QueueDelay
 from acaciacove.decisions.response_time import ResponseTime
-from acaciacove.decisions.stream_time import StreamTime
-from acaciacove.decisions.usual_target import UsualTarget
 from acaciacove.gateway.choice.choice_settings import ChoiceSettings
 from acaciacove.gateway.choice.retry_budget import RetryBudget
 from acaciacove.gateway.choice.session_versions import SessionVersions
@@ -104,9 +101,6 @@
     )
     response_times: dict[tuple[str, str], ResponseTime] = field(factory=dict)
     delay_costs: dict[str, DelayCost] = field(factory=dict)
-    queue_delays: dict[str, QueueDelay] = field(factory=dict)
-    stream_times: dict[str, StreamTime] = field(factory=dict)
-    usual_targets: dict[str, UsualTarget] = field(factory=dict)
     overloads: dict[str, OverloadState] = field(factory=dict)
     rollouts: dict[str, RolloutProgress] = field(factory=dict)
     members: dict[str, Peer] = field(factory=dict)
@@ -192,18 +186,6 @@
         """Return the cost of additional waiting for requests of a service."""
         return self.delay_costs.setdefault(service, DelayCost())
 
-    def queue_delay(self, service: str) -> QueueDelay:
-        """Return the wait for each waiting request of a service's endpoints."""
-        return self.queue_delays.setdefault(service, QueueDelay())
-
-    def stream_time(self, service: str) -> StreamTime:
-        """Return the duration of a service's streams."""
-        return self.stream_times.setdefault(service, StreamTime())
-
-    def usual_target(self, service: str) -> UsualTarget:
-        """Return the usual latency target of a service's requests."""
-        return self.usual_targets.setdefault(service, UsualTarget())
-
     def overload(self, service: str) -> OverloadState:
         """Return what overload control knows of a service."""
         return self.overloads.setdefault(service, OverloadState())
--- a/acaciacove/gateway/overload_control.py
+++ b/acaciacove/gateway/overload_control.py
@@ -4,16 +4,19 @@
 from time import time
 
 from acaciacove.decisions.admission_request import AdmissionRequest
-from acaciacove.decisions.endpoint_backlog import baseline_wait_s
 from acaciacove.decisions.head_waits import MAX_FACTOR
 from acaciacove.decisions.refusal_cause import RefusalCause
 from acaciacove.decisions.retry_after import drain_time_s, retry_after_s
-from acaciacove.gateway.choose_endpoint import MAX_COMPARED
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.overload_refusal import OverloadRefusal
 from acaciacove.gateway.overload_state import OverloadState
+from acaciacove.gateway.queue_waits import (
+    estimated_waits_s,
+    sampled_states,
+    willing_endpoints,
+)
 from acaciacove.gateway.request_context import RequestContext
 from acaciacove.reason import Reason
 from acaciacove.refusal import Refusal
@@ -49,6 +52,7 @@
     elif not state.level.admits(request, now_s):
         cause = RefusalCause.LEVEL
     else:
+        state.usual_target.learn(context.route.latency_target_s)
         return None
     context.overload_refusal = _describe_refusal(state, cause, now_s)
     gateway.metrics.count(Metric.OVERLOAD_REFUSALS, cause.value)
@@ -106,20 +110,10 @@
     gateway: Gateway, context: RequestContext, now_s: float
 ) -> list[float]:
     """Return the estimated waits of a service's endpoints, none for a plain service."""
-    service = context.service
-    if not service.model_costs:
+    if not context.service.model_costs:
         return []
-    endpoints = [
-        endpoint
-        for endpoint in gateway.view.endpoints.values()
-        if endpoint.service == service.name
-        and gateway.states.is_willing(endpoint, now_s)
-    ]
-    if len(endpoints) > MAX_COMPARED:
-        endpoints = gateway.random.sample(endpoints, MAX_COMPARED)
-    backlogs = [gateway.states.of(endpoint).backlog for endpoint in endpoints]
-    baseline_s = baseline_wait_s(backlogs, now_s)
-    return [backlog.wait_s(now_s, baseline_s) for backlog in backlogs]
+    endpoints = willing_endpoints(gateway, context.service.name, now_s)
+    return estimated_waits_s(sampled_states(gateway, endpoints), now_s)
 
 
 def _is_too_late(
--- a/acaciacove/gateway/overload_state.py
+++ b/acaciacove/gateway/overload_state.py
@@ -4,7 +4,10 @@
 
 from acaciacove.decisions.admission_level import AdmissionLevel
 from acaciacove.decisions.head_waits import HeadWaits
+from acaciacove.decisions.queue_delay import QueueDelay
+from acaciacove.decisions.stream_time import StreamTime
 from acaciacove.decisions.unqueued_time import UnqueuedTime
+from acaciacove.decisions.usual_target import UsualTarget
 from acaciacove.gateway.catalogue.route import Route
 
 # A route is in use for this long after a request. Shorter than that, the limit of the
@@ -24,6 +27,8 @@
 class OverloadState:
     """Admission level and waits of one service, in this gateway's memory only.
 
+    ``queue_delay`` is the wait for each waiting request of the endpoints, ``streams``
+    the duration of streams, and ``usual_target`` that of the admitted requests.
     ``unqueued_times`` are those of plain requests by route. ``min_wait_s`` is the
     shortest wait of all endpoints at the last adjustment, ``logged_level`` the level of
     the last log line.
@@ -31,6 +36,9 @@
 
     level: AdmissionLevel = field(factory=AdmissionLevel)
     waits: HeadWaits = field(factory=HeadWaits)
+    queue_delay: QueueDelay = field(factory=QueueDelay)
+    streams: StreamTime = field(factory=StreamTime)
+    usual_target: UsualTarget = field(factory=UsualTarget)
     unqueued_times: dict[str, UnqueuedTime] = field(factory=dict)
     routes: dict[str, RouteUse] = field(factory=dict)
     min_wait_s: float = 0.0
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -87,7 +87,7 @@
         return
     state.load.apply_report(head.load.running, head.load.waiting, now_s)
     if gateway.settings.overload_control and not head.misdirected:
-        s_per_waiting = gateway.queue_delay(context.service.name).s_per_waiting
+        s_per_waiting = gateway.overload(context.service.name).queue_delay.s_per_waiting
         wait_s = head.load.waiting * s_per_waiting * state.pace.slowness(now_s)
         state.backlog.report_wait(wait_s, now_s)
     if head.load.pace is not None and not head.misdirected:
--- a/acaciacove/gateway/queue_waits.py
+++ b/acaciacove/gateway/queue_waits.py
@@ -1,8 +1,9 @@
 """Estimated waits at a service's endpoints, and what more work there would delay."""
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from acaciacove.decisions.endpoint_backlog import baseline_wait_s
+from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.choice.endpoint_load import EndpointLoad
 from acaciacove.gateway.choose_endpoint import MAX_COMPARED
 from acaciacove.gateway.endpoint_state import EndpointState
@@ -20,7 +21,8 @@
 
     ``mean_delayed_requests`` is the mean number of requests at an endpoint that more
     work there delays: by recent reports, and those sent from here since. Without any
-    recent report, ``has_reports`` is false.
+    recent report, ``has_reports`` is false. Both are for overload control and remain
+    unset without it.
     """
 
     endpoints: int
@@ -30,32 +32,44 @@
     has_reports: bool = False
 
 
-def queue_waits(gateway: Gateway, service: str, now_s: float) -> QueueWaits:
-    """Return the waits of a service's endpoints, or of a sample of many."""
-    endpoints = [
+def willing_endpoints(gateway: Gateway, service: str, now_s: float) -> list[Endpoint]:
+    """Return the endpoints of a service that neither leave nor rest."""
+    return [
         endpoint
         for endpoint in gateway.view.endpoints.values()
         if endpoint.service == service and gateway.states.is_willing(endpoint, now_s)
     ]
+
+
+def sampled_states(gateway: Gateway, endpoints: list[Endpoint]) -> list[EndpointState]:
+    """Return the states of endpoints, or of a sample of many."""
+    if len(endpoints) > MAX_COMPARED:
+        endpoints = gateway.random.sample(endpoints, MAX_COMPARED)
+    return [gateway.states.of(endpoint) for endpoint in endpoints]
+
+
+def estimated_waits_s(states: list[EndpointState], now_s: float) -> list[float]:
+    """Return the estimated wait at each endpoint."""
+    baseline_s = baseline_wait_s((state.backlog for state in states), now_s)
+    return [state.backlog.wait_s(now_s, baseline_s) for state in states]
+
+
+def queue_waits(gateway: Gateway, service: str, now_s: float) -> QueueWaits:
+    """Return the waits of a service's endpoints, or of a sample of many."""
+    endpoints = willing_endpoints(gateway, service, now_s)
     if not endpoints:
         return QueueWaits(0, 0.0, 0.0)
-    sampled = endpoints
-    if len(endpoints) > MAX_COMPARED:
-        sampled = gateway.random.sample(endpoints, MAX_COMPARED)
-    states = [gateway.states.of(endpoint) for endpoint in sampled]
-    backlogs = [state.backlog for state in states]
-    baseline_s = baseline_wait_s(backlogs, now_s)
-    waits_s = [backlog.wait_s(now_s, baseline_s) for backlog in backlogs]
-    return QueueWaits(
-        len(endpoints),
-        sum(waits_s) / len(waits_s),
-        min(waits_s),
-        _mean_delayed_requests(
-            states,
-            MAX_RUNNING_DELAY_SHARE * gateway.stream_time(service).slowdown(now_s),
-            now_s,
-        ),
-        any(state.load.freshness(now_s) > 0.0 for state in states),
+    states = sampled_states(gateway, endpoints)
+    waits_s = estimated_waits_s(states, now_s)
+    waits = QueueWaits(len(endpoints), sum(waits_s) / len(waits_s), min(waits_s))
+    if not gateway.settings.overload_control:
+        return waits
+    slowdown = gateway.overload(service).streams.slowdown(now_s)
+    running_share = MAX_RUNNING_DELAY_SHARE * slowdown
+    return evolve(
+        waits,
+        mean_delayed_requests=_mean_delayed_requests(states, running_share, now_s),
+        has_reports=any(state.load.freshness(now_s) > 0.0 for state in states),
     )
 
 
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -116,7 +116,6 @@
     if overload is not None:
         return overload
     sizes = context.route.model_sizes
-    gateway.usual_target(context.service.name).learn(context.route.latency_target_s)
     if sizes and context.model is None:
         context.model = choose_first_model(gateway, context, now_s)
     while True:
--- a/tests/test_gateway_escalation.py
+++ b/tests/test_gateway_escalation.py
@@ -115,7 +115,7 @@
     """Let the gateway learn that streams take ten times as long as usual."""
     now_s = asyncio.get_running_loop().time()
     for _ in range(100):
-        gateway_of(fleet).stream_time("model").record_interval(0.1, now_s)
+        gateway_of(fleet).overload("model").streams.record_interval(0.1, now_s)
 
 
 async def fill_queue(fleet, running=40):
@@ -269,7 +269,7 @@
             await draft(f"calm-{number}", key=f"c{number}")
         await fill_queue(fleet)
         gateway = gateway_of(fleet)
-        streams, cost = gateway.stream_time("model"), gateway.delay_cost("model")
+        streams, cost = gateway.overload("model").streams, gateway.delay_cost("model")
         # Calm streams have been learnt: 0.1 s between events, 10 events.
         assert streams.interval_s > 0.05 and streams.events["draft"] == 10
         before = streams.interval_s, cost.slope
@@ -330,7 +330,7 @@
         ]
         assert state.backlog.wait_s(now_s, 0.0) > 1.0
         await draft("r-2")
-        assert gateway.queue_delay("model").s_per_waiting < 0.02
+        assert gateway.overload("model").queue_delay.s_per_waiting < 0.02
 
     run_fleet(scenario, models=1, overload_control=True)
 
@@ -342,12 +342,12 @@
         gateway = gateway_of(fleet)
         report_queue(fleet, 1, 0)
         await draft("r-0")
-        gateway.stream_time("model").events["draft"] = 10_000
+        gateway.overload("model").streams.events["draft"] = 10_000
         await draft("r-1")
-        gateway.stream_time("model").events["draft"] = 4
+        gateway.overload("model").streams.events["draft"] = 4
         slow_streams(fleet)
         for _ in range(400):
-            gateway.usual_target("model").learn(0.001)
+            gateway.overload("model").usual_target.learn(0.001)
         await draft("r-2")
         assert models_of(fleet, "r-0")[-1] == "large"
         assert models_of(fleet, "r-1") == ["small"] and not outcomes(fleet)
