Exchange: log the end of an answer that only its connection delimits

A served request's log line does not say how the endpoint framed its answer, so a cut stream that was taken for a whole one cannot be told from one that the gateway itself ended short. response_close_delimited names request, endpoint and the bytes that had not been passed on. Ruled out: a field of the request line, which is written once for several endpoints.

tests/test_gateway_requests.py, test_gateway_observability.py, test_docs.py pass; no change of what is forwarded.

--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -14,6 +14,7 @@
 from acaciacove.gateway.http.endpoint_connection import EndpointConnection
 from acaciacove.gateway.http.errors import ConnectionLostError, InvalidResponseError
 from acaciacove.gateway.http.forward_hints import ForwardHints
+from acaciacove.gateway.http.response_framing import is_close_delimited
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.overload_waits import record_end, record_head, record_sent
@@ -39,7 +40,8 @@
     evidence for, and ``evidence_id`` identifies the
     request there. ``connection`` is None before one is made. ``sent`` is set before the
     first byte is sent: from then on the endpoint may run the request. ``complete`` is
-    set when the complete response has been read. ``kept`` counts the bytes of the
+    set when the complete response has been read, and ``is_close_delimited`` if only the
+    end of the connection marks the end of its body. ``kept`` counts the bytes of the
     response that are kept here: a body or an event that is not complete yet.
     """
 
@@ -49,6 +51,7 @@
     connection: EndpointConnection | None = None
     sent: bool = False
     complete: bool = False
+    is_close_delimited: bool = False
     sent_at_s: float = 0.0
     uncached_tokens: float = 0.0
     backlog_id: int = 0
@@ -204,6 +207,8 @@
             )
             request_id = self.context.request.hints.request_id
             if request_id is None or head.request_id in (request_id, None):
+                method = self.context.request.method
+                self.is_close_delimited = is_close_delimited(method, event)
                 return head
             await self.connection.skip_response()
         raise InvalidResponseError(
@@ -231,11 +236,23 @@
         while True:
             event = await self.connection.next_response_event()
             if isinstance(event, h11.EndOfMessage):
+                self._log_end()
                 self.complete = True
                 return None
             if isinstance(event, h11.Data):
                 return bytes(event.data)
 
+    def _log_end(self) -> None:
+        """Log the end of a response whose framing does not show that it is complete."""
+        if self.is_close_delimited:
+            self.gateway.log.write(
+                Event.RESPONSE_CLOSE_DELIMITED,
+                routine=True,
+                request_id=self.context.request.hints.request_id,
+                endpoint=self.state.endpoint.instance,
+                kept_bytes=self.kept.held_bytes,
+            )
+
     async def read_body(self, limit_bytes: int) -> bytes | None:
         """Return the complete body, or None when it exceeds the limit."""
         chunks: list[bytes] = []
