--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -21,6 +21,11 @@
     - ``mute``: never answers
     - ``cut_after``: closes the connection in the middle of the event after this many
       (0: before the response head)
+    - ``close_delimited``: answers with neither a length nor chunks, and closes the
+      connection at the end of each
+    - ``crash_after``: crashes in the course of a stream, after this many events
+    - ``ends_inside_event``: with ``cut_after``, ends the stream's chunks in order, so
+      that only the incomplete event shows the cut
     - ``late_answer``: sends the answer of another request first
     - ``unsigned``: omits the receipt
     - ``early_end``: closes the connection before Content-Length is reached
@@ -46,6 +51,9 @@
     leaving: str | None = None
     mute: bool = False
     cut_after: int | None = None
+    close_delimited: bool = False
+    crash_after: int | None = None
+    ends_inside_event: bool = False
     late_answer: bool = False
     unsigned: bool = False
     early_end: bool = False
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -148,8 +148,32 @@
             front.close()
             arrival.ended = "broken"
             return
+        if self.behaviour.close_delimited:
+            self._answer_close_delimited(arrival, front, fields, body)
+            return
         await _send_response(front, 200, fields, body)
 
+    def _answer_close_delimited(
+        self,
+        arrival: EndpointArrival,
+        front: FrontConnection,
+        fields: Fields,
+        body: bytes,
+    ) -> None:
+        """Answer with a body that only the end of the connection delimits.
+
+        With ``crash_after`` the endpoint crashes halfway.
+        """
+        assert front.transport is not None
+        is_cut = self.behaviour.crash_after is not None
+        sent = body[: len(body) // 2] if is_cut else body
+        front.transport.write(_close_delimited_head(fields) + sent)
+        if is_cut:
+            arrival.ended = "crashed"
+            self.crash()
+        else:
+            front.close()
+
     def _send_foreign_answer(self, front: FrontConnection) -> None:
         """Write the answer of another request before that of this one."""
         assert front.transport is not None
@@ -165,16 +189,20 @@
         confidence = (behaviour.confidence or {}).get(model)
         if confidence is not None:
             fields = [*fields, (names.CONFIDENCE, str(confidence).encode())]
-        front.start_response(
-            200, b"", [*fields, (b"Content-Type", b"text/event-stream")]
-        )
+        fields = [*fields, (b"Content-Type", b"text/event-stream")]
+        if behaviour.close_delimited:
+            await self._stream_close_delimited(arrival, front, fields)
+            return
+        front.start_response(200, b"", fields)
         begin = int(arrival.fields.get(names.LAST_EVENT_ID.decode(), "0"))
         for number in range(begin + 1, behaviour.events + 1):
-            event = f"id: {number}\ndata: {model} {number}".encode()
-            event = event.ljust(behaviour.event_bytes, b".") + b"\n\n"
+            event = self._event(model, number)
             if behaviour.cut_after is not None and number > behaviour.cut_after:
                 await front.write(event[: len(event) // 2])
-                front.close()
+                if behaviour.ends_inside_event:
+                    front.finish_response()
+                else:
+                    front.close()
                 arrival.ended = "broken"
                 return
             if not await self._write_with_timeout(front, event):
@@ -184,6 +212,33 @@
             await asyncio.sleep(behaviour.gap_s)
         front.finish_response()
 
+    def _event(self, model: str, number: int) -> bytes:
+        event = f"id: {number}\ndata: {model} {number}".encode()
+        return event.ljust(self.behaviour.event_bytes, b".") + b"\n\n"
+
+    async def _stream_close_delimited(
+        self, arrival: EndpointArrival, front: FrontConnection, fields: Fields
+    ) -> None:
+        """Stream events that only the end of the connection delimits."""
+        behaviour = self.behaviour
+        assert front.transport is not None
+        front.transport.write(_close_delimited_head(fields))
+        model = arrival.fields[names.MODEL.decode()]
+        begin = int(arrival.fields.get(names.LAST_EVENT_ID.decode(), "0"))
+        for number in range(begin + 1, behaviour.events + 1):
+            event = self._event(model, number)
+            if behaviour.cut_after is not None and number > behaviour.cut_after:
+                front.transport.write(event[: len(event) // 2])
+                arrival.ended = "broken"
+                break
+            if behaviour.crash_after is not None and number > behaviour.crash_after:
+                arrival.ended = "crashed"
+                self.crash()
+                return
+            front.transport.write(event)
+            await asyncio.sleep(behaviour.gap_s)
+        front.close()
+
     async def _write_with_timeout(self, front: FrontConnection, event: bytes) -> bool:
         """Write an event; return False if it stays unread until the timeout."""
         try:
@@ -195,6 +250,11 @@
         return True
 
 
+def _close_delimited_head(fields: Fields) -> bytes:
+    lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in fields)]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 async def _send_response(
     front: FrontConnection, status: int, fields: Fields, body: bytes
 ) -> None:
