ORDER: an answer that its connection or an event cuts off is not complete

What callers saw: 200 with the engine's receipt and a short body that was framed as complete. Cause: for an answer with neither a length nor chunks, the gateway took the end of the connection for the end of the answer, passed on what it held of an event, and ended its own chunks in order. The kernel closes a crashed process's connections in just that way. Class: an end that only the transport marks is taken for completeness. Change: a stream of events that ends inside one is broken off, whatever its framing; one that ends with its connection before any event, too. Where only the connection ended, the gateway checks that the endpoint still accepts connections before it calls the answer complete; a crashed one refuses them. Then the attempt is lost or broken like any other: repeated or resumed where that is allowed. Ruled out: passing the answer on without a length as well, as the caller then could not tell either; counting events, as nothing states how many there are; holding back a stream's last event. Cost: one connection for each such answer, and its round trip before the last chunk.

--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -8,6 +8,7 @@
 
 from acaciacove.decisions.byte_account import ByteAccount
 from acaciacove.gateway.choice.prefix_affinity import prefix_keys, uncached_tokens
+from acaciacove.gateway.confirm_response import confirm_response
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import endpoint_id
 from acaciacove.gateway.gateway import Gateway
@@ -208,7 +209,10 @@
             request_id = self.context.request.hints.request_id
             if request_id is None or head.request_id in (request_id, None):
                 method = self.context.request.method
-                self.is_close_delimited = is_close_delimited(method, event)
+                # A refusal is complete with its head, which says "not run".
+                self.is_close_delimited = not head.not_run and is_close_delimited(
+                    method, event
+                )
                 return head
             await self.connection.skip_response()
         raise InvalidResponseError(
@@ -231,27 +235,31 @@
             return event
 
     async def next_data(self) -> Any:
-        """Return the next body data, or None at the end of the response."""
+        """Return the next body data, or None at the end of the complete response."""
         assert self.connection is not None
         while True:
             event = await self.connection.next_response_event()
             if isinstance(event, h11.EndOfMessage):
-                self._log_end()
+                if self.is_close_delimited:
+                    await self._confirm_end()
                 self.complete = True
                 return None
             if isinstance(event, h11.Data):
                 return bytes(event.data)
 
-    def _log_end(self) -> None:
-        """Log the end of a response whose framing does not show that it is complete."""
-        if self.is_close_delimited:
-            self.gateway.log.write(
-                Event.RESPONSE_CLOSE_DELIMITED,
-                routine=True,
-                request_id=self.context.request.hints.request_id,
-                endpoint=self.state.endpoint.instance,
-                kept_bytes=self.kept.held_bytes,
-            )
+    async def _confirm_end(self) -> None:
+        """Log the end of a close-delimited response, and confirm it.
+
+        Raises ConnectionLostError if the response may have been cut off.
+        """
+        self.gateway.log.write(
+            Event.RESPONSE_CLOSE_DELIMITED,
+            routine=True,
+            request_id=self.context.request.hints.request_id,
+            endpoint=self.state.endpoint.instance,
+            kept_bytes=self.kept.held_bytes,
+        )
+        await confirm_response(self.state)
 
     async def read_body(self, limit_bytes: int) -> bytes | None:
         """Return the complete body, or None when it exceeds the limit."""
--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -18,6 +18,7 @@
 # Responses up to this size that are not streamed are buffered, so that a broken one can
 # be retried without the caller seeing it. Larger ones fail.
 MAX_BUFFERED_BYTES = 65_536
+EVENT_STREAM = b"text/event-stream"
 # Timeout between two events of a stream that may be resumed.
 EVENT_TIMEOUT_S = 2.5
 
@@ -90,6 +91,8 @@
         await front.write(events)
         recorder.record_written(loop.time())
         context.last_event_id = splitter.last_id or context.last_event_id
+    if _is_event_stream(head):
+        _check_stream_end(context, exchange, splitter)
     if not context.events_delivered:
         _start_stream(front, head)
         context.events_delivered = True
@@ -100,6 +103,32 @@
     return AttemptOutcome.DELIVERED
 
 
+def _is_event_stream(head: ResponseHead) -> bool:
+    """Return whether the body consists of events, as it does unless the head differs.
+
+    The body of any other content type has no incomplete event.
+    """
+    content_type = dict(head.headers).get(b"content-type", EVENT_STREAM)
+    return content_type.strip().lower().startswith(EVENT_STREAM)
+
+
+def _check_stream_end(
+    context: RequestContext, exchange: Exchange, splitter: EventSplitter
+) -> None:
+    """Raise InvalidResponseError if the stream was cut off, whatever its framing."""
+    instance = exchange.state.endpoint.instance
+    if splitter.is_inside_event:
+        raise InvalidResponseError(
+            f"the stream from {instance} ended inside an event, after"
+            f" {len(splitter.rest)} bytes of it"
+        )
+    is_resumed = context.last_event_id or context.request.hints.last_event_id
+    if exchange.is_close_delimited and not context.events_delivered and not is_resumed:
+        raise InvalidResponseError(
+            f"{instance} closed the connection before the first event of its stream"
+        )
+
+
 def _keep(gateway: Gateway, exchange: Exchange, rest_bytes: int) -> None:
     """Count the bytes of an incomplete event.
 
--- a/acaciacove/gateway/http/event_splitter.py
+++ b/acaciacove/gateway/http/event_splitter.py
@@ -30,6 +30,14 @@
             self.last_id = id_line.group(1).decode("latin-1")
         return complete
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether a part of an event has arrived, and not its end.
+
+        Empty lines after an event belong to none.
+        """
+        return bool(self._rest.strip(b"\r\n"))
+
     @property
     def rest(self) -> bytes:
         """The bytes of the incomplete event."""
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -26,6 +26,7 @@
     - ``crash_after``: crashes in the course of a stream, after this many events
     - ``ends_inside_event``: with ``cut_after``, ends the stream's chunks in order, so
       that only the incomplete event shows the cut
+    - ``document``: answers requests for a stream with this JSON document instead
     - ``late_answer``: sends the answer of another request first
     - ``unsigned``: omits the receipt
     - ``early_end``: closes the connection before Content-Length is reached
@@ -54,6 +55,7 @@
     close_delimited: bool = False
     crash_after: int | None = None
     ends_inside_event: bool = False
+    document: bytes | None = None
     late_answer: bool = False
     unsigned: bool = False
     early_end: bool = False
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -189,6 +189,10 @@
         confidence = (behaviour.confidence or {}).get(model)
         if confidence is not None:
             fields = [*fields, (names.CONFIDENCE, str(confidence).encode())]
+        if behaviour.document is not None:
+            fields = [*fields, (b"Content-Type", b"application/json")]
+            await _send_response(front, 200, fields, behaviour.document)
+            return
         fields = [*fields, (b"Content-Type", b"text/event-stream")]
         if behaviour.close_delimited:
             await self._stream_close_delimited(arrival, front, fields)
--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -83,6 +83,17 @@
     run_fleet(scenario)
 
 
+def test_document_on_a_streaming_route_arrives_whole():
+    """Guards against a document that is broken off, as it has no complete event."""
+
+    async def scenario(fleet):
+        set_behaviour(fleet, document=b'{"choices": []}')
+        answer = await call("/once/1", "r-1", fields=model_fields())
+        assert answer.complete and answer.body == b'{"choices": []}'
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("events", [0, 2])
 def test_close_delimited_stream_is_not_complete_if_its_endpoint_crashed(events):
     """Guards against a crash between two events that looks like the end of a stream."""
