Log client: a page that is cut in its head is a failed call

If that happens within the first 16 bytes, nothing says up to where the log goes; the page was taken for an empty one that confirms the view, so a gateway that has missed a change believes that it is up to date. A page that is cut later shows it: its records do not reach its end offset. JSON answers of the log are not valid when cut. The test of arbitrary bytes expected a page of fewer than 16 bytes; it now expects a failed call.

--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -253,13 +253,17 @@
 def _decode_page(body: bytes, offset: int) -> LogPage:
     """Decode a raw response: end and first offset, then length-prefixed records.
 
-    A record that is cut off at the end of the body is ignored.
+    A record that is cut off at the end of the body is ignored, as ``is_partial`` then
+    shows that it is missing. Raises PlatformUnavailableError if the head is cut off,
+    which says up to where the log goes: the page would confirm an old view.
     """
     records: list[LogRecord] = []
-    end_offset = offset
-    if len(body) >= _OFFSET.size:
-        (end_offset,) = _OFFSET.unpack_from(body, 0)
     at = 2 * _OFFSET.size
+    if len(body) < at:
+        raise PlatformUnavailableError(
+            f"expected a page of at least {at} bytes from the log, got {len(body)}"
+        )
+    (end_offset,) = _OFFSET.unpack_from(body, 0)
     while at + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, at)
         at += _LENGTH.size
--- a/tests/test_platform_log_client.py
+++ b/tests/test_platform_log_client.py
@@ -11,6 +11,7 @@
 from acaciacove.platform.log_client import LogClient
 from tests.raw_server import raw_server, response
 
+PAGE_HEAD_BYTES = 16
 MALFORMED = (
     b"{}",
     b"[]",
@@ -61,5 +62,29 @@
 @settings(max_examples=30, derandomize=True, deadline=None)
 def test_arbitrary_bytes_are_a_page_or_a_failed_call(body):
     """Guards against bytes of the log that end the process."""
-    page = call_log(body, lambda client: client.read(LogStream.OPERATOR, 5, 0.0))
+
+    def read():
+        return call_log(body, lambda client: client.read(LogStream.OPERATOR, 5, 0.0))
+
+    if len(body) < PAGE_HEAD_BYTES:
+        with pytest.raises(PlatformUnavailableError):
+            read()
+        return
+    page = read()
     assert page.next_offset == 5 + len(page.records)
+
+
+@pytest.mark.parametrize("size_bytes", [0, 8, 15])
+def test_a_page_of_the_log_that_is_cut_in_its_head_is_a_failed_call(size_bytes):
+    """Guards against a cut page that confirms an old view as the newest.
+
+    Without the head, nothing says up to where the log goes.
+    """
+    page = (9).to_bytes(8) + (0).to_bytes(8)
+
+    def read(body):
+        return call_log(body, lambda client: client.read(LogStream.OPERATOR, 4, 0.0))
+
+    assert read(page).is_partial
+    with pytest.raises(PlatformUnavailableError):
+        read(page[:size_bytes])
