Soak: answers that end with their connection, or inside an event

Stand-ins answered with chunks or a length alone, so the soak's check of whole answers never met an end that the framing does not show. Two faults are new, drawn apart so that the other faults of a seed stay as they are: an endpoint whose answers have neither (whole ones, streams cut inside an event, one that its crash cuts off), and streams that end inside an event with their chunks in order. An endpoint that a request crashes now closes its connections in order, as a kernel does.

--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -43,6 +43,11 @@
     ENDPOINT_RESTS = "endpoint_rests"
     ENDPOINT_LOSES_ANSWERS = "endpoint_loses_answers"
     ENDPOINT_CUTS = "endpoint_cuts"
+    # Its answers end with their connections: whole ones, streams cut inside an event,
+    # and one that its crash cuts off.
+    ENDPOINT_CLOSE_DELIMITED = "endpoint_close_delimited"
+    # Its streams end inside an event, with their framing in order.
+    ENDPOINT_ENDS_INSIDE_EVENT = "endpoint_ends_inside_event"
     # A request that crashes endpoints. Callers send it until the end of the run.
     REQUEST_CRASHES = "request_crashes"
     # Actions of an operator. The target is chosen among the existing keys or zones.
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -52,17 +52,24 @@
 LOAD_INTERVAL_S = (4.0, 6.0)
 LOAD_KINDS = (FaultKind.ENDPOINTS_QUEUE, FaultKind.CALLERS_SLOW)
 LOAD_DURATION_S = 4.0
+# How answers end changes at intervals.
+ENDING_INTERVAL_S = (2.0, 5.0)
+ENDING_KINDS = (
+    FaultKind.ENDPOINT_CLOSE_DELIMITED,
+    FaultKind.ENDPOINT_ENDS_INSIDE_EVENT,
+)
+ENDING_DURATION_S = 4.0
 # The catalogue grows while the log refuses all calls, and a key is revoked as soon as
 # it takes them again.
 GROWTH_S = 2.5
 GROWTH_MARGIN_S = 0.1
-# Unannounced departures, the log's refusals before them, notices and loads are drawn
-# separately.
+# Unannounced departures, the log's refusals before them, notices, loads and the ways
+# in which answers end are drawn separately.
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
     if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
-    and kind not in NOTICE_KINDS + LOAD_KINDS
+    and kind not in NOTICE_KINDS + LOAD_KINDS + ENDING_KINDS
 ]
 
 
@@ -104,6 +111,7 @@
     drawn += _draw_departures(Random(f"leaves/{settings.seed}"), last_s)
     drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
     drawn += _draw_loads(Random(f"loads/{settings.seed}"), last_s)
+    drawn += _draw_endings(Random(f"endings/{settings.seed}"), last_s)
     plan = [
         PlannedFault(number, *fault) for number, fault in enumerate(sorted(drawn), 1)
     ]
@@ -167,6 +175,17 @@
     return drawn
 
 
+def _draw_endings(random: Random, last_s: float) -> list[DrawnFault]:
+    """Draw endpoints whose answers end in other ways, from a separate generator."""
+    drawn: list[DrawnFault] = []
+    at_s = FIRST_FAULT_S + random.uniform(*ENDING_INTERVAL_S) / 2.0
+    while at_s < last_s:
+        kind = random.choice(ENDING_KINDS)
+        drawn.append((at_s, kind, random.randrange(1_000_000), ENDING_DURATION_S))
+        at_s += random.uniform(*ENDING_INTERVAL_S)
+    return drawn
+
+
 def _draw_growth(at_s: float, target: int) -> list[DrawnFault]:
     """Return a burst of changes during an outage, and a revocation after it."""
     outage_s = GROWTH_S + 2.0 * GROWTH_MARGIN_S
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -274,6 +274,8 @@
         await _depart(environment, fault, instance)
     elif fault.kind is FaultKind.ENDPOINT_ANNOUNCES:
         await _announce_and_depart(environment, fault, instance)
+    elif fault.kind is FaultKind.ENDPOINT_CLOSE_DELIMITED:
+        await _answer_close_delimited(environment, fault, instance)
     elif fault.kind in MISBEHAVIOURS:
         behaviour = environment.servers[instance].behaviour
         if behaviour.limit_per_s is not None and fault.kind in UNDO_FUNCTIONS:
@@ -289,6 +291,28 @@
         )
 
 
+async def _answer_close_delimited(
+    environment: SoakEnvironment, fault: PlannedFault, instance: str
+) -> None:
+    """Have an endpoint answer close-delimited: whole, cut, and cut off by its crash."""
+    behaviour = environment.servers[instance].behaviour
+    if behaviour.close_delimited:
+        return
+    behaviour.close_delimited = True
+    injected = InjectedFault(fault.kind, instance, asyncio.get_running_loop().time())
+    environment.faults.append(injected)
+    phase_s = fault.duration_s / 3.0
+    await asyncio.sleep(phase_s)
+    behaviour.cut_after = EVENTS_BEFORE_CUT
+    await asyncio.sleep(phase_s)
+    behaviour.cut_after = None
+    behaviour.crash_after = EVENTS_BEFORE_CUT
+    await asyncio.sleep(phase_s)
+    behaviour.crash_after = None
+    behaviour.close_delimited = False
+    injected.until_s = asyncio.get_running_loop().time()
+
+
 def _fail(behaviour: EndpointBehaviour) -> None:
     behaviour.failing = True
 
@@ -310,6 +334,11 @@
     behaviour.cut_after = EVENTS_BEFORE_CUT
 
 
+def _cut_in_order(behaviour: EndpointBehaviour) -> None:
+    behaviour.cut_after = EVENTS_BEFORE_CUT
+    behaviour.ends_inside_event = True
+
+
 def _lose_answers(behaviour: EndpointBehaviour) -> None:
     behaviour.lost_answers += LOST_ANSWERS
 
@@ -320,13 +349,14 @@
     FaultKind.ENDPOINT_RESTS: _rest,
     FaultKind.ENDPOINT_LIMITS: _limit,
     FaultKind.ENDPOINT_CUTS: _cut,
+    FaultKind.ENDPOINT_ENDS_INSIDE_EVENT: _cut_in_order,
     FaultKind.ENDPOINT_LOSES_ANSWERS: _lose_answers,
 }
 
 
 def _restore(behaviour: EndpointBehaviour) -> None:
     """Undo lasting misbehaviour. The count of answers to lose runs down by itself."""
-    behaviour.failing = behaviour.full = False
+    behaviour.failing = behaviour.full = behaviour.ends_inside_event = False
     behaviour.cut_after = behaviour.retry_after = None
 
 
--- a/acaciacove/soak/proxy.py
+++ b/acaciacove/soak/proxy.py
@@ -35,10 +35,14 @@
                 side.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
             writer.transport.abort()
 
-    def close(self) -> None:
-        """Stop listening, and reset the open connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections; the open ones end in order, as their targets do."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stop listening, and reset the open connections."""
+        self.stop_listening()
         self.reset()
 
     async def _forward(
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -153,7 +153,8 @@
             FaultKind.ENDPOINT_CRASHES, instance, loop.time(), loop.time()
         )
         self.faults.append(crashed)
-        self.remove_endpoint(instance)
+        # A kernel closes the connections of a process that has ended in order.
+        self.remove_endpoint(instance, in_order=True)
         restart = loop.create_task(self._replace(server.report.service))
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
@@ -162,14 +163,21 @@
         await asyncio.sleep(RESTART_DELAY_S)
         await self.add_endpoint(service)
 
-    def remove_endpoint(self, instance: str) -> None:
-        """Stop an endpoint, close its connections and remove its entry."""
+    def remove_endpoint(self, instance: str, in_order: bool = False) -> None:
+        """Stop an endpoint, close its connections and remove its entry.
+
+        The connections to gateways are reset, or else closed ``in_order``.
+        """
         if self.servers.pop(instance, None) is None:
             return
         self._last_heartbeats_s.pop(instance, None)
         self.fleet.store.append(ENDPOINTS, instance, b"")
         self.fleet.crash(instance)
-        self.endpoint_links.pop(instance).close()
+        link = self.endpoint_links.pop(instance)
+        if in_order:
+            link.stop_listening()
+        else:
+            link.close()
 
     def depart(self, instance: str, is_announced: bool) -> bool:
         """Mark an endpoint's entry as draining, or remove the entry.
