Log the shared parts of a request's prompt

Lines of lost attempts name fingerprints of whole requests, so the logs cannot tell whether requests that crashed endpoints had a part of their prompts in common, nor whether answered requests had it. Ids are hashes that callers choose, no prompts.

pytest of observability, docs, explain and requests: pass.

--- a/acaciacove/gateway/choice/prompt.py
+++ b/acaciacove/gateway/choice/prompt.py
@@ -15,6 +15,11 @@
     input_tokens: int
     max_output_tokens: int
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may have as well."""
+        return tuple(part for part, _ in self.parts[:-1])
+
     @property
     def shared_key(self) -> str | None:
         """The id of the last part that is shared with other requests, if any."""
--- a/acaciacove/gateway/log_request.py
+++ b/acaciacove/gateway/log_request.py
@@ -113,6 +113,7 @@
         trail=context.trail,
         heads=[_response_fields(summary) for summary in context.responses],
         input_tokens=prompt.input_tokens if prompt else None,
+        parts=prompt.shared_parts if prompt else None,
         target_s=context.route.latency_target_s,
         tries=context.attempt_count,
         first_piece_s=round(first_s - request.arrived_s, 4) if first_s else None,
