--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -36,6 +36,8 @@
     - ``other_running``, ``waiting``: requests of others that are reported with the load
     - ``pace_percent``: pace of the machine that is reported with the load
     - ``crashing_bodies``: requests with such a body crash the endpoint
+    - ``crashing_parts``: requests with such a part of their prompts, the last one
+      excepted, crash the endpoint as soon as their answers have begun
     - ``confidence``: value by model, sent in the response head
     """
 
@@ -65,4 +67,5 @@
     waiting: int = 0
     pace_percent: int | None = None
     crashing_bodies: Container[bytes] = ()
+    crashing_parts: Container[str] = ()
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -108,6 +108,11 @@
         arrival.ended = "crashed"
         asyncio.get_running_loop().call_soon(self.crash)
 
+    def _has_crashing_part(self, arrival: EndpointArrival) -> bool:
+        parts = arrival.fields.get(names.PROMPT_PARTS.decode(), "").split(",")[:-1]
+        crashing = self.behaviour.crashing_parts
+        return any(part.partition(":")[0] in crashing for part in parts)
+
     def _fails_by_count(self, arrival: EndpointArrival) -> bool:
         behaviour = self.behaviour
         if not behaviour.failing_every:
@@ -213,6 +218,9 @@
                 front.abort()
                 arrival.ended = "unread"
                 return
+            if self._has_crashing_part(arrival):
+                await self._crash(arrival)
+                return
             await asyncio.sleep(behaviour.gap_s)
         front.finish_response()
 
