--- a/acaciacove/decisions/crash_evidence.py
+++ b/acaciacove/decisions/crash_evidence.py
@@ -1,24 +1,31 @@
-"""Records which requests were in flight at which endpoint crashes."""
+"""Records which requests were in flight at which endpoint crashes.
+
+A request stands for its fingerprint and for the keys of what it shares with others.
+"""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from attrs import define, field
 
+from acaciacove.decisions.crash_key import is_shared
+
 # Bounds of the stored evidence; the oldest crashes are evicted first.
-MAX_CRASHES = 128
-MAX_SUSPECTS_PER_CRASH = 128
+MAX_CRASHES = 64
+MAX_SUSPECTS_PER_CRASH = 256
 
 
 @define(eq=False)
 class CrashEvidence:
     """Crashes seen by all gateways; the order of the reports does not matter.
 
-    Endpoints are identified by the number of one incarnation, requests by their
-    fingerprints.
+    Endpoints are identified by the number of one incarnation, requests and what they
+    share by their keys. A key that was exonerated of a crash is not recorded for it
+    again, when another gateway reports the crash.
     """
 
     _suspects: OrderedDict[int, set[int]] = field(factory=OrderedDict)
+    _exonerated: dict[int, set[int]] = field(factory=dict)
     _crashes: dict[int, set[int]] = field(factory=dict)
 
     def __contains__(self, fingerprint: int) -> bool:
@@ -32,21 +39,26 @@
     def add(self, endpoint: int, suspects: Iterable[int]) -> list[int]:
         """Record a crash; returns the suspects that are new for it.
 
-        Suspects are sorted by their number of crashes, highest first. Beyond
-        ``MAX_SUSPECTS_PER_CRASH`` the ones with the fewest crashes are dropped.
+        Suspects are sorted by their number of crashes, highest first, and shared keys
+        before others. Beyond ``MAX_SUSPECTS_PER_CRASH`` the last ones are dropped.
         """
         recorded = self._suspects.setdefault(endpoint, set())
-        new = sorted(set(suspects) - recorded, key=self.crash_count, reverse=True)
-        new = new[: MAX_SUSPECTS_PER_CRASH - len(recorded)]
+        exonerated = self._exonerated.setdefault(endpoint, set())
+        new = sorted(set(suspects) - recorded - exonerated, key=self._rank)
+        new = new[: MAX_SUSPECTS_PER_CRASH - len(recorded) - len(exonerated)]
         recorded.update(new)
         for fingerprint in new:
             self._crashes.setdefault(fingerprint, set()).add(endpoint)
         while len(self._suspects) > MAX_CRASHES:
             oldest, evicted = self._suspects.popitem(last=False)
+            self._exonerated.pop(oldest, None)
             for fingerprint in evicted:
                 self._remove_crash(fingerprint, oldest)
         return new
 
+    def _rank(self, key: int) -> tuple[int, bool]:
+        return (-self.crash_count(key), not is_shared(key))
+
     def _remove_crash(self, fingerprint: int, endpoint: int) -> None:
         crashes = self._crashes[fingerprint]
         crashes.discard(endpoint)
@@ -54,9 +66,10 @@
             del self._crashes[fingerprint]
 
     def discard(self, fingerprint: int) -> None:
-        """Remove a request from all crashes, as it was served and caused none."""
+        """Exonerate a key of all crashes so far, as a request with it was served."""
         for endpoint in self._crashes.pop(fingerprint, ()):
             self._suspects[endpoint].discard(fingerprint)
+            self._exonerated[endpoint].add(fingerprint)
 
     def crash_count(self, fingerprint: int) -> int:
         """Return how many endpoints crashed with the request in flight."""
@@ -69,19 +82,30 @@
     def suspects_of(self, endpoint: int) -> list[int]:
         """Return the requests that were in flight when an endpoint crashed.
 
-        They are sorted by their number of crashes, highest first.
+        They are sorted as in ``add``.
         """
-        found = self._suspects.get(endpoint, ())
-        return sorted(found, key=self.crash_count, reverse=True)
+        return sorted(self._suspects.get(endpoint, ()), key=self._rank)
 
-    def has_likelier_suspect(self, fingerprint: int) -> bool:
-        """Return whether another request was in flight at all its crashes and more.
+    def has_likelier_suspect(
+        self, fingerprint: int, causes: Container[int] = ()
+    ) -> bool:
+        """Return whether another key was in flight at all its crashes and more.
 
-        The other request is then the likelier cause. Without this check, requests
-        that share endpoints with the request that crashes them would be suspected.
+        The other one is then the likelier cause. Without this check, requests that
+        share endpoints with the request that crashes them would be suspected. A known
+        cause, one of ``causes``, need not have more crashes. If one request explains
+        all crashes of something shared, it is that request's fault.
         """
         crashes = self._crashes.get(fingerprint)
         if not crashes:
             return False
         others = self._suspects[next(iter(crashes))]
-        return any(crashes < self._crashes[other] for other in others)
+        for other in others - {fingerprint}:
+            wins_tie = other in causes or (
+                is_shared(fingerprint) and not is_shared(other)
+            )
+            if crashes < self._crashes[other]:
+                return True
+            if wins_tie and crashes == self._crashes[other]:
+                return True
+        return False
--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -4,14 +4,21 @@
 another request explains the same crashes. Most requests in flight at a crash did not
 cause it, so a suspected request gets trials, one at a time in the whole fleet. It is
 cleared if it is served, and quarantined if it crashes the endpoint of its trial.
+
+What several requests share, such as a part of their prompts, is treated alike under a
+key of its own: each request that is served clears all its keys. Many sound requests may
+share it, so it is suspected only if none of them is served for a while, and tried only
+by a request that holds nothing else that may be the cause.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from attrs import define, field
 
 from acaciacove.decisions.crash_evidence import CrashEvidence
+from acaciacove.decisions.crash_key import is_shared
+from acaciacove.decisions.request_assessment import RequestAssessment
 from acaciacove.decisions.request_status import RequestStatus
 from acaciacove.decisions.request_trial import RequestTrial
 from acaciacove.messages.request_verdict import (
@@ -29,6 +36,15 @@
 # Retry-After during a trial; its result is usually known by then.
 TRIAL_RETRY_AFTER_S = 1.0
 QUARANTINE_DURATION_S = 86_400.0
+# The first quarantine of something shared. It is tried once more after it, as many
+# sound requests would pay for an error.
+SHARED_QUARANTINE_S = 300.0
+# Something shared that is in use is served again within this time of a crash.
+PROOF_WAIT_S = 1.0
+# Crashes that are reported within this time of the clearance of something shared
+# happened before it. Later ones count, since what was sound may crash endpoints from
+# some moment on.
+SHARED_CLEARANCE_S = 1.0
 # Gateways that have not yet received the clearance may still report old crashes of a
 # cleared request.
 CLEARED_RETENTION_S = 60.0
@@ -47,6 +63,8 @@
     _trials: OrderedDict[int, RequestTrial] = field(factory=OrderedDict)
     _quarantined: OrderedDict[int, float] = field(factory=OrderedDict)
     _cleared: OrderedDict[int, float] = field(factory=OrderedDict)
+    _candidates: OrderedDict[int, float] = field(factory=OrderedDict)
+    _tried_again: OrderedDict[int, None] = field(factory=OrderedDict)
 
     @property
     def is_empty(self) -> bool:
@@ -55,17 +73,19 @@
 
     @property
     def quarantined_count(self) -> int:
-        """Number of quarantined requests."""
+        """Number of quarantined requests and shared keys."""
         return len(self._quarantined)
 
     def status(self, fingerprint: int, now_s: float) -> RequestStatus:
-        """Return whether the request may be sent now."""
+        """Return whether requests with this key may be sent now."""
         self._remove_expired(now_s)
         # A quarantine that a peer reports may end before those recorded earlier.
         if self._quarantined.get(fingerprint, float("inf")) <= now_s:
-            del self._quarantined[fingerprint]
+            self._end_quarantine(fingerprint)
         if fingerprint in self._quarantined:
             return RequestStatus.QUARANTINED
+        if is_shared(fingerprint):
+            self._consider_shared(fingerprint, now_s)
         trial = self._trials.get(fingerprint)
         if trial is None:
             return RequestStatus.FREE
@@ -73,9 +93,36 @@
             return RequestStatus.WAITING
         if trial.number < MAX_TRIALS:
             return RequestStatus.TRIAL
-        self._quarantine(fingerprint, now_s + QUARANTINE_DURATION_S)
+        self._convict(fingerprint, now_s)
         return RequestStatus.QUARANTINED
 
+    def assess(self, keys: Sequence[int], now_s: float) -> RequestAssessment:
+        """Return whether a request with these keys may be sent, and the decisive key.
+
+        A trial of something shared must not hold anything else that is shared and may
+        be the cause: the wrong one would be blamed for a crash.
+        """
+        statuses = {key: self.status(key, now_s) for key in keys}
+        for decisive in (RequestStatus.QUARANTINED, RequestStatus.WAITING):
+            for key, status in statuses.items():
+                if status is decisive:
+                    return RequestAssessment(status, key)
+        suspects = [k for k, s in statuses.items() if s is RequestStatus.TRIAL]
+        shared = [key for key in suspects if is_shared(key)]
+        if any(self._is_ambiguous(key, keys) for key in shared):
+            return RequestAssessment(RequestStatus.WAITING, shared[0])
+        if suspects:
+            return RequestAssessment(RequestStatus.TRIAL, (shared or suspects)[0])
+        return RequestAssessment(RequestStatus.FREE)
+
+    def _is_ambiguous(self, tried: int, keys: Sequence[int]) -> bool:
+        return any(
+            key in self._trials
+            or self.evidence.crash_count(key) >= MIN_CRASHES_TO_SUSPECT
+            for key in keys
+            if key != tried and is_shared(key)
+        )
+
     def retry_after_s(self, fingerprint: int, now_s: float) -> float:
         """Return the seconds until a refused request should be retried."""
         until_s = self._quarantined.get(fingerprint)
@@ -87,7 +134,7 @@
         """Record a crash; returns the suspects that are new for it."""
         self._remove_expired(now_s)
         new = self.evidence.add(
-            endpoint, [each for each in suspects if each not in self._cleared]
+            endpoint, [each for each in suspects if not self._is_cleared(each, now_s)]
         )
         for fingerprint in new:
             self._update_suspicion(fingerprint, now_s)
@@ -98,18 +145,64 @@
         trial = self._trials.get(fingerprint)
         if trial is not None:
             if self.evidence.was_in_flight_at(trial.endpoint, fingerprint):
-                self._quarantine(fingerprint, now_s + QUARANTINE_DURATION_S)
-            return
-        crashes = self.evidence.crash_count(fingerprint)
-        has_enough_crashes = crashes >= MIN_CRASHES_TO_SUSPECT
-        if has_enough_crashes and not self.evidence.has_likelier_suspect(fingerprint):
+                self._judge_trial(fingerprint, now_s)
+        elif is_shared(fingerprint):
+            self._consider_shared(fingerprint, now_s)
+        elif self._is_suspicious(fingerprint):
             self.suspect(fingerprint)
 
+    def _is_suspicious(self, key: int) -> bool:
+        crashes = self.evidence.crash_count(key)
+        return (
+            crashes >= MIN_CRASHES_TO_SUSPECT
+            and not self.evidence.has_likelier_suspect(key, self._quarantined)
+        )
+
+    def _consider_shared(self, key: int, now_s: float) -> None:
+        """Suspect something shared if no request clears it for ``PROOF_WAIT_S``."""
+        if key in self._trials or key in self._quarantined:
+            return
+        if not self._is_suspicious(key):
+            self._candidates.pop(key, None)
+            return
+        since_s = self._candidates.setdefault(key, now_s)
+        if now_s - since_s >= PROOF_WAIT_S:
+            del self._candidates[key]
+            self.suspect(key)
+        while len(self._candidates) > MAX_ENTRIES:
+            self._candidates.popitem(last=False)
+
+    def _judge_trial(self, key: int, now_s: float) -> None:
+        """Quarantine a key whose trial ended in a crash, unless another caused it."""
+        if self.evidence.has_likelier_suspect(key, self._quarantined):
+            del self._trials[key]
+        else:
+            self._convict(key, now_s)
+
+    def _convict(self, key: int, now_s: float) -> None:
+        """Quarantine a key, something shared for a shorter time at first."""
+        is_first = is_shared(key) and key not in self._tried_again
+        duration_s = SHARED_QUARANTINE_S if is_first else QUARANTINE_DURATION_S
+        self._quarantine(key, now_s + duration_s)
+
     def _quarantine(self, fingerprint: int, until_s: float) -> None:
         self._trials.pop(fingerprint, None)
+        self._candidates.pop(fingerprint, None)
         self._quarantined[fingerprint] = until_s
         while len(self._quarantined) > MAX_ENTRIES:
             self._quarantined.popitem(last=False)
+        for other in list(self._trials):
+            if self.evidence.has_likelier_suspect(other, (fingerprint,)):
+                del self._trials[other]
+
+    def _end_quarantine(self, key: int) -> None:
+        """End a quarantine; something shared is let through once more, as a trial."""
+        del self._quarantined[key]
+        if is_shared(key):
+            self._tried_again[key] = None
+            while len(self._tried_again) > MAX_ENTRIES:
+                self._tried_again.popitem(last=False)
+            self._set_trial(key, RequestTrial(number=MAX_TRIALS - 1))
 
     def claim_trial(
         self, fingerprint: int, endpoint: int, claim: int, now_s: float
@@ -124,6 +217,20 @@
         self._set_trial(fingerprint, trial)
         return _trial_verdict(fingerprint, trial)
 
+    def release_trial(
+        self, fingerprint: int, claim: int, now_s: float
+    ) -> RequestVerdict | None:
+        """End a trial that gave no result; returns the verdict to gossip.
+
+        Returns None if the trial has ended or belongs to another claim.
+        """
+        trial = self._trials.get(fingerprint)
+        if trial is None or trial.claim != claim or trial.until_s <= now_s:
+            return None
+        released = RequestTrial(trial.number, until_s=now_s)
+        self._set_trial(fingerprint, released)
+        return _trial_verdict(fingerprint, released)
+
     def holds_trial(self, fingerprint: int, claim: int) -> bool:
         """Return whether the trial still belongs to a claim."""
         trial = self._trials.get(fingerprint)
@@ -141,6 +248,8 @@
 
     def clear(self, fingerprint: int, now_s: float) -> bool:
         """Record that a request was served; returns whether peers need an update."""
+        self._candidates.pop(fingerprint, None)
+        self._tried_again.pop(fingerprint, None)
         was_restricted = self._trials.pop(fingerprint, None) is not None
         was_restricted = (
             self._quarantined.pop(fingerprint, None) is not None or was_restricted
@@ -155,10 +264,10 @@
         """Apply a verdict of another gateway; returns whether it was new."""
         self._remove_expired(now_s)
         fingerprint = verdict.fingerprint
-        if fingerprint in self._cleared:
-            return False
         if verdict.kind == CLEARED:
             return self._apply_cleared(verdict, now_s)
+        if self._is_outdated(verdict, now_s):
+            return False
         if fingerprint in self._quarantined:
             return False
         if verdict.kind == QUARANTINED:
@@ -169,15 +278,42 @@
         return self._apply_trial(verdict, now_s)
 
     def _apply_cleared(self, verdict: RequestVerdict, now_s: float) -> bool:
+        until_s = now_s + min(verdict.left_s, CLEARED_RETENTION_S)
+        known_s = self._cleared.get(verdict.fingerprint)
         if verdict.left_s <= 0:
             return False
+        if known_s is not None and (
+            not is_shared(verdict.fingerprint)
+            or until_s <= known_s + SHARED_CLEARANCE_S
+        ):
+            return False
         self.clear(verdict.fingerprint, now_s)
-        until_s = now_s + min(verdict.left_s, CLEARED_RETENTION_S)
         self._record_cleared(verdict.fingerprint, until_s)
         return True
 
+    def _is_cleared(self, key: int, now_s: float) -> bool:
+        """Return whether a crash that is reported now is older than a clearance."""
+        until_s = self._cleared.get(key)
+        if until_s is None or not is_shared(key):
+            return until_s is not None
+        return now_s < until_s - CLEARED_RETENTION_S + SHARED_CLEARANCE_S
+
+    def _is_outdated(self, verdict: RequestVerdict, now_s: float) -> bool:
+        """Return whether a verdict against a key is older than its clearance here."""
+        key = verdict.fingerprint
+        until_s = self._cleared.get(key)
+        if until_s is None or not is_shared(key):
+            return until_s is not None
+        if verdict.kind != QUARANTINED:
+            return self.evidence.crash_count(key) == 0
+        is_first = verdict.left_s <= SHARED_QUARANTINE_S
+        duration_s = SHARED_QUARANTINE_S if is_first else QUARANTINE_DURATION_S
+        quarantined_s = now_s + verdict.left_s - duration_s
+        return quarantined_s < until_s - CLEARED_RETENTION_S
+
     def _record_cleared(self, fingerprint: int, until_s: float) -> None:
         self._cleared[fingerprint] = until_s
+        self._cleared.move_to_end(fingerprint)
         while len(self._cleared) > MAX_ENTRIES:
             self._cleared.popitem(last=False)
 
@@ -188,9 +324,9 @@
         if not verdict.trials:
             self.suspect(verdict.fingerprint)
             return True
-        trial = RequestTrial(
-            verdict.trials, verdict.endpoint, verdict.claim, now_s + TRIAL_TIMEOUT_S
-        )
+        is_released = not verdict.endpoint
+        until_s = now_s if is_released else now_s + TRIAL_TIMEOUT_S
+        trial = RequestTrial(verdict.trials, verdict.endpoint, verdict.claim, until_s)
         self._set_trial(verdict.fingerprint, trial)
         self._update_suspicion(verdict.fingerprint, now_s)
         return True
@@ -209,9 +345,10 @@
         ]
 
     def _remove_expired(self, now_s: float) -> None:
-        for expiries in (self._cleared, self._quarantined):
-            while expiries and next(iter(expiries.values())) <= now_s:
-                expiries.popitem(last=False)
+        while self._cleared and next(iter(self._cleared.values())) <= now_s:
+            self._cleared.popitem(last=False)
+        while self._quarantined and next(iter(self._quarantined.values())) <= now_s:
+            self._end_quarantine(next(iter(self._quarantined)))
 
 
 def _trial_verdict(fingerprint: int, trial: RequestTrial) -> RequestVerdict:
--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from acaciacove.decisions.request_status import RequestStatus
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_unwilling_error import EndpointUnwillingError
@@ -24,6 +25,11 @@
 # Connections within a region are made in a few milliseconds. One that takes this long
 # goes to a machine that no longer exists.
 CONNECT_TIMEOUT_S = 0.4
+# Outcomes after which the result of a trial is known here or soon from a check whether
+# the endpoint has crashed.
+TRIAL_RESULTS = frozenset(
+    {AttemptOutcome.DELIVERED, AttemptOutcome.LOST, AttemptOutcome.BROKEN}
+)
 
 
 async def attempt(
@@ -40,14 +46,12 @@
     response of low confidence may be replaced by one of a larger model.
     """
     exchange = Exchange(gateway, context, state)
+    outcome = AttemptOutcome.NOT_SENT
     try:
         with _track_in_flight(gateway, context, state):
             with _reserve_limits(gateway, context, state):
                 await exchange.open(CONNECT_TIMEOUT_S)
-                if context.on_trial:
-                    await gateway.guard.acquire_trial(
-                        context.fingerprint, state.endpoint
-                    )
+                await _check_quarantine(gateway, context, state)
                 _check_wanted(gateway, state)
                 _check_body_fits(gateway, context, state)
                 _record_sent(gateway, context, state)
@@ -65,18 +69,39 @@
         outcome = AttemptOutcome.BROKEN if broken else AttemptOutcome.LOST
         record_failure(gateway, state, outcome, str(error))
         if exchange.sent:
-            gateway.crash_detector.record_lost_request(state, context.fingerprint)
+            gateway.crash_detector.record_lost_request(state, context.crash_keys)
     except TimeoutError:
         broken = context.events_delivered
         outcome = AttemptOutcome.BROKEN if broken else AttemptOutcome.TIMED_OUT
         record_failure(gateway, state, outcome, "silence")
     finally:
         exchange.close()
+        if context.trial_key is not None and outcome not in TRIAL_RESULTS:
+            now_s = asyncio.get_running_loop().time()
+            gateway.guard.release_trials((context.trial_key,), now_s)
     if exchange.sent and outcome is not AttemptOutcome.NOT_RUN:
         context.may_have_run = True
     return outcome
 
 
+async def _check_quarantine(
+    gateway: Gateway, context: RequestContext, state: EndpointState
+) -> None:
+    """Acquire the trial of a suspected request; check others again.
+
+    A request may have become suspect while its connection was being made. Raises
+    TrialTakenError if it may not be sent now.
+    """
+    guard = gateway.guard
+    if context.trial_key is not None:
+        await guard.acquire_trial(context.trial_key, state.endpoint)
+    elif not guard.quarantine.is_empty:
+        now_s = asyncio.get_running_loop().time()
+        status = guard.quarantine.assess(context.crash_keys, now_s).status
+        if status is not RequestStatus.FREE:
+            raise TrialTakenError(f"the request has become {status.value}")
+
+
 def _check_wanted(gateway: Gateway, state: EndpointState) -> None:
     """Check again what was true when the endpoint was chosen.
 
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -128,7 +128,7 @@
         self.sessions = SessionVersions(self.settings.session_life_s)
         self.guard = RequestGuard(self.log, random=self.random)
         self.crash_detector = CrashDetector(
-            self.log, self.metrics, self.guard.record_crash
+            self.log, self.metrics, self.guard.record_crash, self.guard.release_trials
         )
         self.apply_settings(self.settings)
 
--- a/acaciacove/gateway/quarantine/crash_detector.py
+++ b/acaciacove/gateway/quarantine/crash_detector.py
@@ -1,7 +1,7 @@
 """Distinguishes endpoint crashes from broken connections."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from attrs import define, field
 
@@ -22,6 +22,7 @@
 MAX_LOGGED_FINGERPRINTS = 16
 
 OnCrash = Callable[[Endpoint, list[int], float], None]
+OnCut = Callable[[list[int], float], None]
 
 
 @define(eq=False)
@@ -29,24 +30,26 @@
     """Opens a test connection to an endpoint after requests to it were lost.
 
     If the process has ended, the connection is refused. A reset by the network leaves
-    the endpoint listening, so the connection succeeds. ``on_crash`` receives the
-    fingerprints of the requests that this gateway lost. Requests that are lost more
-    than ``GATHER_WINDOW_S`` apart are reported in several calls.
+    the endpoint listening, so the connection succeeds. ``on_crash`` receives the keys
+    of the requests that this gateway lost, ``on_cut`` those of requests that were cut
+    off without a crash. The first key of a request is its fingerprint. Requests that
+    are lost more than ``GATHER_WINDOW_S`` apart are reported in several calls.
     """
 
     log: EventLog
     metrics: GatewayMetrics
     on_crash: OnCrash
-    _lost: dict[EndpointState, list[int]] = field(factory=dict)
+    on_cut: OnCut
+    _lost: dict[EndpointState, list[Sequence[int]]] = field(factory=dict)
     _checks: set[asyncio.Task[None]] = field(factory=set)
 
-    def record_lost_request(self, state: EndpointState, fingerprint: int) -> None:
+    def record_lost_request(self, state: EndpointState, keys: Sequence[int]) -> None:
         """Record a request whose connection broke while it may have been running."""
-        fingerprints = self._lost.get(state)
-        if fingerprints is not None:
-            fingerprints.append(fingerprint)
+        lost = self._lost.get(state)
+        if lost is not None:
+            lost.append(keys)
             return
-        self._lost[state] = [fingerprint]
+        self._lost[state] = [keys]
         check = asyncio.create_task(self._check(state))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
@@ -60,19 +63,22 @@
         finally:
             lost = self._lost.pop(state)
         endpoint = state.endpoint.instance
+        now_s = asyncio.get_running_loop().time()
+        keys = list(dict.fromkeys(key for request in lost for key in request))
         if not state.crashed:
             self.log.write(Event.REQUESTS_CUT, endpoint=endpoint, lost=len(lost))
+            self.on_cut(keys, now_s)
             return
         self.log.write(
             Event.ENDPOINT_CRASHED,
             endpoint=endpoint,
             lost=len(lost),
             fingerprints=[
-                format_fingerprint(each) for each in lost[:MAX_LOGGED_FINGERPRINTS]
+                format_fingerprint(request[0])
+                for request in lost[:MAX_LOGGED_FINGERPRINTS]
             ],
         )
-        now_s = asyncio.get_running_loop().time()
-        self.on_crash(state.endpoint, lost, now_s)
+        self.on_crash(state.endpoint, keys, now_s)
 
     async def _refuses_connections(self, state: EndpointState) -> bool:
         try:
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -1,14 +1,18 @@
-"""Refuses requests that crash endpoints and shares new evidence with peers."""
+"""Refuses requests that crash endpoints and shares new evidence with peers.
+
+A request has several keys: its fingerprint, and those of what it shares with others.
+"""
 
 import asyncio
 import math
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 from attrs import define, field
 
+from acaciacove.decisions.crash_key import is_shared
 from acaciacove.decisions.request_quarantine import (
     CLEARED_RETENTION_S,
     QUARANTINE_DURATION_S,
@@ -65,6 +69,7 @@
     has_pending_records: asyncio.Event = field(factory=asyncio.Event)
     _lost_locally: OrderedDict[int, None] = field(factory=OrderedDict)
     _logged: OrderedDict[int, RequestStatus] = field(factory=OrderedDict)
+    _claims: dict[int, int] = field(factory=dict)
 
     def record_crash(
         self, endpoint: Endpoint, suspects: list[int], now_s: float
@@ -81,30 +86,35 @@
             crash = CrashSeen(incarnation, tuple(new[:MAX_SUSPECTS_PER_UPDATE]))
             self.send_update(RequestNews((crash,), verdicts))
 
-    def refusal_for(self, fingerprint: int, now_s: float) -> Refusal | None:
+    def refusal_for(self, keys: Sequence[int], now_s: float) -> Refusal | None:
         """Return why a request is not sent now, or None if it may be."""
-        status = self.quarantine.status(fingerprint, now_s)
-        if status in (RequestStatus.FREE, RequestStatus.TRIAL):
+        found = self.quarantine.assess(keys, now_s)
+        if found.status is RequestStatus.FREE:
+            return None
+        # Something shared becomes suspect as time passes, not by an update.
+        self._report_changes([found.key], now_s)
+        if found.status is RequestStatus.TRIAL:
             return None
         detail = "endpoints crash when they run this request"
-        if status is RequestStatus.WAITING:
+        if found.status is RequestStatus.WAITING:
             detail = "it is being tried whether this request crashes endpoints"
-        after_s = self.quarantine.retry_after_s(fingerprint, now_s)
+        after_s = self.quarantine.retry_after_s(found.key, now_s)
         return Refusal(Reason.REQUEST_QUARANTINED, True, detail, after_s)
 
-    def requires_trial(self, fingerprint: int, now_s: float) -> bool:
-        """Return whether the request may be sent only once, as a trial."""
-        status = self.quarantine.status(fingerprint, now_s)
-        return status is RequestStatus.TRIAL
+    def trial_key(self, keys: Sequence[int], now_s: float) -> int | None:
+        """Return the key that a request may try, None if it needs no trial."""
+        found = self.quarantine.assess(keys, now_s)
+        return found.key if found.status is RequestStatus.TRIAL else None
 
     async def acquire_trial(self, fingerprint: int, endpoint: Endpoint) -> None:
-        """Acquire the one trial of a suspected request; peers wait for its result.
+        """Acquire the one trial of a suspected key; peers wait for its result.
 
         Raises TrialTakenError if another request or gateway already has the trial or
         wins it with a competing claim.
         """
         now_s = asyncio.get_running_loop().time()
-        if not self.requires_trial(fingerprint, now_s):
+        status = self.quarantine.status(fingerprint, now_s)
+        if status is not RequestStatus.TRIAL:
             raise TrialTakenError(
                 f"request {format_fingerprint(fingerprint)} has no trial available"
             )
@@ -124,16 +134,33 @@
             endpoint=endpoint.instance,
             number=verdict.trials,
         )
+        self._claims[fingerprint] = claim
 
-    def record_served(self, fingerprint: int, now_s: float) -> None:
-        """Clear a request that an endpoint has answered completely."""
-        if not self.quarantine.clear(fingerprint, now_s):
+    def release_trials(self, keys: Iterable[int], now_s: float) -> None:
+        """End own trials that gave no result, so that the next ones need not wait."""
+        for key in keys:
+            claim = self._claims.pop(key, None)
+            if claim is None:
+                continue
+            verdict = self.quarantine.release_trial(key, claim, now_s)
+            if verdict is not None:
+                self.broadcast_update(RequestNews((), (verdict,)))
+
+    def record_served(self, keys: Sequence[int], now_s: float) -> None:
+        """Clear the keys of a request that an endpoint has answered completely."""
+        for key in keys:
+            self._claims.pop(key, None)
+        cleared = [key for key in keys if self.quarantine.clear(key, now_s)]
+        if not cleared:
             return
-        if self._log_cleared(fingerprint):
-            # Only the gateway that served the request removes it, not every one.
-            self._queue_record(fingerprint, None)
-        verdict = RequestVerdict(fingerprint, CLEARED, left_s=CLEARED_RETENTION_S)
-        self.send_update(RequestNews((), (verdict,)))
+        for key in cleared:
+            if self._log_cleared(key):
+                # Only the gateway that served the request removes it, not every one.
+                self._queue_record(key, None)
+        verdicts = tuple(
+            RequestVerdict(key, CLEARED, left_s=CLEARED_RETENTION_S) for key in cleared
+        )
+        self.send_update(RequestNews((), verdicts))
 
     def apply(self, update: RequestNews, now_s: float) -> RequestNews:
         """Apply an update of another gateway; returns the part that was new."""
@@ -188,16 +215,20 @@
             event = (
                 Event.REQUEST_QUARANTINED if is_quarantined else Event.REQUEST_SUSPECTED
             )
-            self.log.write(event, fingerprint=format_fingerprint(fingerprint))
+            self.log.write(
+                event,
+                fingerprint=format_fingerprint(fingerprint),
+                shared=is_shared(fingerprint) or None,
+            )
+            left_s = QUARANTINE_DURATION_S
             if is_quarantined:
+                left_s = self.quarantine.retry_after_s(fingerprint, now_s)
                 quarantined.append(
-                    RequestVerdict(
-                        fingerprint, QUARANTINED, left_s=QUARANTINE_DURATION_S
-                    )
+                    RequestVerdict(fingerprint, QUARANTINED, left_s=left_s)
                 )
             if fingerprint in self._lost_locally:
                 # Only the gateways that lost the request write it, not every one.
-                until_s = time.time() + QUARANTINE_DURATION_S
+                until_s = time.time() + left_s
                 self._queue_record(
                     fingerprint, RequestRecord(fingerprint, is_quarantined, until_s)
                 )
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -10,6 +10,7 @@
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.gateway.overload_refusal import OverloadRefusal
+from acaciacove.gateway.quarantine.crash_keys import shared_keys
 from acaciacove.gateway.quarantine.request_fingerprint import request_fingerprint
 from acaciacove.gateway.response_summary import ResponseSummary
 
@@ -25,10 +26,11 @@
     ``refused_by`` are those that answered "not run"; they stay excluded for the next
     model. ``confidences`` maps models to the confidence that they stated in their
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
-    attempts as instance and version, and ``responses`` the response heads. ``on_trial``
-    is set for a request that is suspected of crashing endpoints; only this gateway may
-    try it. ``postponed_s`` is how long its escalation waited for capacity.
-    ``overload_refusal`` is set for one that overload control refused.
+    attempts as instance and version, and ``responses`` the response heads.
+    ``trial_key`` is set for a request that is suspected of crashing endpoints, or has
+    something that is: only this gateway may try it. ``postponed_s`` is how long its
+    escalation waited for capacity. ``overload_refusal`` is set for one that overload
+    control refused.
     """
 
     request: CallerRequest
@@ -47,7 +49,7 @@
     last_event_id: str | None = None
     events_delivered: bool = False
     first_chunk_s: float | None = None
-    on_trial: bool = False
+    trial_key: int | None = None
     postponed_s: float = 0.0
     next_model: str | None = None
     confidences: dict[str, float] = field(factory=dict)
@@ -61,6 +63,11 @@
         caller = self.organisation.name if self.organisation else ""
         return request_fingerprint(self.request, caller)
 
+    @cached_property
+    def crash_keys(self) -> tuple[int, ...]:
+        """The keys under which crashes are counted, its own fingerprint first."""
+        return (self.fingerprint, *shared_keys(self.request))
+
     @property
     def priority(self) -> int:
         """The priority that engines are given; 0 is the most urgent."""
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -138,7 +138,8 @@
             gateway.budget(context.service.name).consume(now_s, gateway.gateway_count)
         context.attempt_count += 1
         may_retry = (
-            context.sent_count + 1 < context.route.max_attempts and not context.on_trial
+            context.sent_count + 1 < context.route.max_attempts
+            and context.trial_key is None
         )
         outcome = await attempt(
             gateway,
@@ -168,14 +169,14 @@
     guard = gateway.guard
     if guard.quarantine.is_empty:
         return None
-    context.on_trial = guard.requires_trial(context.fingerprint, now_s)
-    return guard.refusal_for(context.fingerprint, now_s)
+    context.trial_key = guard.trial_key(context.crash_keys, now_s)
+    return guard.refusal_for(context.crash_keys, now_s)
 
 
 def _record_served(gateway: Gateway, context: RequestContext) -> None:
     if not gateway.guard.quarantine.is_empty:
         now_s = asyncio.get_running_loop().time()
-        gateway.guard.record_served(context.fingerprint, now_s)
+        gateway.guard.record_served(context.crash_keys, now_s)
 
 
 def _may_escalate(gateway: Gateway, context: RequestContext) -> bool:
@@ -200,7 +201,7 @@
         or context.attempt_count >= MAX_ATTEMPTS
     ):
         return False
-    if context.on_trial and outcome is not AttemptOutcome.NOT_SENT:
+    if context.trial_key is not None and outcome is not AttemptOutcome.NOT_SENT:
         return False
     if outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
         return not context.may_have_run or context.route.may_repeat
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -146,14 +146,16 @@
 )
 @settings(max_examples=100, derandomize=True)
 def test_evidence_counts_each_crash_once(events):
-    evidence, expected = CrashEvidence(), {}
+    evidence, expected, exonerated = CrashEvidence(), {}, set()
     for endpoint, suspects, is_served in events:
         evidence.add(endpoint, suspects)
         for fingerprint in suspects:
-            expected.setdefault(fingerprint, set()).add(endpoint)
+            if (endpoint, fingerprint) not in exonerated:
+                expected.setdefault(fingerprint, set()).add(endpoint)
         if is_served:
             evidence.discard(endpoint)
-            expected.pop(endpoint, None)
+            crashes = expected.pop(endpoint, set())
+            exonerated |= {(crash, endpoint) for crash in crashes}
     for fingerprint in range(10):
         count = len(expected.get(fingerprint, ()))
         assert evidence.crash_count(fingerprint) == count
@@ -307,7 +309,7 @@
         guard = RequestGuard(EventLog("g", descriptor=None))
         guard.restore(RequestRecord(BAD, False, time.time() + 99.0), 0.0)
         assert guard.quarantine.status(BAD, 0.0) is RequestStatus.TRIAL
-        guard.record_served(BAD, 1.0)
+        guard.record_served((BAD,), 1.0)
         assert guard.pending_records == {BAD: None}
 
     run_virtual(scenario)
