Quarantine: what was served lately is no likelier cause than what never was

Parts that most requests have are in flight at nearly every crash. Where a crashing part takes all endpoints down, nothing is served that would clear them, so they explained the crashing part and were held back in its place, with all sound requests. Each gateway now remembers for 60 s what it has served: such a key explains no crash of one that was not served, and is suspected only for the crashes that no such key explains. A part that was served and turns bad is still found.

pytest tests/test_decisions_shared_keys.py: with the memory out of the check one of 18 fails (test_part_that_was_served_before_is_not_held_back_beside_a_crashing_one); 18 pass with it.

--- a/acaciacove/decisions/crash_evidence.py
+++ b/acaciacove/decisions/crash_evidence.py
@@ -13,6 +13,8 @@
 # Bounds of the stored evidence; the oldest crashes are evicted first.
 MAX_CRASHES = 64
 MAX_SUSPECTS_PER_CRASH = 256
+# With fewer crashes, a key is not suspected.
+MIN_CRASHES_TO_SUSPECT = 3
 
 
 @define(eq=False)
@@ -27,6 +29,8 @@
     _suspects: OrderedDict[int, set[int]] = field(factory=OrderedDict)
     _exonerated: dict[int, set[int]] = field(factory=dict)
     _crashes: dict[int, set[int]] = field(factory=dict)
+    # The keys with ``MIN_CRASHES_TO_SUSPECT`` or more, which are few.
+    _frequent: set[int] = field(factory=set)
 
     def __contains__(self, fingerprint: int) -> bool:
         """Return whether any endpoint crashed with the request in flight."""
@@ -49,6 +53,8 @@
         recorded.update(new)
         for fingerprint in new:
             self._crashes.setdefault(fingerprint, set()).add(endpoint)
+            if self.crash_count(fingerprint) >= MIN_CRASHES_TO_SUSPECT:
+                self._frequent.add(fingerprint)
         while len(self._suspects) > MAX_CRASHES:
             oldest, evicted = self._suspects.popitem(last=False)
             self._exonerated.pop(oldest, None)
@@ -62,11 +68,14 @@
     def _remove_crash(self, fingerprint: int, endpoint: int) -> None:
         crashes = self._crashes[fingerprint]
         crashes.discard(endpoint)
+        if len(crashes) < MIN_CRASHES_TO_SUSPECT:
+            self._frequent.discard(fingerprint)
         if not crashes:
             del self._crashes[fingerprint]
 
     def discard(self, fingerprint: int) -> None:
         """Exonerate a key of all crashes so far, as a request with it was served."""
+        self._frequent.discard(fingerprint)
         for endpoint in self._crashes.pop(fingerprint, ()):
             self._suspects[endpoint].discard(fingerprint)
             self._exonerated[endpoint].add(fingerprint)
@@ -87,20 +96,29 @@
         return sorted(self._suspects.get(endpoint, ()), key=self._rank)
 
     def has_likelier_suspect(
-        self, fingerprint: int, causes: Container[int] = ()
+        self,
+        fingerprint: int,
+        causes: Container[int] = (),
+        proven: Container[int] = (),
     ) -> bool:
         """Return whether another key was in flight at all its crashes and more.
 
         The other one is then the likelier cause. Without this check, requests that
         share endpoints with the request that crashes them would be suspected. A known
         cause, one of ``causes``, need not have more crashes. If one request explains
-        all crashes of something shared, it is that request's fault.
+        all crashes of something shared, it is that request's fault. A key of
+        ``proven`` was served lately: it explains no crash of one that was not, and is
+        itself suspected only for the crashes that no such key explains.
         """
         crashes = self._crashes.get(fingerprint)
         if not crashes:
             return False
-        others = self._suspects[next(iter(crashes))]
-        for other in others - {fingerprint}:
+        is_proven = fingerprint in proven
+        if is_proven and self._is_covered(crashes, proven):
+            return True
+        for other in self._frequent - {fingerprint}:
+            if other in proven and not is_proven and other not in causes:
+                continue
             wins_tie = other in causes or (
                 is_shared(fingerprint) and not is_shared(other)
             )
@@ -109,3 +127,11 @@
             if wins_tie and crashes == self._crashes[other]:
                 return True
         return False
+
+    def _is_covered(self, crashes: set[int], proven: Container[int]) -> bool:
+        """Return whether keys that were not served explain all but a few crashes."""
+        unexplained = set(crashes)
+        for other in self._frequent:
+            if other not in proven:
+                unexplained -= self._crashes[other]
+        return len(unexplained) < MIN_CRASHES_TO_SUSPECT
--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -16,7 +16,10 @@
 
 from attrs import define, field
 
-from acaciacove.decisions.crash_evidence import CrashEvidence
+from acaciacove.decisions.crash_evidence import (
+    MIN_CRASHES_TO_SUSPECT,
+    CrashEvidence,
+)
 from acaciacove.decisions.crash_key import is_shared
 from acaciacove.decisions.request_assessment import RequestAssessment
 from acaciacove.decisions.request_status import RequestStatus
@@ -28,7 +31,6 @@
     RequestVerdict,
 )
 
-MIN_CRASHES_TO_SUSPECT = 3
 # Trials of a suspected request, as one may end without a clear result.
 MAX_TRIALS = 2
 # How long a trial without a result blocks other trials.
@@ -49,6 +51,9 @@
 # cleared request.
 CLEARED_RETENTION_S = 60.0
 MAX_ENTRIES = 1024
+# Something shared that was served within this time is an unlikely cause.
+SERVED_MEMORY_S = 60.0
+MAX_SERVED = 4096
 
 
 @define(eq=False)
@@ -65,6 +70,7 @@
     _cleared: OrderedDict[int, float] = field(factory=OrderedDict)
     _candidates: OrderedDict[int, float] = field(factory=OrderedDict)
     _tried_again: OrderedDict[int, None] = field(factory=OrderedDict)
+    _served: OrderedDict[int, float] = field(factory=OrderedDict)
 
     @property
     def is_empty(self) -> bool:
@@ -116,12 +122,13 @@
         return RequestAssessment(RequestStatus.FREE)
 
     def _is_ambiguous(self, tried: int, keys: Sequence[int]) -> bool:
-        return any(
-            key in self._trials
-            or self.evidence.crash_count(key) >= MIN_CRASHES_TO_SUSPECT
-            for key in keys
-            if key != tried and is_shared(key)
-        )
+        others = [key for key in keys if key != tried and is_shared(key)]
+        return any(key in self._trials or self._may_be_cause(key) for key in others)
+
+    def _may_be_cause(self, key: int) -> bool:
+        if self.evidence.crash_count(key) < MIN_CRASHES_TO_SUSPECT:
+            return False
+        return key not in self._served or self._is_suspicious(key)
 
     def retry_after_s(self, fingerprint: int, now_s: float) -> float:
         """Return the seconds until a refused request should be retried."""
@@ -153,10 +160,10 @@
 
     def _is_suspicious(self, key: int) -> bool:
         crashes = self.evidence.crash_count(key)
-        return (
-            crashes >= MIN_CRASHES_TO_SUSPECT
-            and not self.evidence.has_likelier_suspect(key, self._quarantined)
-        )
+        return crashes >= MIN_CRASHES_TO_SUSPECT and not self._has_likelier_suspect(key)
+
+    def _has_likelier_suspect(self, key: int) -> bool:
+        return self.evidence.has_likelier_suspect(key, self._quarantined, self._served)
 
     def _consider_shared(self, key: int, now_s: float) -> None:
         """Suspect something shared if no request clears it for ``PROOF_WAIT_S``."""
@@ -174,7 +181,7 @@
 
     def _judge_trial(self, key: int, now_s: float) -> None:
         """Quarantine a key whose trial ended in a crash, unless another caused it."""
-        if self.evidence.has_likelier_suspect(key, self._quarantined):
+        if self._has_likelier_suspect(key):
             del self._trials[key]
         else:
             self._convict(key, now_s)
@@ -192,7 +199,7 @@
         while len(self._quarantined) > MAX_ENTRIES:
             self._quarantined.popitem(last=False)
         for other in list(self._trials):
-            if self.evidence.has_likelier_suspect(other, (fingerprint,)):
+            if self._has_likelier_suspect(other):
                 del self._trials[other]
 
     def _end_quarantine(self, key: int) -> None:
@@ -246,6 +253,18 @@
         while len(self._trials) > MAX_ENTRIES:
             self._trials.popitem(last=False)
 
+    def record_served(self, keys: Sequence[int], now_s: float) -> list[int]:
+        """Record a served request; returns the keys that peers need an update on."""
+        for key in keys:
+            if is_shared(key):
+                self._served[key] = now_s
+                self._served.move_to_end(key)
+        while len(self._served) > MAX_SERVED:
+            self._served.popitem(last=False)
+        if self.is_empty:
+            return []
+        return [key for key in keys if self.clear(key, now_s)]
+
     def clear(self, fingerprint: int, now_s: float) -> bool:
         """Record that a request was served; returns whether peers need an update."""
         self._candidates.pop(fingerprint, None)
@@ -345,6 +364,10 @@
         ]
 
     def _remove_expired(self, now_s: float) -> None:
+        while self._served and (
+            next(iter(self._served.values())) <= now_s - SERVED_MEMORY_S
+        ):
+            self._served.popitem(last=False)
         while self._cleared and next(iter(self._cleared.values())) <= now_s:
             self._cleared.popitem(last=False)
         while self._quarantined and next(iter(self._quarantined.values())) <= now_s:
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -150,7 +150,7 @@
         """Clear the keys of a request that an endpoint has answered completely."""
         for key in keys:
             self._claims.pop(key, None)
-        cleared = [key for key in keys if self.quarantine.clear(key, now_s)]
+        cleared = self.quarantine.record_served(keys, now_s)
         if not cleared:
             return
         for key in cleared:
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -174,9 +174,8 @@
 
 
 def _record_served(gateway: Gateway, context: RequestContext) -> None:
-    if not gateway.guard.quarantine.is_empty:
-        now_s = asyncio.get_running_loop().time()
-        gateway.guard.record_served(context.crash_keys, now_s)
+    now_s = asyncio.get_running_loop().time()
+    gateway.guard.record_served(context.crash_keys, now_s)
 
 
 def _may_escalate(gateway: Gateway, context: RequestContext) -> bool:
--- a/tests/test_decisions_shared_keys.py
+++ b/tests/test_decisions_shared_keys.py
@@ -194,3 +194,30 @@
     quarantine.status(BAD, 0.0)
     assert quarantine.status(BAD, 9.0) is TRIAL
     assert quarantine.status(MIDDLE, 9.0) is FREE
+
+
+def test_part_that_was_served_before_is_not_held_back_beside_a_crashing_one():
+    """Guards against sound requests that pay while no endpoint is left to serve them.
+
+    The crashing part takes all endpoints down, and one crash of another cause comes
+    before. The first part of all requests is in flight at each crash.
+    """
+    quarantine = RequestQuarantine()
+    quarantine.record_served((FIRST, MIDDLE), 0.0)
+    crash(quarantine, 1, FIRST, at_s=2.0)
+    for endpoint in (2, 3, 4, 5):
+        crash(quarantine, endpoint, FIRST, BAD, at_s=3.0)
+    for now_s in (3.1, 9.0):
+        assert quarantine.assess((50, FIRST, MIDDLE), now_s).status is FREE
+    assert quarantine.assess((51, FIRST, BAD), 9.0).status is TRIAL
+
+
+def test_part_that_was_served_before_and_now_crashes_endpoints_is_suspected():
+    """Guards against a part that turns bad, for instance with a new version."""
+    quarantine = RequestQuarantine()
+    quarantine.record_served((BAD, FIRST), 0.0)
+    for endpoint in range(1, 6):
+        crash(quarantine, endpoint, BAD, *((FIRST,) if endpoint < 4 else ()), at_s=2.0)
+    quarantine.status(BAD, 2.0)
+    assert quarantine.status(BAD, 4.0) is TRIAL
+    assert quarantine.status(FIRST, 4.0) is FREE
