Soak: parts of prompts that crash endpoints, and the sound requests beside them

The soak repeated one request of one content, so nothing that several requests share ever crashed an endpoint. Callers now also send requests of their own with one part in common that does. Two checks are new: three such requests at most later than 3 s after the fifth crash, and streams without the part begin at their first attempt at least half as often as before, from 6 s after it. The check that no sound request is refused as quarantined holds for them as it stands.

--- a/acaciacove/soak/bounds.py
+++ b/acaciacove/soak/bounds.py
@@ -8,6 +8,12 @@
 GRACE_S = 8.0
 CRASH_THRESHOLD = 3
 MAX_ATTEMPTS_AFTER_CRASHES = 3
+# The same for requests with a part of their prompts that crashes endpoints.
+PART_CRASH_THRESHOLD = 5
+# Requests without the part begin at their first attempt at least this share as often as
+# without it, once two settling times have passed.
+MIN_SOUND_SHARE = 0.5
+MIN_SOUND_CALLS = 20
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 1.5
--- a/acaciacove/soak/call_record.py
+++ b/acaciacove/soak/call_record.py
@@ -14,6 +14,7 @@
     received up to the end of its framing, ``closed`` if the connection ended before.
     ``retry_after`` is that field. ``read_pause_s`` is how long a slow caller
     reads nothing: infinite for one that never reads, None for a quick caller.
+    ``crashing_part`` is the part of its prompt that crashes endpoints, if it has one.
     """
 
     request_id: str
@@ -30,3 +31,4 @@
     body: bytes = b""
     retry_after: str | None = None
     read_pause_s: float | None = None
+    crashing_part: str | None = None
--- a/acaciacove/soak/check_crashes.py
+++ b/acaciacove/soak/check_crashes.py
@@ -15,7 +15,7 @@
     for body in sorted(trace.crashing):
         yield from _check_attempts(trace, body)
     for call in trace.calls:
-        if call.sent_body not in trace.crashing and QUARANTINE_REASON in call.body:
+        if not trace.crashes_endpoints(call) and QUARANTINE_REASON in call.body:
             detail = f"{call.kind.value} {call.request_id}"
             yield Violation(Promise.NOT_QUARANTINED, detail)
 
--- a/acaciacove/soak/check_load.py
+++ b/acaciacove/soak/check_load.py
@@ -56,7 +56,7 @@
     served: Counter[str] = Counter()
     for call in trace.calls:
         is_valid = call.sent_s < trace.revoked_s.get(call.key, math.inf)
-        if is_valid and call.sent_body not in trace.crashing:
+        if is_valid and not trace.crashes_endpoints(call):
             asked[organisation_of(call.key)] += 1
             served[organisation_of(call.key)] += call.status == 200
     for organisation, count in asked.items():
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -50,6 +50,8 @@
     ENDPOINT_ENDS_INSIDE_EVENT = "endpoint_ends_inside_event"
     # A request that crashes endpoints. Callers send it until the end of the run.
     REQUEST_CRASHES = "request_crashes"
+    # A part of prompts that crashes endpoints. Callers send other requests with it.
+    PROMPT_PART_CRASHES = "prompt_part_crashes"
     # Actions of an operator. The target is chosen among the existing keys or zones.
     KEY_REVOKED = "key_revoked"
     # Many versions of a large catalogue.
@@ -103,5 +105,6 @@
         FaultKind.ENDPOINT_LOSES_ANSWERS,
         FaultKind.KEY_REVOKED,
         FaultKind.REQUEST_CRASHES,
+        FaultKind.PROMPT_PART_CRASHES,
     }
 )
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -59,16 +59,19 @@
     FaultKind.ENDPOINT_ENDS_INSIDE_EVENT,
 )
 ENDING_DURATION_S = 4.0
+# Parts of prompts that crash endpoints appear at intervals.
+PART_INTERVAL_S = (6.0, 14.0)
 # The catalogue grows while the log refuses all calls, and a key is revoked as soon as
 # it takes them again.
 GROWTH_S = 2.5
 GROWTH_MARGIN_S = 0.1
-# Unannounced departures, the log's refusals before them, notices, loads and the ways
-# in which answers end are drawn separately.
+# Unannounced departures, the log's refusals before them, notices, loads, the ways in
+# which answers end and crashing parts of prompts are drawn separately.
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
     if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
+    and kind is not FaultKind.PROMPT_PART_CRASHES
     and kind not in NOTICE_KINDS + LOAD_KINDS + ENDING_KINDS
 ]
 
@@ -112,6 +115,7 @@
     drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
     drawn += _draw_loads(Random(f"loads/{settings.seed}"), last_s)
     drawn += _draw_endings(Random(f"endings/{settings.seed}"), last_s)
+    drawn += _draw_parts(Random(f"parts/{settings.seed}"), last_s)
     plan = [
         PlannedFault(number, *fault) for number, fault in enumerate(sorted(drawn), 1)
     ]
@@ -186,6 +190,16 @@
     return drawn
 
 
+def _draw_parts(random: Random, last_s: float) -> list[DrawnFault]:
+    """Draw parts of prompts that crash endpoints, from a separate generator."""
+    drawn: list[DrawnFault] = []
+    at_s = FIRST_FAULT_S + random.uniform(*PART_INTERVAL_S) / 2.0
+    while at_s < last_s:
+        drawn.append((at_s, FaultKind.PROMPT_PART_CRASHES, 0, 0.0))
+        at_s += random.uniform(*PART_INTERVAL_S)
+    return drawn
+
+
 def _draw_growth(at_s: float, target: int) -> list[DrawnFault]:
     """Return a burst of changes during an outage, and a revocation after it."""
     outage_s = GROWTH_S + 2.0 * GROWTH_MARGIN_S
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -74,6 +74,8 @@
         await _grow_catalogue(environment, fault)
     elif fault.kind is FaultKind.REQUEST_CRASHES:
         _add_crashing_request(environment, fault)
+    elif fault.kind is FaultKind.PROMPT_PART_CRASHES:
+        _add_crashing_part(environment, fault)
     elif fault.kind is FaultKind.ENDPOINTS_QUEUE:
         await _queue_work(environment, fault)
     elif fault.kind is FaultKind.CALLERS_SLOW:
@@ -218,6 +220,14 @@
     environment.faults.append(InjectedFault(fault.kind, body.decode(), now_s, now_s))
 
 
+def _add_crashing_part(environment: SoakEnvironment, fault: PlannedFault) -> None:
+    """Have callers send requests with a part that crashes each endpoint."""
+    part = f"bad{fault.number}"
+    environment.crashing_parts[part] = None
+    now_s = asyncio.get_running_loop().time()
+    environment.faults.append(InjectedFault(fault.kind, part, now_s, now_s))
+
+
 async def _take_zone_out(environment: SoakEnvironment, fault: PlannedFault) -> None:
     zone = ZONES[fault.target % len(ZONES)]
     if environment.zones_out:
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -11,6 +11,7 @@
 from acaciacove.soak.addresses import READINESS_PORT
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
+from acaciacove.soak.check_crashing_parts import check_crashing_parts
 from acaciacove.soak.check_limits import check_limits
 from acaciacove.soak.check_load import check_load, is_overload_refusal, is_read_on
 from acaciacove.soak.check_notices import check_notices
@@ -143,6 +144,7 @@
             *check_answers(trace),
             *check_operations(trace),
             *check_crashes(trace),
+            *check_crashing_parts(trace),
             *check_limits(trace),
             *check_notices(trace),
             *check_load(trace),
--- a/acaciacove/soak/soak_caller.py
+++ b/acaciacove/soak/soak_caller.py
@@ -23,6 +23,8 @@
 REVOKED_SHARE = 0.15
 # Share of calls that repeat a request that crashes endpoints.
 CRASHING_SHARE = 0.1
+# Share of calls that have a part of their prompts that crashes endpoints.
+CRASHING_PART_SHARE = 0.06
 READ_BYTES = 65_536
 # Share of calls that are read slowly while callers are slow; of these, how many never.
 SLOW_SHARE = 0.4
@@ -45,6 +47,7 @@
         self._environment = environment
         self._random = Random(f"{environment.settings.seed}/caller/{number}")
         self._slow_random = Random(f"{environment.settings.seed}/slow/{number}")
+        self._part_random = Random(f"{environment.settings.seed}/part/{number}")
         self._read_pause_s: float | None = None
         self._gateway = 0
         self._sent = 0
@@ -112,6 +115,7 @@
         timeout_s = CALLER_TIME_S + ANSWER_GRACE_S
         if call.read_pause_s is None:
             self._make_crashing(call)
+            self._add_crashing_part(call)
         else:
             call.kind = CallKind.DRAFT
             timeout_s += SLOW_GRACE_S
@@ -150,6 +154,15 @@
         call.sent_body, call.key = self._random.choice(crashing)
         call.kind = CallKind.LOOK
 
+    def _add_crashing_part(self, call: CallRecord) -> None:
+        """Give some calls a part of their prompt that crashes endpoints."""
+        parts = list(self._environment.crashing_parts)
+        is_other = call.sent_body in self._environment.crashing
+        if not parts or is_other or self._part_random.random() >= CRASHING_PART_SHARE:
+            return
+        call.crashing_part = self._part_random.choice(parts)
+        call.kind = CallKind.DRAFT
+
     def _send(self, call: CallRecord) -> None:
         assert self._writer is not None
         headers = [
@@ -160,8 +173,9 @@
             (b"Content-Length", str(len(call.sent_body)).encode()),
         ]
         if call.kind is CallKind.DRAFT:
-            subject = self._random.randrange(20)
-            parts = f"common:400,{subject:x}:400,{self._number}{self._sent}:200"
+            subject = f"{self._random.randrange(20):x}"
+            middle = call.crashing_part or subject
+            parts = f"common:400,{middle}:400,{self._number}{self._sent}:200"
             headers += [
                 (names.MODEL, names.ANY_MODEL.encode()),
                 (names.TOKENS, b"1000,40"),
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -60,7 +60,8 @@
     """The simulated platform, the gateways, their links, and the record of the run.
 
     ``crashing`` maps the bodies of requests that crash the endpoint that runs them to
-    the API keys that callers send them with.
+    the API keys that callers send them with. ``crashing_parts`` are the parts of
+    prompts that do.
     """
 
     settings: SoakSettings
@@ -79,6 +80,7 @@
     keys: list[str] = field(factory=lambda: list(KEYS))
     revoked_s: dict[str, float] = field(factory=dict)
     crashing: dict[bytes, str] = field(factory=dict)
+    crashing_parts: dict[str, None] = field(factory=dict)
     zones_out: set[str] = field(factory=set)
     are_callers_slow: bool = False
     catalogue_version: int = 1
@@ -126,6 +128,7 @@
         behaviour = EndpointBehaviour(
             confidence=dict(zip(SIZES, (40, 99), strict=True)),
             crashing_bodies=self.crashing,
+            crashing_parts=self.crashing_parts,
         )
         server = EndpointServer(
             report,
--- a/acaciacove/soak/soak_trace.py
+++ b/acaciacove/soak/soak_trace.py
@@ -58,9 +58,19 @@
             for call in self.calls
             if call.sent_s > self.recovered_s
             and call.key not in self.revoked_s
-            and call.sent_body not in self.crashing
+            and not self.crashes_endpoints(call)
         ]
 
+    def crashes_endpoints(self, call: CallRecord) -> bool:
+        """Return whether an endpoint that runs the call crashes."""
+        return call.sent_body in self.crashing or call.crashing_part is not None
+
+    def is_quiet(self, at_s: float) -> bool:
+        """Return whether no fault was active lately, in the fleet or this process."""
+        since_s = at_s - SETTLING_S
+        spans = [*self.stalls, *((f.from_s, f.until_s) for f in self.faults)]
+        return not any(a < at_s and b > since_s for a, b in spans)
+
     def is_unaffected(self, gateway: int, from_s: float, to_s: float) -> bool:
         """Return whether no recent fault affects a gateway, the log or this process.
 
--- a/acaciacove/soak/violation.py
+++ b/acaciacove/soak/violation.py
@@ -20,6 +20,10 @@
     BUDGET = "repeats keep to their budget over all processes"
     CRASHING = "a request that crashes endpoints is sent on three times more at most"
     NOT_QUARANTINED = "a request that crashes nothing is not held back"
+    CRASHING_PART = (
+        "a prompt part that crashes endpoints is sent on three times at most"
+    )
+    SOUND_SERVED = "requests that share a caller with crashing ones are served"
     LIMITED = "an endpoint gets no more than it states, from all that were told"
     REFUSED = "overload control refuses what never ran, and says when to return"
     MINIMUM_SHARE = "no organisation is shut out while others are served"
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -248,6 +248,9 @@
                 self.crash()
                 return
             front.transport.write(event)
+            if self._has_crashing_part(arrival):
+                await self._crash(arrival)
+                return
             await asyncio.sleep(behaviour.gap_s)
         front.close()
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.check_answers import check_answers
 from acaciacove.soak.check_crashes import check_crashes
+from acaciacove.soak.check_crashing_parts import check_crashing_parts
 from acaciacove.soak.check_limits import check_limits
 from acaciacove.soak.check_load import check_load
 from acaciacove.soak.check_notices import check_notices
@@ -290,6 +291,45 @@
     assert not list(check_crashes(SoakTrace(calls=[bad], crashing=crashing)))
 
 
+def parts_broken(at_s, sound_from_s=(), share=1.0, faults=()):
+    """Send requests with a crashing part at these times, and sound ones in between."""
+    calls, arrivals = [], []
+    for number, sent_s in enumerate(at_s):
+        part = {"crashing_part": "bad", "sent_s": sent_s, "ended_s": sent_s + 0.1}
+        calls.append(a_call(number, CallKind.DRAFT, **part))
+        crashed = {"at_s": sent_s, "ended_s": sent_s, "ended": "crashed"}
+        arrivals.append(an_arrival(number, ran=True, **crashed))
+    for from_s in sound_from_s:
+        for step in range(20):
+            number = len(calls)
+            sent_s = from_s + step / 10.0
+            calls.append(a_call(number, CallKind.DRAFT, sent_s=sent_s))
+            ran = step < 20 * (share if from_s > 20.0 else 1.0)
+            arrivals.append(an_arrival(number, at_s=sent_s, ran=ran))
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    trace = SoakTrace(calls=calls, arrivals=arrivals, faults=list(faults))
+    return {violation.promise for violation in check_crashing_parts(trace)}
+
+
+def test_a_prompt_part_that_goes_on_crashing_endpoints_is_found():
+    """Guards against a fleet that sends other requests with the part without end."""
+    early = [10.0, 10.1, 10.2, 12.0, 13.0, 14.0, 15.9]
+    assert parts_broken([*early, 20.0, 21.0, 22.0]) == set()
+    assert parts_broken([*early, 20.0, 21.0, 22.0, 23.0]) == {Promise.CRASHING_PART}
+    assert parts_broken([10.0, 11.0, 12.0, 13.0]) == set()
+
+
+def test_sound_requests_that_pay_for_a_crashing_part_are_found():
+    """Guards against a fleet that holds back all that shares a caller or a part."""
+    crashes = [10.0, 10.1, 10.2, 10.3, 10.4]
+    assert parts_broken(crashes, sound_from_s=(2.0, 30.0)) == set()
+    assert parts_broken(crashes, sound_from_s=(2.0, 30.0), share=0.5) == set()
+    found = parts_broken(crashes, sound_from_s=(2.0, 30.0), share=0.45)
+    assert found == {Promise.SOUND_SERVED}
+    other = InjectedFault(FaultKind.ENDPOINTS_QUEUE, "model", 28.0, 33.0)
+    assert parts_broken(crashes, (2.0, 30.0), share=0.0, faults=[other]) == set()
+
+
 def limits_broken(per_s, gateways=2, answer_after_s=0.1, **trace):
     """Send at an even rate to an endpoint that states its limit from 20 s to 30 s."""
     limited = InjectedFault(FaultKind.ENDPOINT_LIMITS, "i-0", 20.0, 30.0)
