RECOVER: an overloaded gateway closes new connections unread

The balancer may hand most new connections of a zone, or of a region, to one gateway. Two things can go wrong there: its shares of the fleet's limits, and its own processor and descriptors. Shares: 4 and 28 gateways with all new connections at one of them serve what it reads; that is a test now and needed no change. Processor: a gateway read all requests however far behind it was, so that all of them were late. Now three rounds of the event loop in a row that are late by 0.2 s make it close new connections unread, so that nothing is in doubt, and say that it is not ready, so that the balancer turns to another; open connections are served on. Callers take at most seven tenths of the descriptors of the settings. Ruled out: refusing with 503 after reading, which costs the same work; a bound on requests in progress, which differs with their kinds; one late round as the sign, which a pause also gives.

--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -7,6 +7,10 @@
 
 from acaciacove.decisions.byte_budget import BUDGET_SHARE
 from acaciacove.decisions.confidence_calibration import ConfidenceCalibration
+from acaciacove.decisions.connection_shedder import (
+    ConnectionShedder,
+    max_connections,
+)
 from acaciacove.decisions.delay_cost import DelayCost
 from acaciacove.decisions.prefill_latency import PrefillLatency
 from acaciacove.decisions.response_time import ResponseTime
@@ -119,6 +123,7 @@
     _peers_source: dict[str, Peer] | None = None
     sessions: SessionVersions = field(init=False)
     guard: RequestGuard = field(init=False)
+    shedder: ConnectionShedder = field(factory=ConnectionShedder)
     crash_detector: CrashDetector = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
     relay_intervals: RelayIntervals = field(init=False)
@@ -135,6 +140,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply new limits from now on; earlier requests remain counted."""
         self.settings = settings
+        self.shedder.max_connections = max_connections(settings.descriptor_limit)
         self.held.budget.limit_bytes = int(BUDGET_SHARE * settings.memory_limit_bytes)
         self.sessions.lifetime_s = settings.session_life_s
         confirm_s = REVOCATION_SHARE * settings.revocation_s
--- a/acaciacove/gateway/http/front_connection.py
+++ b/acaciacove/gateway/http/front_connection.py
@@ -54,6 +54,7 @@
         connections: set["FrontConnection"],
         held: HeldBytes | None = None,
         refuse_unread: Serve | None = None,
+        may_accept: Callable[[], bool] = lambda: True,
     ) -> None:
         """Start unconnected.
 
@@ -61,7 +62,9 @@
         called for each request. ``is_draining`` returns whether the gateway is
         shutting down, so that a response also closes the connection. ``held`` limits
         the bytes of bodies and unread responses; ``refuse_unread`` responds to a
-        request whose body does not fit, and has been left unread.
+        request whose body does not fit, and has been left unread. ``may_accept``
+        returns whether the connection is taken; otherwise it is closed at once, with
+        everything unread.
         """
         super().__init__(h11.SERVER, limits().max_header_bytes)
         self._serve = serve
@@ -71,6 +74,7 @@
         self._connections = connections
         self._held = held or HeldBytes()
         self._refuse_unread = refuse_unread or serve
+        self._may_accept = may_accept
         self._body = ByteAccount(self._held.budget)
         self._output: OutputQueue | None = None
         self._room = asyncio.Event()
@@ -83,9 +87,13 @@
         self.request_id: str | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the task that serves this connection."""
+        """Start the task that serves this connection, or close it."""
         super().connection_made(transport)
         assert self.transport is not None
+        if not self._may_accept():
+            self._discarding = True
+            self.abort()
+            return
         self._output = OutputQueue(self.transport, ByteAccount(self._held.budget))
         self.count_unread_in(self._held.budget)
         self._connections.add(self)
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -16,6 +16,8 @@
     ATTEMPT = "attempt"
     CALLER_REFUSED = "caller_refused"
     CALLER_CUT = "caller_cut"
+    CONNECTIONS_SHED = "connections_shed"
+    CONNECTIONS_TAKEN = "connections_taken"
     ADMISSION_LEVEL = "admission_level"
     MODEL_WITHOUT_PRICE = "model_without_price"
     ESCALATION_POSTPONED = "escalation_postponed"
--- a/acaciacove/gateway/metric.py
+++ b/acaciacove/gateway/metric.py
@@ -21,6 +21,11 @@
         "callers that read nothing and were disconnected for lack of memory",
         (),
     )
+    CONNECTIONS_REFUSED = (
+        "connections_refused_total",
+        "callers' connections closed unread, as the process has too much to do",
+        (),
+    )
     OVERLOAD_REFUSALS = (
         "overload_refusals_total",
         "requests refused by overload control, by cause",
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -34,6 +34,7 @@
 from acaciacove.gateway.routing_view import RoutingView, boot_time_s
 from acaciacove.gateway.serve_request import refuse_unread, serve_request
 from acaciacove.gateway.status_page import StatusPage
+from acaciacove.gateway.watch_load import may_accept, watch_load
 from acaciacove.settings.gateway_settings import GatewaySettings
 
 # While other gateways read through this one, its own reads of the log have shorter
@@ -132,6 +133,7 @@
             recorder.run(),
             sync_records(self.gateway.guard, self.metadata, self.log),
             self._load_metrics(),
+            watch_load(self.gateway),
         ):
             await self._wait_for_view()
             front = await self._listen_to_callers()
@@ -188,6 +190,7 @@
             self.connections,
             self.gateway.held,
             self._refuse_unread,
+            lambda: may_accept(self.gateway, len(self.connections)),
         )
 
     def _limits(self) -> CallerLimits:
@@ -249,7 +252,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
-        return self.gateway.view.is_usable and not self.gateway.shutting_down
+        gateway = self.gateway
+        if gateway.shutting_down or gateway.shedder.is_overloaded:
+            return False
+        return gateway.view.is_usable
 
     def _followers(self) -> list[Coroutine[Any, Any, None]]:
         view = self.gateway.view
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -131,6 +131,7 @@
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
     "other_zone_ms": ("acaciacove.otherZoneMs", float),
+    "descriptor_limit": ("limits.fileDescriptors", int),
     "memory_limit_bytes": ("limits.memoryLimitMb", _megabytes),
     "overload_control": ("contracts", _has_pressure),
 }
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -41,8 +41,9 @@
     another zone, in milliseconds of waiting, apart from about 1 ms of network latency:
     traffic between zones is billed. At 0 all zones cost the same. ``region_of_zone``
     maps each availability zone to its region.
-    ``memory_limit_bytes`` is the memory that the process may use; a quarter of it is
-    the limit of the bytes held for callers and endpoints, and 0 sets no limit.
+    ``descriptor_limit`` is the number of files and sockets that the process may have
+    open, and ``memory_limit_bytes`` the memory that it may use; 0 sets no limit. A
+    quarter of the memory is the limit of the bytes held for callers and endpoints.
     Metrics are served on ``host:metrics_port``; the default is a port that Prometheus
     exporters commonly use. With ``overload_control``, requests are refused while waits
     exceed what the routes in use need.
@@ -75,6 +76,7 @@
     heartbeat_s: float = field(default=1.2, metadata=check(is_positive))
     overload_control: bool = False
     session_life_s: float = field(default=5.0, metadata=check(is_positive))
+    descriptor_limit: int = field(default=0, metadata=check(at_least(0)))
     memory_limit_bytes: int = field(default=0, metadata=check(at_least(0)))
 
     @property
