Soak: most new connections go to one gateway

The soak's callers chose among ready gateways evenly. After the other faults of every other seed they now open all connections at one, a new one for each request; of what it reads, three quarters must be served at the first attempt, against the share before.

Checks shown in tests/test_soak_checks.py.

--- a/acaciacove/soak/bounds.py
+++ b/acaciacove/soak/bounds.py
@@ -14,6 +14,9 @@
 # without it, once two settling times have passed.
 MIN_SOUND_SHARE = 0.5
 MIN_SOUND_CALLS = 20
+# While most new connections go to one gateway, requests are served at their first
+# attempt at least this share as often as otherwise.
+MIN_CONCENTRATED_SHARE = 0.75
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 1.5
--- a/acaciacove/soak/check_crashing_parts.py
+++ b/acaciacove/soak/check_crashing_parts.py
@@ -66,7 +66,7 @@
         and call.key not in trace.revoked_s
         and trace.is_quiet(call.sent_s)
     ]
-    began = {arrival.request_id for arrival in _first_runs(trace)}
+    began = trace.first_runs()
     before = [call for call in sound if call.sent_s < first_crash_s]
     after = [c for c in sound if c.sent_s > last_crash_s + 2.0 * SETTLING_S]
     if len(after) < MIN_SOUND_CALLS:
@@ -80,14 +80,5 @@
         yield Violation(Promise.SOUND_SERVED, detail)
 
 
-def _first_runs(trace: SoakTrace) -> Iterator[EndpointArrival]:
-    """Yield the arrivals that ran and were the first of their requests."""
-    seen: set[str] = set()
-    for arrival in trace.arrivals:
-        if arrival.request_id not in seen and arrival.ran:
-            yield arrival
-        seen.add(arrival.request_id)
-
-
 def _share(calls: Sequence[CallRecord], began: set[str]) -> float:
     return sum(call.request_id in began for call in calls) / len(calls)
--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -59,6 +59,8 @@
     ZONE_OUT = "zone_out"
     # All endpoints of one service have a queue of other work.
     ENDPOINTS_QUEUE = "endpoints_queue"
+    # Callers open all new connections at one gateway, and open them more often.
+    CONNECTIONS_CONCENTRATED = "connections_concentrated"
     # Some callers read long answers late, slowly or not at all.
     CALLERS_SLOW = "callers_slow"
 
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -61,17 +61,22 @@
 ENDING_DURATION_S = 4.0
 # Parts of prompts that crash endpoints appear at intervals.
 PART_INTERVAL_S = (6.0, 14.0)
+# Connections are concentrated after the other faults, in every other plan: only then is
+# a lower share of served requests due to it.
+CONCENTRATION_AFTER_S = 5.0
+CONCENTRATION_DURATION_S = 7.0
 # The catalogue grows while the log refuses all calls, and a key is revoked as soon as
 # it takes them again.
 GROWTH_S = 2.5
 GROWTH_MARGIN_S = 0.1
 # Unannounced departures, the log's refusals before them, notices, loads, the ways in
-# which answers end and crashing parts of prompts are drawn separately.
+# which answers end, crashing parts of prompts and concentrated connections are drawn
+# separately.
 DRAWN_KINDS = [
     kind
     for kind in FaultKind
     if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
-    and kind is not FaultKind.PROMPT_PART_CRASHES
+    and kind not in (FaultKind.PROMPT_PART_CRASHES, FaultKind.CONNECTIONS_CONCENTRATED)
     and kind not in NOTICE_KINDS + LOAD_KINDS + ENDING_KINDS
 ]
 
@@ -116,6 +121,10 @@
     drawn += _draw_loads(Random(f"loads/{settings.seed}"), last_s)
     drawn += _draw_endings(Random(f"endings/{settings.seed}"), last_s)
     drawn += _draw_parts(Random(f"parts/{settings.seed}"), last_s)
+    if settings.seed % 2 == 0:
+        at_s = last_s + CONCENTRATION_AFTER_S
+        concentrated = FaultKind.CONNECTIONS_CONCENTRATED
+        drawn.append((at_s, concentrated, 0, CONCENTRATION_DURATION_S))
     plan = [
         PlannedFault(number, *fault) for number, fault in enumerate(sorted(drawn), 1)
     ]
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -80,6 +80,8 @@
         await _queue_work(environment, fault)
     elif fault.kind is FaultKind.CALLERS_SLOW:
         await _slow_callers(environment, fault)
+    elif fault.kind is FaultKind.CONNECTIONS_CONCENTRATED:
+        await _concentrate_connections(environment, fault)
     elif fault.kind is FaultKind.ZONE_OUT:
         await _take_zone_out(environment, fault)
     else:
@@ -273,6 +275,18 @@
     await _record_until_undone(environment, fault, "callers", lambda: slow_down(False))
 
 
+async def _concentrate_connections(
+    environment: SoakEnvironment, fault: PlannedFault
+) -> None:
+    """Have callers open new connections at one gateway only."""
+    environment.are_connections_concentrated = True
+
+    def undo() -> None:
+        environment.are_connections_concentrated = False
+
+    await _record_until_undone(environment, fault, "callers", undo)
+
+
 async def _inject_endpoint_fault(
     environment: SoakEnvironment, fault: PlannedFault
 ) -> None:
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -10,6 +10,7 @@
 from acaciacove.settings.soak_settings import SoakSettings
 from acaciacove.soak.addresses import READINESS_PORT
 from acaciacove.soak.check_answers import check_answers
+from acaciacove.soak.check_concentration import check_concentration
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_crashing_parts import check_crashing_parts
 from acaciacove.soak.check_limits import check_limits
@@ -145,6 +146,7 @@
             *check_operations(trace),
             *check_crashes(trace),
             *check_crashing_parts(trace),
+            *check_concentration(trace),
             *check_limits(trace),
             *check_notices(trace),
             *check_load(trace),
--- a/acaciacove/soak/soak_caller.py
+++ b/acaciacove/soak/soak_caller.py
@@ -81,6 +81,8 @@
             len(self._environment.gateways)
         )
         self._gateway = self._random.choice(list(ready))
+        if self._environment.are_connections_concentrated:
+            self._gateway = min(ready)
         host = self._environment.addresses.gateway(self._gateway)
         self._connection = h11.Connection(h11.CLIENT)
         try:
@@ -131,6 +133,9 @@
             call.closed = True
             self._disconnect()
         call.ended_s = loop.time()
+        if self._environment.are_connections_concentrated:
+            self._disconnect()
+            return
         is_quick = call.read_pause_s is None
         if is_quick and self._connection.our_state is h11.DONE and call.complete:
             try:
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -83,6 +83,7 @@
     crashing_parts: dict[str, None] = field(factory=dict)
     zones_out: set[str] = field(factory=set)
     are_callers_slow: bool = False
+    are_connections_concentrated: bool = False
     catalogue_version: int = 1
     _last_heartbeats_s: dict[str, float] = field(factory=dict)
     _endpoints_started: int = 0
--- a/acaciacove/soak/soak_trace.py
+++ b/acaciacove/soak/soak_trace.py
@@ -65,10 +65,23 @@
         """Return whether an endpoint that runs the call crashes."""
         return call.sent_body in self.crashing or call.crashing_part is not None
 
-    def is_quiet(self, at_s: float) -> bool:
+    def first_runs(self) -> set[str]:
+        """Return the ids of the requests that ran at their first attempt."""
+        began: set[str] = set()
+        seen: set[str] = set()
+        for arrival in self.arrivals:
+            if arrival.request_id not in seen and arrival.ran:
+                began.add(arrival.request_id)
+            seen.add(arrival.request_id)
+        return began
+
+    def is_quiet(
+        self, at_s: float, excepted: frozenset[FaultKind] = frozenset()
+    ) -> bool:
         """Return whether no fault was active lately, in the fleet or this process."""
         since_s = at_s - SETTLING_S
-        spans = [*self.stalls, *((f.from_s, f.until_s) for f in self.faults)]
+        faults = [fault for fault in self.faults if fault.kind not in excepted]
+        spans = [*self.stalls, *((f.from_s, f.until_s) for f in faults)]
         return not any(a < at_s and b > since_s for a, b in spans)
 
     def is_unaffected(self, gateway: int, from_s: float, to_s: float) -> bool:
--- a/acaciacove/soak/violation.py
+++ b/acaciacove/soak/violation.py
@@ -24,6 +24,7 @@
         "a prompt part that crashes endpoints is sent on three times at most"
     )
     SOUND_SERVED = "requests that share a caller with crashing ones are served"
+    CONCENTRATED = "a gateway with most new connections serves what it reads"
     LIMITED = "an endpoint gets no more than it states, from all that were told"
     REFUSED = "overload control refuses what never ran, and says when to return"
     MINIMUM_SHARE = "no organisation is shut out while others are served"
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 from acaciacove.soak.call_kind import CallKind
 from acaciacove.soak.call_record import CallRecord
 from acaciacove.soak.check_answers import check_answers
+from acaciacove.soak.check_concentration import check_concentration
 from acaciacove.soak.check_crashes import check_crashes
 from acaciacove.soak.check_crashing_parts import check_crashing_parts
 from acaciacove.soak.check_limits import check_limits
@@ -330,6 +331,31 @@
     assert parts_broken(crashes, (2.0, 30.0), share=0.0, faults=[other]) == set()
 
 
+def concentration_broken(share, **changes):
+    """Send to one gateway for 7 s, with this share served at the first attempt."""
+    fault = InjectedFault(FaultKind.CONNECTIONS_CONCENTRATED, "callers", 20.0, 27.0)
+    calls, arrivals = [], []
+    for number in range(60):
+        is_busy = number >= 30
+        sent_s = 23.0 + (number - 30) / 10.0 if is_busy else 5.0 + number / 10.0
+        is_served = not is_busy or number - 30 < 30 * share
+        values = {"sent_s": sent_s, "status": 200 if is_served else 503}
+        calls.append(
+            a_call(number, CallKind.LOOK, **values | (changes if is_busy else {}))
+        )
+        arrivals.append(an_arrival(number, at_s=sent_s, ran=is_served))
+    trace = SoakTrace(calls=calls, arrivals=arrivals, faults=[fault])
+    return [violation.promise for violation in check_concentration(trace)]
+
+
+def test_a_gateway_that_serves_little_of_what_it_reads_is_found():
+    """Guards against a fleet that one busy gateway holds up."""
+    assert concentration_broken(0.8) == []
+    assert concentration_broken(0.7) == [Promise.CONCENTRATED]
+    unread = {"status": None, "closed": True, "complete": False}
+    assert concentration_broken(0.7, **unread) == []
+
+
 def limits_broken(per_s, gateways=2, answer_after_s=0.1, **trace):
     """Send at an even rate to an endpoint that states its limit from 20 s to 30 s."""
     limited = InjectedFault(FaultKind.ENDPOINT_LIMITS, "i-0", 20.0, 30.0)
