A refusal whose body is cut is still a refusal

Found with the class of the cut streams. An endpoint that refuses says in the head of its answer that the request has not run. If the body was cut, or its end did not come, the attempt counted as lost: a booking ended with 502, of unknown outcome, and no other endpoint was asked. Now the head decides, the rest is waited for 0.2 s at most, and refusal_cut says what became of it.

tests/test_gateway_cut_answers.py, test_refusal_whose_body_is_cut_is_still_a_refusal: 502 before, 200 now, and 503 where all refuse.

--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -41,6 +41,7 @@
     ENDPOINT_RESTING = "endpoint_resting"
     ENDPOINT_SLOWNESS_KNOWN = "endpoint_slowness_known"
     HEADER_UNREADABLE = "header_unreadable"
+    REFUSAL_CUT = "refusal_cut"
     RESPONSE_CLOSE_DELIMITED = "response_close_delimited"
     ENDPOINT_CRASHED = "endpoint_crashed"
     CRASH_UNCERTAIN = "crash_uncertain"
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -15,8 +15,10 @@
     size_label,
 )
 from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.http.errors import ConnectionLostError, InvalidResponseError
 from acaciacove.gateway.http.front_connection import FrontConnection
 from acaciacove.gateway.http.response_head import ResponseHead
+from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_limit import log_limit
 from acaciacove.gateway.metric import Metric
 from acaciacove.gateway.record_notices import record_notices
@@ -29,6 +31,8 @@
 HEAD_TIMEOUT_TARGETS = 1.5
 MIN_HEAD_TIMEOUT_S = 0.35
 SERVER_ERROR_STATUS = 500
+# A refusal is short and sent at once; the caller waits for the next endpoint meanwhile.
+REFUSAL_BODY_TIMEOUT_S = 0.2
 
 
 async def process_response(
@@ -55,7 +59,7 @@
     if head.is_success:
         exchange.record_first_chunk(now_s)
     if head.not_run:
-        await exchange.read_body(MAX_BUFFERED_BYTES)
+        await _skip_refusal(exchange)
         # Refusals come at once and leave no request in flight. An endpoint that refuses
         # everything would look idle and be chosen first each time.
         context.refused_by.add(state.endpoint.instance)
@@ -75,6 +79,24 @@
     return await forward_buffered(gateway, context, exchange, head, front)
 
 
+async def _skip_refusal(exchange: Exchange) -> None:
+    """Read the rest of a refusal, so that its connection can be reused.
+
+    If the rest is cut off, the head still says that the request has not run.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await exchange.read_body(MAX_BUFFERED_BYTES)
+    except (ConnectionLostError, InvalidResponseError, TimeoutError) as error:
+        exchange.gateway.log.write(
+            Event.REFUSAL_CUT,
+            routine=True,
+            request_id=exchange.context.request.hints.request_id,
+            endpoint=exchange.state.endpoint.instance,
+            detail=str(error) or f"no end within {REFUSAL_BODY_TIMEOUT_S} s",
+        )
+
+
 def _apply_load(
     gateway: Gateway,
     context: RequestContext,
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -17,6 +17,7 @@
       ``failing_path`` only if that is set
     - ``full``: answers 503 and marks the request as not run; ``retry_after`` is the
       value of that field in these answers
+    - ``cut_refusals``: closes the connection in the middle of a refusal's body
     - ``leaving``: value of the field that announces the departure, in each answer
     - ``mute``: never answers
     - ``cut_after``: closes the connection in the middle of the event after this many
@@ -51,6 +52,7 @@
     failing_path: str = ""
     full: bool = False
     retry_after: str | None = None
+    cut_refusals: bool = False
     leaving: str | None = None
     mute: bool = False
     cut_after: int | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -80,6 +80,11 @@
         if status == 503 and self.behaviour.retry_after is not None:
             arrival.retry_after = self.behaviour.retry_after
             fields.append((names.RETRY_AFTER, arrival.retry_after.encode()))
+        if self.behaviour.cut_refusals:
+            front.start_response(status, b"", [*fields, (b"Content-Length", b"99")])
+            await front.write(b"full")
+            front.close()
+            return
         await _send_response(front, status, fields, b"")
 
     async def _run(self, arrival: EndpointArrival, front: FrontConnection) -> None:
--- a/tests/test_gateway_cut_answers.py
+++ b/tests/test_gateway_cut_answers.py
@@ -119,6 +119,23 @@
     run_fleet(scenario)
 
 
+def test_refusal_whose_body_is_cut_is_still_a_refusal():
+    """Guards against a booking that fails although no endpoint has run it.
+
+    The head of a refusal says that it has not run, whatever becomes of the rest.
+    """
+
+    async def scenario(fleet):
+        set_behaviour(fleet, "app-0", full=True, cut_refusals=True)
+        answers = [await call("/book/1", f"b-{n}") for n in range(4)]
+        assert [a.status for a in answers] == [200] * 4
+        set_behaviour(fleet, "app-1", full=True, cut_refusals=True)
+        assert (await call("/book/1", "b-9")).status == 503
+        assert lines(fleet, "refusal_cut")
+
+    run_fleet(scenario)
+
+
 def test_close_delimited_body_is_not_complete_if_its_endpoint_crashed():
     """Guards against half a body that reaches its caller as a success."""
 
