Crash detection: a request that was abandoned shortly before counts, too

Found with the class of the shared parts: evidence named only requests in flight. A caller that leaves, or an answer that is dropped for a larger model, takes its request away while the endpoint may go on with it; the crash was then put down to whatever else ran there. Requests of the last 0.5 s before a crash count now. The fingerprint, a hash of the body, is made only after a crash.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -25,6 +25,16 @@
 # Connections within a region are made in a few milliseconds. One that takes this long
 # goes to a machine that no longer exists.
 CONNECT_TIMEOUT_S = 0.4
+# Outcomes after which the endpoint does not work on the request any more.
+ENDED_OUTCOMES = frozenset(
+    {
+        AttemptOutcome.DELIVERED,
+        AttemptOutcome.NOT_RUN,
+        AttemptOutcome.FAILED,
+        AttemptOutcome.LOST,
+        AttemptOutcome.BROKEN,
+    }
+)
 # Outcomes after which the result of a trial is known here or soon from a check whether
 # the endpoint has crashed.
 TRIAL_RESULTS = frozenset(
@@ -76,6 +86,8 @@
         record_failure(gateway, state, outcome, "silence")
     finally:
         exchange.close()
+        if exchange.sent and outcome not in ENDED_OUTCOMES:
+            gateway.crash_detector.record_abandoned_request(state, context.crash_keys)
         if context.trial_key is not None and outcome not in TRIAL_RESULTS:
             now_s = asyncio.get_running_loop().time()
             gateway.guard.release_trials((context.trial_key,), now_s)
--- a/acaciacove/gateway/quarantine/crash_detector.py
+++ b/acaciacove/gateway/quarantine/crash_detector.py
@@ -1,6 +1,7 @@
 """Distinguishes endpoint crashes from broken connections."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Sequence
 
 from attrs import define, field
@@ -18,6 +19,10 @@
 GATHER_WINDOW_S = 0.02
 # A host that does not answer within this time is unreachable, which proves no crash.
 CHECK_TIMEOUT_S = 0.4
+# A request that was abandoned this long before a crash may have caused it: an endpoint
+# does not always notice that nobody waits for the answer any more.
+ABANDONED_S = 0.5
+MAX_ABANDONED = 64
 # Fingerprints in the log line of one crash.
 MAX_LOGGED_FINGERPRINTS = 16
 
@@ -41,6 +46,9 @@
     on_crash: OnCrash
     on_cut: OnCut
     _lost: dict[EndpointState, list[Sequence[int]]] = field(factory=dict)
+    _abandoned: dict[EndpointState, deque[tuple[float, Sequence[int]]]] = field(
+        factory=dict
+    )
     _checks: set[asyncio.Task[None]] = field(factory=set)
 
     def record_lost_request(self, state: EndpointState, keys: Sequence[int]) -> None:
@@ -54,6 +62,20 @@
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
+    def record_abandoned_request(
+        self, state: EndpointState, keys: Sequence[int]
+    ) -> None:
+        """Record a request that may be running, and that nobody waits for any more."""
+        now_s = asyncio.get_running_loop().time()
+        abandoned = self._abandoned.setdefault(state, deque(maxlen=MAX_ABANDONED))
+        abandoned.append((now_s, keys))
+        for other in [s for s, each in self._abandoned.items() if _is_old(each, now_s)]:
+            del self._abandoned[other]
+
+    def _abandoned_at(self, state: EndpointState, now_s: float) -> list[Sequence[int]]:
+        abandoned = self._abandoned.pop(state, ())
+        return [keys for at_s, keys in abandoned if now_s - at_s <= ABANDONED_S]
+
     async def _check(self, state: EndpointState) -> None:
         try:
             await asyncio.sleep(GATHER_WINDOW_S)
@@ -64,6 +86,8 @@
             lost = self._lost.pop(state)
         endpoint = state.endpoint.instance
         now_s = asyncio.get_running_loop().time()
+        if state.crashed:
+            lost += self._abandoned_at(state, now_s)
         keys = list(dict.fromkeys(key for request in lost for key in request))
         if not state.crashed:
             self.log.write(Event.REQUESTS_CUT, endpoint=endpoint, lost=len(lost))
@@ -92,3 +116,8 @@
                 detail=str(error),
             )
         return False
+
+
+def _is_old(abandoned: deque[tuple[float, Sequence[int]]], now_s: float) -> bool:
+    at_s, _ = abandoned[-1]
+    return now_s - at_s > ABANDONED_S
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -63,10 +63,15 @@
         caller = self.organisation.name if self.organisation else ""
         return request_fingerprint(self.request, caller)
 
+    @cached_property
+    def shared_keys(self) -> tuple[int, ...]:
+        """The keys of what it shares with other requests."""
+        return shared_keys(self.request)
+
     @cached_property
     def crash_keys(self) -> tuple[int, ...]:
         """The keys under which crashes are counted, its own fingerprint first."""
-        return (self.fingerprint, *shared_keys(self.request))
+        return (self.fingerprint, *self.shared_keys)
 
     @property
     def priority(self) -> int:
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -175,7 +175,10 @@
 
 def _record_served(gateway: Gateway, context: RequestContext) -> None:
     now_s = asyncio.get_running_loop().time()
-    gateway.guard.record_served(context.crash_keys, now_s)
+    # The fingerprint is a hash of the whole body, and needed only after a crash.
+    is_calm = gateway.guard.quarantine.is_empty
+    keys = context.shared_keys if is_calm else context.crash_keys
+    gateway.guard.record_served(keys, now_s)
 
 
 def _may_escalate(gateway: Gateway, context: RequestContext) -> bool:
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -39,6 +39,7 @@
     - ``crashing_bodies``: requests with such a body crash the endpoint
     - ``crashing_parts``: requests with such a part of their prompts, the last one
       excepted, crash the endpoint as soon as their answers have begun
+    - ``crashes_unattended``: crashes also if the caller of such a request has left
     - ``confidence``: value by model, sent in the response head
     """
 
@@ -70,4 +71,5 @@
     pace_percent: int | None = None
     crashing_bodies: Container[bytes] = ()
     crashing_parts: Container[str] = ()
+    crashes_unattended: bool = False
     confidence: dict[str, int] | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -109,6 +109,10 @@
             await self._answer_service(arrival, front, fields)
 
     async def _crash(self, arrival: EndpointArrival) -> None:
+        if self.behaviour.crashes_unattended:
+            arrival.ended = "crashed"
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, self.crash)
+            await asyncio.Event().wait()
         await asyncio.sleep(CRASH_AFTER_S)
         arrival.ended = "crashed"
         asyncio.get_running_loop().call_soon(self.crash)
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -29,6 +29,7 @@
         self.position = position
         self.random = Random(seed)
         self.sent = 0
+        self.patience_s = None
         self.answers = []
         self.tasks = set()
 
@@ -66,9 +67,12 @@
         caller = await Caller(host).open()
         try:
             body = request_id.encode()
-            answer = await caller.request(
-                "/draft/1", request_id, body=body, fields=fields
-            )
+            async with asyncio.timeout(self.patience_s if is_bad else None):
+                answer = await caller.request(
+                    "/draft/1", request_id, body=body, fields=fields
+                )
+        except TimeoutError:
+            return
         finally:
             caller.disconnect()
         self.answers.append((request_id, sent_s, answer))
@@ -104,10 +108,23 @@
     ]
 
 
-async def play(fleet, gateways, position=1, calm_s=6.0, crashing_s=15.0, **rates):
-    """Run sound traffic alone, then with crashing requests; return the traffic."""
-    set_crashing_part(fleet)
+async def play(
+    fleet,
+    gateways,
+    position=1,
+    calm_s=6.0,
+    crashing_s=15.0,
+    patience_s=None,
+    behaviour=None,
+    **rates,
+):
+    """Run sound traffic alone, then with crashing requests; return the traffic.
+
+    The callers of crashing requests leave after ``patience_s``, if that is set.
+    """
+    set_crashing_part(fleet, **(behaviour or {}))
     traffic = Traffic(fleet, gateways, position)
+    traffic.patience_s = patience_s
     rates = {"sound_per_s": 20.0, "bad_per_s": 4.0} | rates
     loop = asyncio.get_running_loop()
     traffic.began_s = loop.time()
@@ -156,3 +173,23 @@
         assert refused == []
 
     run_fleet(scenario, gateways=4, models=9)
+
+
+def test_prompt_part_is_known_although_its_callers_leave_before_the_crash():
+    """Guards against crashes without a cause, as the requests behind them are gone."""
+
+    async def scenario(fleet):
+        await play(
+            fleet,
+            gateways=1,
+            crashing_s=20.0,
+            patience_s=0.12,
+            behaviour={"crashes_unattended": True},
+            bad_per_s=1.5,
+        )
+        found = crashes(fleet)
+        assert len(found) >= MAX_CRASHES
+        later = bad_arrivals_after(fleet, found[MAX_CRASHES - 1] + GOSSIP_S)
+        assert len(later) <= MAX_ATTEMPTS_LATER
+
+    run_fleet(scenario, gateways=1, models=9)
