Log which quarantine a refused request was held back for

A request that was refused because of a shared part had a line with status 503 and no reason, so it could not be told from other refusals. Its line now has the reason and the fingerprint of the key that held it. The status of a request's keys is looked up once before an attempt, not twice.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -109,7 +109,7 @@
         await guard.acquire_trial(context.trial_key, state.endpoint)
     elif not guard.quarantine.is_empty:
         now_s = asyncio.get_running_loop().time()
-        status = guard.quarantine.assess(context.crash_keys, now_s).status
+        status = guard.assess(context.crash_keys, now_s).status
         if status is not RequestStatus.FREE:
             raise TrialTakenError(f"the request has become {status.value}")
 
--- a/acaciacove/gateway/log_request.py
+++ b/acaciacove/gateway/log_request.py
@@ -80,6 +80,16 @@
     }
 
 
+def _quarantine_fields(context: RequestContext) -> dict[str, object]:
+    """Return the fields of a request that was held back, if it was."""
+    if context.held_key is None:
+        return {}
+    return {
+        "reason": Reason.REQUEST_QUARANTINED.value,
+        "held_fingerprint": format_fingerprint(context.held_key),
+    }
+
+
 def _postponed_fields(context: RequestContext) -> dict[str, float]:
     """Return how long the request's escalation was postponed, if it was."""
     if not context.postponed_s:
@@ -121,5 +131,6 @@
         time_s=round(context.deadline_s - request.arrived_s, 3),
         **_postponed_fields(context),
         **_overload_fields(context),
+        **_quarantine_fields(context),
         revision=gateway.view.operator_revision,
     )
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -13,6 +13,7 @@
 from attrs import define, field
 
 from acaciacove.decisions.crash_key import is_shared
+from acaciacove.decisions.request_assessment import RequestAssessment
 from acaciacove.decisions.request_quarantine import (
     CLEARED_RETENTION_S,
     QUARANTINE_DURATION_S,
@@ -86,14 +87,17 @@
             crash = CrashSeen(incarnation, tuple(new[:MAX_SUSPECTS_PER_UPDATE]))
             self.send_update(RequestNews((crash,), verdicts))
 
-    def refusal_for(self, keys: Sequence[int], now_s: float) -> Refusal | None:
-        """Return why a request is not sent now, or None if it may be."""
+    def assess(self, keys: Sequence[int], now_s: float) -> RequestAssessment:
+        """Return whether a request with these keys may be sent, and log changes."""
         found = self.quarantine.assess(keys, now_s)
-        if found.status is RequestStatus.FREE:
-            return None
-        # Something shared becomes suspect as time passes, not by an update.
-        self._report_changes([found.key], now_s)
-        if found.status is RequestStatus.TRIAL:
+        if found.status is not RequestStatus.FREE:
+            # Something shared becomes suspect as time passes, not by an update.
+            self._report_changes([found.key], now_s)
+        return found
+
+    def refusal_for(self, found: RequestAssessment, now_s: float) -> Refusal | None:
+        """Return why a request is not sent now, or None if it may be."""
+        if found.status in (RequestStatus.FREE, RequestStatus.TRIAL):
             return None
         detail = "endpoints crash when they run this request"
         if found.status is RequestStatus.WAITING:
@@ -101,11 +105,6 @@
         after_s = self.quarantine.retry_after_s(found.key, now_s)
         return Refusal(Reason.REQUEST_QUARANTINED, True, detail, after_s)
 
-    def trial_key(self, keys: Sequence[int], now_s: float) -> int | None:
-        """Return the key that a request may try, None if it needs no trial."""
-        found = self.quarantine.assess(keys, now_s)
-        return found.key if found.status is RequestStatus.TRIAL else None
-
     async def acquire_trial(self, fingerprint: int, endpoint: Endpoint) -> None:
         """Acquire the one trial of a suspected key; peers wait for its result.
 
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -28,7 +28,8 @@
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
     attempts as instance and version, and ``responses`` the response heads.
     ``trial_key`` is set for a request that is suspected of crashing endpoints, or has
-    something that is: only this gateway may try it. ``postponed_s`` is how long its
+    something that is: only this gateway may try it. ``held_key`` is the key for which
+    it was refused. ``postponed_s`` is how long its
     escalation waited for capacity. ``overload_refusal`` is set for one that overload
     control refused.
     """
@@ -50,6 +51,7 @@
     events_delivered: bool = False
     first_chunk_s: float | None = None
     trial_key: int | None = None
+    held_key: int | None = None
     postponed_s: float = 0.0
     next_model: str | None = None
     confidences: dict[str, float] = field(factory=dict)
--- a/acaciacove/gateway/serve_request.py
+++ b/acaciacove/gateway/serve_request.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from acaciacove.decisions.byte_budget import CALLER_IDLE_S
+from acaciacove.decisions.request_status import RequestStatus
 from acaciacove.gateway.admit import admit
 from acaciacove.gateway.attempt import attempt
 from acaciacove.gateway.attempt_outcome import AttemptOutcome
@@ -169,8 +170,11 @@
     guard = gateway.guard
     if guard.quarantine.is_empty:
         return None
-    context.trial_key = guard.trial_key(context.crash_keys, now_s)
-    return guard.refusal_for(context.crash_keys, now_s)
+    found = guard.assess(context.crash_keys, now_s)
+    context.trial_key = found.key if found.status is RequestStatus.TRIAL else None
+    refusal = guard.refusal_for(found, now_s)
+    context.held_key = None if refusal is None else found.key
+    return refusal
 
 
 def _record_served(gateway: Gateway, context: RequestContext) -> None:
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.gateway_world import Caller, run_fleet
+from tests.gateway_world import Caller, lines, run_fleet
 
 CRASHING = "bad"
 # What operators are promised: requests with the part that reach endpoints later than
@@ -171,6 +171,14 @@
             and b"request_quarantined" in answer.body
         ]
         assert refused == []
+        held = [
+            line
+            for name in fleet.gateways
+            for line in lines(fleet, "request", name)
+            if line.get("reason") == "request_quarantined"
+        ]
+        assert held and all(CRASHING in line["parts"] for line in held)
+        assert {line["held_fingerprint"][:4] for line in held} == {"ffff"}
 
     run_fleet(scenario, gateways=4, models=9)
 
