A gateway whose callers hold all their descriptors is not ready

It closed new connections unread and still told the balancer that it was ready.

tests/test_gateway_concentrated_callers.py, test_gateway_without_descriptors_for_callers_is_not_ready: fails on the commit before, as is_ready asked for overload alone (read, not run there); 9 pass now.

--- a/acaciacove/decisions/connection_shedder.py
+++ b/acaciacove/decisions/connection_shedder.py
@@ -45,15 +45,18 @@
             self.is_overloaded = False
         return self.is_overloaded != was_overloaded
 
-    def may_accept(self, open_connections: int) -> bool:
-        """Return whether one more connection may be taken; counts refused ones."""
+    def takes_connections(self, open_connections: int) -> bool:
+        """Return whether one more connection would be taken."""
         is_full = bool(self.max_connections) and (
             open_connections >= self.max_connections
         )
-        if self.is_overloaded or is_full:
-            self.refused += 1
-            return False
-        return True
+        return not (self.is_overloaded or is_full)
+
+    def may_accept(self, open_connections: int) -> bool:
+        """Return whether one more connection may be taken; counts refused ones."""
+        is_taken = self.takes_connections(open_connections)
+        self.refused += not is_taken
+        return is_taken
 
 
 def max_connections(descriptors: int) -> int:
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -253,9 +253,11 @@
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         gateway = self.gateway
-        if gateway.shutting_down or gateway.shedder.is_overloaded:
-            return False
-        return gateway.view.is_usable
+        return (
+            gateway.view.is_usable
+            and not gateway.shutting_down
+            and gateway.shedder.takes_connections(len(self.connections))
+        )
 
     def _followers(self) -> list[Coroutine[Any, Any, None]]:
         view = self.gateway.view
--- a/tests/test_gateway_concentrated_callers.py
+++ b/tests/test_gateway_concentrated_callers.py
@@ -96,6 +96,21 @@
     run_fleet(scenario)
 
 
+def test_gateway_without_descriptors_for_callers_is_not_ready():
+    """Guards against a balancer that goes on with a gateway that takes nobody."""
+
+    async def scenario(fleet):
+        running = fleet.gateways["gateway-0"]
+        kept = [await Caller().open() for _ in range(7)]
+        await asyncio.sleep(0.1)
+        assert not running.is_ready()
+        kept[0].disconnect()
+        await asyncio.sleep(0.1)
+        assert running.is_ready()
+
+    run_fleet(scenario, descriptor_limit=10)
+
+
 def test_one_pause_of_the_process_refuses_nobody():
     """Guards against callers who are turned away after a pause that is over."""
     shedder = ConnectionShedder()
