Relay: a peer's message that is cut or unreadable leaves a log line

The reader of a peer's message gave None for an orderly end, a frame cut halfway, one that is too long and one that cannot be decoded alike, and the gateway dropped the connection without a line. The connection now keeps why, the serving side logs it as peer_message_unreadable, and the asking side names it in the error that reader_put_off shows. The entry and the sidecar of the home product still drop such a connection without a line.

--- a/acaciacove/gateway/peers/serve_peers.py
+++ b/acaciacove/gateway/peers/serve_peers.py
@@ -19,7 +19,11 @@
 
     async def relay(connection: Connection) -> None:
         await serve_records(
-            connection, gateway.tails, gateway.view.clock_s, gateway.relay_intervals
+            connection,
+            gateway.tails,
+            gateway.view.clock_s,
+            gateway.relay_intervals,
+            gateway.log,
         )
 
     peers = PeerNetwork(gateway, metadata, open_socket)
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -82,7 +82,8 @@
             if not isinstance(reply, LogTold):
                 raise ConnectionResetError(
                     f"no LogTold reply from gateway {self.address}"
-                    f" for stream {stream} from offset {offset}"
+                    f" for stream {stream} from offset {offset}:"
+                    f" {self._connection.fault or 'the connection was closed'}"
                 )
             completed = True
         finally:
--- a/acaciacove/gateway/relay/serve_records.py
+++ b/acaciacove/gateway/relay/serve_records.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.relay.relay_intervals import RelayIntervals
@@ -24,6 +26,7 @@
     tails: Tails,
     clock_s: Callable[[], float],
     intervals: RelayIntervals,
+    log: EventLog,
 ) -> None:
     """Answer the requests on one connection until it closes.
 
@@ -42,6 +45,8 @@
                 else intervals.max_relayed_age_s
             )
             await connection.send(await reply_to(request, tail, clock_s, max_age_s))
+        if connection.fault is not None:
+            log.write(Event.PEER_MESSAGE_UNREADABLE, detail=connection.fault)
     except ConnectionError:
         # The requester has closed the connection and needs no reply.
         return
--- a/acaciacove/wire/connection.py
+++ b/acaciacove/wire/connection.py
@@ -27,6 +27,8 @@
         self._writer = writer
         # Bytes of the frame that is being received, for errors and log lines.
         self.frame_received_bytes = 0
+        # Why ``receive`` returned None, unless the connection ended between two frames.
+        self.fault: str | None = None
         _disable_nagle(writer)
 
     async def send(self, message: Message) -> None:
@@ -51,20 +53,27 @@
     ) -> Message | None:
         """Wait for a message; None after a disconnect, or on a malformed frame.
 
-        ``on_progress`` is called for each part of the message that arrives.
+        ``on_progress`` is called for each part of the message that arrives. ``fault``
+        says why there is none if the connection did not end between two frames.
         """
         self.frame_received_bytes = 0
+        self.fault = None
         try:
             prefix = await self._read_exactly(LENGTH_BYTES, on_progress)
             size_bytes = int.from_bytes(prefix, "big")
             if size_bytes > MAX_FRAME_BYTES:
+                self.fault = f"a frame of {size_bytes} bytes exceeds {MAX_FRAME_BYTES}"
                 return None
             return decode(await self._read_exactly(size_bytes, on_progress))
         except (IncompleteReadError, LimitOverrunError, OSError):
+            if self.frame_received_bytes:
+                received_bytes = self.frame_received_bytes
+                self.fault = f"the connection ended {received_bytes} bytes into a frame"
             return None
-        except MalformedMessageError:
+        except MalformedMessageError as error:
             # After malformed bytes the start of the next frame is unknown. Callers
             # drop the connection, so that the following bytes are not misread.
+            self.fault = str(error)
             return None
 
     async def _read_exactly(
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -34,7 +34,14 @@
 from acaciacove.standins.gateway_fleet import ENDPOINTS, PEER_PORT
 from acaciacove.wire.codec import decode, encode
 from acaciacove.wire.connection import Connection
-from tests.gateway_world import GATEWAY_HOST, call, catalogue, report, run_fleet
+from tests.gateway_world import (
+    GATEWAY_HOST,
+    call,
+    catalogue,
+    lines,
+    report,
+    run_fleet,
+)
 from tests.virtual import run_virtual
 
 GATEWAYS = 5
@@ -549,3 +556,28 @@
             assert await reads_per_s(fleet, members) <= FLEET_READS_PER_S
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    "data,expected",
+    [
+        (b"\x00\x00\x00\x09abc", "7 bytes into a frame"),
+        (b"\x00\x00", "2 bytes into a frame"),
+        (b"\xff\xff\xff\xff", "exceeds"),
+        (b"\x00\x00\x00\x03abc", ""),
+        (b"", None),
+    ],
+)
+def test_a_peers_message_that_is_cut_or_unreadable_leaves_a_line(data, expected):
+    """Guards against a peer whose messages end early, and nobody sees it."""
+
+    async def scenario(fleet):
+        _, writer = await asyncio.open_connection(GATEWAY_HOST, PEER_PORT)
+        writer.write(data)
+        writer.close()
+        await asyncio.sleep(0.5)
+        details = [line["detail"] for line in lines(fleet, "peer_message_unreadable")]
+        assert len(details) == (expected is not None)
+        assert all(expected in detail for detail in details)
+
+    run_fleet(scenario)
