Soak: one way to draw faults that repeat at intervals

Queues, endings of answers and crashing parts were drawn by three functions of the same shape. A group is a value now, with its kinds, interval and duration.

--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -5,6 +5,7 @@
 from acaciacove.settings.soak_settings import SoakSettings
 from acaciacove.soak.fault_kind import DEPARTURES, LOG_FAULTS, FaultKind
 from acaciacove.soak.planned_fault import PlannedFault
+from acaciacove.soak.repeated_faults import RepeatedFaults
 
 # Faults start once the fleet serves, and end early enough for it to recover.
 FIRST_FAULT_S = 2.0
@@ -47,20 +48,31 @@
     FaultKind.CATALOGUE_GROWS,
 )
 REST_DURATION_S = 4.0
-# Queues and slow callers last long enough for admission levels to rise and for buffers
-# to fill, and end before the next ones begin.
-LOAD_INTERVAL_S = (4.0, 6.0)
-LOAD_KINDS = (FaultKind.ENDPOINTS_QUEUE, FaultKind.CALLERS_SLOW)
-LOAD_DURATION_S = 4.0
-# How answers end changes at intervals.
-ENDING_INTERVAL_S = (2.0, 5.0)
-ENDING_KINDS = (
-    FaultKind.ENDPOINT_CLOSE_DELIMITED,
-    FaultKind.ENDPOINT_ENDS_INSIDE_EVENT,
+REPEATED_FAULTS = (
+    # Queues and slow callers last long enough for admission levels to rise and for
+    # buffers to fill, and end before the next ones begin.
+    RepeatedFaults(
+        name="loads",
+        kinds=(FaultKind.ENDPOINTS_QUEUE, FaultKind.CALLERS_SLOW),
+        interval_s=(4.0, 6.0),
+        duration_s=4.0,
+    ),
+    RepeatedFaults(
+        name="endings",
+        kinds=(
+            FaultKind.ENDPOINT_CLOSE_DELIMITED,
+            FaultKind.ENDPOINT_ENDS_INSIDE_EVENT,
+        ),
+        interval_s=(2.0, 5.0),
+        duration_s=4.0,
+    ),
+    RepeatedFaults(
+        name="parts",
+        kinds=(FaultKind.PROMPT_PART_CRASHES,),
+        interval_s=(6.0, 14.0),
+        duration_s=0.0,
+    ),
 )
-ENDING_DURATION_S = 4.0
-# Parts of prompts that crash endpoints appear at intervals.
-PART_INTERVAL_S = (6.0, 14.0)
 # Connections are concentrated after the other faults, in every other plan: only then is
 # a lower share of served requests due to it.
 CONCENTRATION_AFTER_S = 5.0
@@ -72,13 +84,16 @@
 # Unannounced departures, the log's refusals before them, notices, loads, the ways in
 # which answers end, crashing parts of prompts and concentrated connections are drawn
 # separately.
-DRAWN_KINDS = [
-    kind
-    for kind in FaultKind
-    if kind not in (FaultKind.ENDPOINT_REMOVED, FaultKind.LOG_TURNS_AWAY)
-    and kind not in (FaultKind.PROMPT_PART_CRASHES, FaultKind.CONNECTIONS_CONCENTRATED)
-    and kind not in NOTICE_KINDS + LOAD_KINDS + ENDING_KINDS
-]
+SEPARATE_KINDS = frozenset(
+    {
+        FaultKind.ENDPOINT_REMOVED,
+        FaultKind.LOG_TURNS_AWAY,
+        FaultKind.CONNECTIONS_CONCENTRATED,
+        *NOTICE_KINDS,
+        *(kind for group in REPEATED_FAULTS for kind in group.kinds),
+    }
+)
+DRAWN_KINDS = [kind for kind in FaultKind if kind not in SEPARATE_KINDS]
 
 
 def plan_faults(settings: SoakSettings) -> tuple[PlannedFault, ...]:
@@ -118,9 +133,8 @@
         drawn = [fault for fault in drawn if fault[1] not in LOG_FAULTS]
     drawn += _draw_departures(Random(f"leaves/{settings.seed}"), last_s)
     drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
-    drawn += _draw_loads(Random(f"loads/{settings.seed}"), last_s)
-    drawn += _draw_endings(Random(f"endings/{settings.seed}"), last_s)
-    drawn += _draw_parts(Random(f"parts/{settings.seed}"), last_s)
+    for group in REPEATED_FAULTS:
+        drawn += _draw_repeated(Random(f"{group.name}/{settings.seed}"), last_s, group)
     if settings.seed % 2 == 0:
         at_s = last_s + CONCENTRATION_AFTER_S
         concentrated = FaultKind.CONNECTIONS_CONCENTRATED
@@ -177,35 +191,16 @@
     return drawn
 
 
-def _draw_loads(random: Random, last_s: float) -> list[DrawnFault]:
-    """Draw queues at endpoints and slow callers, from a separate generator."""
-    drawn: list[DrawnFault] = []
-    at_s = FIRST_FAULT_S + random.uniform(*LOAD_INTERVAL_S) / 2.0
-    while at_s < last_s:
-        kind = random.choice(LOAD_KINDS)
-        drawn.append((at_s, kind, random.randrange(1_000_000), LOAD_DURATION_S))
-        at_s += random.uniform(*LOAD_INTERVAL_S)
-    return drawn
-
-
-def _draw_endings(random: Random, last_s: float) -> list[DrawnFault]:
-    """Draw endpoints whose answers end in other ways, from a separate generator."""
-    drawn: list[DrawnFault] = []
-    at_s = FIRST_FAULT_S + random.uniform(*ENDING_INTERVAL_S) / 2.0
-    while at_s < last_s:
-        kind = random.choice(ENDING_KINDS)
-        drawn.append((at_s, kind, random.randrange(1_000_000), ENDING_DURATION_S))
-        at_s += random.uniform(*ENDING_INTERVAL_S)
-    return drawn
-
-
-def _draw_parts(random: Random, last_s: float) -> list[DrawnFault]:
-    """Draw parts of prompts that crash endpoints, from a separate generator."""
+def _draw_repeated(
+    random: Random, last_s: float, faults: RepeatedFaults
+) -> list[DrawnFault]:
+    """Draw the faults of one group, from its own generator."""
     drawn: list[DrawnFault] = []
-    at_s = FIRST_FAULT_S + random.uniform(*PART_INTERVAL_S) / 2.0
+    at_s = FIRST_FAULT_S + random.uniform(*faults.interval_s) / 2.0
     while at_s < last_s:
-        drawn.append((at_s, FaultKind.PROMPT_PART_CRASHES, 0, 0.0))
-        at_s += random.uniform(*PART_INTERVAL_S)
+        kind = random.choice(faults.kinds)
+        drawn.append((at_s, kind, random.randrange(1_000_000), faults.duration_s))
+        at_s += random.uniform(*faults.interval_s)
     return drawn
 
 
