Quarantine: clearances in a module of their own; an older one ends no newer quarantine

Read once more on the way: a clearance that goes round between gateways could free something shared that had turned bad and been quarantined since. It is compared with the beginning of the quarantine now.

tests/test_decisions_shared_keys.py, test_older_clearance_does_not_end_a_quarantine, new; without the comparison the older clearance was applied (read, not run). 37 pass in both files.

--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -16,6 +16,7 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.clearances import CLEARED_RETENTION_S, Clearances
 from acaciacove.decisions.crash_evidence import (
     MIN_CRASHES_TO_SUSPECT,
     CrashEvidence,
@@ -43,13 +44,6 @@
 SHARED_QUARANTINE_S = 300.0
 # Something shared that is in use is served again within this time of a crash.
 PROOF_WAIT_S = 1.0
-# Crashes that are reported within this time of the clearance of something shared
-# happened before it. Later ones count, since what was sound may crash endpoints from
-# some moment on.
-SHARED_CLEARANCE_S = 1.0
-# Gateways that have not yet received the clearance may still report old crashes of a
-# cleared request.
-CLEARED_RETENTION_S = 60.0
 MAX_ENTRIES = 1024
 # Something shared that was served within this time is an unlikely cause.
 SERVED_MEMORY_S = 60.0
@@ -67,7 +61,7 @@
     evidence: CrashEvidence = field(factory=CrashEvidence)
     _trials: OrderedDict[int, RequestTrial] = field(factory=OrderedDict)
     _quarantined: OrderedDict[int, float] = field(factory=OrderedDict)
-    _cleared: OrderedDict[int, float] = field(factory=OrderedDict)
+    _clearances: Clearances = field(factory=Clearances)
     _candidates: OrderedDict[int, float] = field(factory=OrderedDict)
     _tried_again: OrderedDict[int, None] = field(factory=OrderedDict)
     _served: OrderedDict[int, float] = field(factory=OrderedDict)
@@ -141,7 +135,8 @@
         """Record a crash; returns the suspects that are new for it."""
         self._remove_expired(now_s)
         new = self.evidence.add(
-            endpoint, [each for each in suspects if not self._is_cleared(each, now_s)]
+            endpoint,
+            [k for k in suspects if not self._clearances.covers_report(k, now_s)],
         )
         for fingerprint in new:
             self._update_suspicion(fingerprint, now_s)
@@ -276,7 +271,7 @@
         is_relevant = was_restricted or self.evidence.crash_count(fingerprint) > 1
         self.evidence.discard(fingerprint)
         if is_relevant:
-            self._record_cleared(fingerprint, now_s + CLEARED_RETENTION_S)
+            self._clearances.record(fingerprint, now_s + CLEARED_RETENTION_S)
         return is_relevant
 
     def apply(self, verdict: RequestVerdict, now_s: float) -> bool:
@@ -297,44 +292,31 @@
         return self._apply_trial(verdict, now_s)
 
     def _apply_cleared(self, verdict: RequestVerdict, now_s: float) -> bool:
+        key = verdict.fingerprint
         until_s = now_s + min(verdict.left_s, CLEARED_RETENTION_S)
-        known_s = self._cleared.get(verdict.fingerprint)
-        if verdict.left_s <= 0:
-            return False
-        if known_s is not None and (
-            not is_shared(verdict.fingerprint)
-            or until_s <= known_s + SHARED_CLEARANCE_S
-        ):
+        if verdict.left_s <= 0 or not self._clearances.is_new(key, until_s):
             return False
-        self.clear(verdict.fingerprint, now_s)
-        self._record_cleared(verdict.fingerprint, until_s)
+        quarantined_until_s = self._quarantined.get(key)
+        if is_shared(key) and quarantined_until_s is not None:
+            left_s = quarantined_until_s - now_s
+            if until_s - CLEARED_RETENTION_S < _quarantined_s(left_s, now_s):
+                return False
+        self.clear(key, now_s)
+        self._clearances.record(key, until_s)
         return True
 
-    def _is_cleared(self, key: int, now_s: float) -> bool:
-        """Return whether a crash that is reported now is older than a clearance."""
-        until_s = self._cleared.get(key)
-        if until_s is None or not is_shared(key):
-            return until_s is not None
-        return now_s < until_s - CLEARED_RETENTION_S + SHARED_CLEARANCE_S
-
     def _is_outdated(self, verdict: RequestVerdict, now_s: float) -> bool:
-        """Return whether a verdict against a key is older than its clearance here."""
-        key = verdict.fingerprint
-        until_s = self._cleared.get(key)
-        if until_s is None or not is_shared(key):
-            return until_s is not None
-        if verdict.kind != QUARANTINED:
-            return self.evidence.crash_count(key) == 0
-        is_first = verdict.left_s <= SHARED_QUARANTINE_S
-        duration_s = SHARED_QUARANTINE_S if is_first else QUARANTINE_DURATION_S
-        quarantined_s = now_s + verdict.left_s - duration_s
-        return quarantined_s < until_s - CLEARED_RETENTION_S
+        """Return whether a verdict against a key is older than its clearance here.
 
-    def _record_cleared(self, fingerprint: int, until_s: float) -> None:
-        self._cleared[fingerprint] = until_s
-        self._cleared.move_to_end(fingerprint)
-        while len(self._cleared) > MAX_ENTRIES:
-            self._cleared.popitem(last=False)
+        The claim on a trial does not say when it was made. It is believed if there was
+        a crash after the clearance.
+        """
+        key = verdict.fingerprint
+        if verdict.kind == QUARANTINED:
+            return self._clearances.covers(key, _quarantined_s(verdict.left_s, now_s))
+        if is_shared(key) and self.evidence.crash_count(key):
+            return False
+        return self._clearances.covers(key, float("-inf"))
 
     def _apply_trial(self, verdict: RequestVerdict, now_s: float) -> bool:
         local = self._trials.get(verdict.fingerprint)
@@ -360,7 +342,7 @@
         found += [_trial_verdict(each, trial) for each, trial in self._trials.items()]
         return found + [
             RequestVerdict(each, CLEARED, left_s=until_s - now_s)
-            for each, until_s in self._cleared.items()
+            for each, until_s in self._clearances.items()
         ]
 
     def _remove_expired(self, now_s: float) -> None:
@@ -368,12 +350,18 @@
             next(iter(self._served.values())) <= now_s - SERVED_MEMORY_S
         ):
             self._served.popitem(last=False)
-        while self._cleared and next(iter(self._cleared.values())) <= now_s:
-            self._cleared.popitem(last=False)
+        self._clearances.remove_expired(now_s)
         while self._quarantined and next(iter(self._quarantined.values())) <= now_s:
             self._end_quarantine(next(iter(self._quarantined)))
 
 
+def _quarantined_s(left_s: float, now_s: float) -> float:
+    """Return when a quarantine of something shared began, from the rest of its time."""
+    is_first = left_s <= SHARED_QUARANTINE_S
+    duration_s = SHARED_QUARANTINE_S if is_first else QUARANTINE_DURATION_S
+    return now_s + left_s - duration_s
+
+
 def _trial_verdict(fingerprint: int, trial: RequestTrial) -> RequestVerdict:
     return RequestVerdict(
         fingerprint, TRIED, trial.number, trial.endpoint, claim=trial.claim
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -12,10 +12,10 @@
 
 from attrs import define, field
 
+from acaciacove.decisions.clearances import CLEARED_RETENTION_S
 from acaciacove.decisions.crash_key import is_shared
 from acaciacove.decisions.request_assessment import RequestAssessment
 from acaciacove.decisions.request_quarantine import (
-    CLEARED_RETENTION_S,
     QUARANTINE_DURATION_S,
     RequestQuarantine,
 )
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciacove.decisions.clearances import CLEARED_RETENTION_S
 from acaciacove.decisions.crash_evidence import MAX_CRASHES, CrashEvidence
 from acaciacove.decisions.request_quarantine import (
-    CLEARED_RETENTION_S,
     MAX_ENTRIES,
     MAX_TRIALS,
     QUARANTINE_DURATION_S,
--- a/tests/test_decisions_shared_keys.py
+++ b/tests/test_decisions_shared_keys.py
@@ -4,19 +4,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from acaciacove.decisions.clearances import CLEARED_RETENTION_S, SHARED_CLEARANCE_S
 from acaciacove.decisions.crash_key import is_shared, shared_crash_key
 from acaciacove.decisions.request_quarantine import (
-    CLEARED_RETENTION_S,
     MAX_TRIALS,
     PROOF_WAIT_S,
     QUARANTINE_DURATION_S,
-    SHARED_CLEARANCE_S,
     SHARED_QUARANTINE_S,
     TRIAL_TIMEOUT_S,
     RequestQuarantine,
 )
 from acaciacove.decisions.request_status import RequestStatus
-from acaciacove.messages.request_verdict import QUARANTINED, RequestVerdict
+from acaciacove.messages.request_verdict import CLEARED, QUARANTINED, RequestVerdict
 
 BAD, FIRST, MIDDLE = (shared_crash_key(n) for n in (1, 2, 3))
 FREE, TRIAL = RequestStatus.FREE, RequestStatus.TRIAL
@@ -171,6 +170,19 @@
     assert quarantine.status(BAD, 12.0) is HELD
 
 
+def test_older_clearance_does_not_end_a_quarantine():
+    """Guards against a clearance that goes round and frees a part that turned bad."""
+    quarantine = suspect_bad()
+    quarantine.claim_trial(BAD, 9, 1, 40.0)
+    crash(quarantine, 9, BAD, at_s=40.0)
+    older = RequestVerdict(BAD, CLEARED, left_s=CLEARED_RETENTION_S - 10.0)
+    newer = RequestVerdict(BAD, CLEARED, left_s=CLEARED_RETENTION_S - 1.0)
+    assert not quarantine.apply(older, 45.0)
+    assert quarantine.status(BAD, 45.0) is HELD
+    assert quarantine.apply(newer, 45.0)
+    assert quarantine.status(BAD, 45.0) is FREE
+
+
 def test_clearances_of_a_shared_key_end():
     """Guards against gateways that renew a clearance between each other for ever."""
     one, other = suspect_bad(), suspect_bad()
