Settings: a descriptor limit may be written with a decimal point; claims end with their trials

Read once more: 4100.0 as limits.fileDescriptors would have ended a start, where other limits take it; and the claim on a trial that ended in a crash stayed in its gateway's table.

tests/test_platform_records.py: 4100.0, infinity and words, new.

--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -77,6 +77,7 @@
     ) -> None:
         """Record the requests that were lost when an endpoint crashed."""
         for fingerprint in suspects:
+            self._claims.pop(fingerprint, None)
             self._lost_locally[fingerprint] = None
         while len(self._lost_locally) > MAX_LOST_REQUESTS:
             self._lost_locally.popitem(last=False)
--- a/acaciacove/platform/node_file.py
+++ b/acaciacove/platform/node_file.py
@@ -93,6 +93,14 @@
     return round(megabytes * BYTES_PER_MB)
 
 
+def _count(text: str) -> int:
+    """Return a whole number; raises ValueError, also for infinity."""
+    number = float(text)
+    if not isfinite(number):
+        raise ValueError(text)
+    return int(number)
+
+
 def _flag(text: str) -> bool:
     if text not in ("true", "false"):
         raise ValueError(text)
@@ -131,7 +139,7 @@
     "heartbeat_s": ("heartbeatIntervalMs", _seconds),
     "session_life_s": ("bounds.sessionTtlS", float),
     "other_zone_ms": ("acaciacove.otherZoneMs", float),
-    "descriptor_limit": ("limits.fileDescriptors", int),
+    "descriptor_limit": ("limits.fileDescriptors", _count),
     "memory_limit_bytes": ("limits.memoryLimitMb", _megabytes),
     "overload_control": ("contracts", _has_pressure),
 }
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -271,6 +271,17 @@
             decode_node_file(SETTINGS + f"limits.memoryLimitMb={text}\n")
 
 
+def test_descriptor_limit_of_a_node_file_is_a_number():
+    """Guards against a start that fails because of how a number is written."""
+    assert decode_node_file(SETTINGS).descriptor_limit == 0
+    for text in ("4100", "4100.0"):
+        read = decode_node_file(SETTINGS + f"limits.fileDescriptors={text}\n")
+        assert read.descriptor_limit == 4100
+    for text in ("-1", "inf", "nan", "many"):
+        with pytest.raises(InvalidSettingsError):
+            decode_node_file(SETTINGS + f"limits.fileDescriptors={text}\n")
+
+
 def test_all_faults_of_a_node_file_are_reported():
     text = SETTINGS.replace("nodeName=edge-1\n", "").replace("7340,7355", "many")
     text = text.replace("revocationStrict=true", "revocationStrict=perhaps")
