Test: a crashing part of prompts stays known through restarts, a log away and a partition

The users' rule excuses gateways that were restarted or cut off lately; the bound holds for them too. pytest tests/test_gateway_crashing_parts.py -k disruptions: 4 pass, on the code as it stands.

--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.gateway_world import Caller, lines, run_fleet
+from tests.test_gateway_crashing_requests import restart
 
 CRASHING = "bad"
 # What operators are promised: requests with the part that reach endpoints later than
@@ -64,7 +65,11 @@
         }
         host = f"10.0.1.{self.random.randrange(self.gateways) + 1}"
         sent_s = asyncio.get_running_loop().time()
-        caller = await Caller(host).open()
+        try:
+            caller = await Caller(host).open()
+        except ConnectionError:
+            # The gateway is restarting.
+            return
         try:
             body = request_id.encode()
             async with asyncio.timeout(self.patience_s if is_bad else None):
@@ -201,3 +206,45 @@
         assert len(later) <= MAX_ATTEMPTS_LATER
 
     run_fleet(scenario, gateways=1, models=9)
+
+
+async def restart_one(fleet):
+    await restart(fleet, ("gateway-0",))
+
+
+async def restart_all(fleet):
+    await restart(fleet, tuple(fleet.gateways))
+
+
+async def restart_while_the_log_is_away(fleet):
+    fleet.store.down = "silent"
+    await restart(fleet, ("gateway-0",))
+    await asyncio.sleep(2.0)
+    fleet.store.down = None
+
+
+async def partition_one(fleet):
+    fleet.network.isolated_hosts.add("10.0.1.1")
+    await asyncio.sleep(2.0)
+    fleet.network.isolated_hosts.clear()
+
+
+@pytest.mark.parametrize(
+    "disrupt", [restart_one, restart_all, restart_while_the_log_is_away, partition_one]
+)
+def test_crashing_prompt_part_stays_known_through_disruptions(disrupt):
+    """Guards against gateways that forget the part, also those out of touch."""
+
+    async def scenario(fleet):
+        set_crashing_part(fleet)
+        traffic = Traffic(fleet, 4, position=1)
+        await traffic.run(3.0, 20.0, 0.0)
+        await traffic.run(8.0, 20.0, 4.0)
+        await disrupt(fleet)
+        await traffic.run(6.0, 20.0, 4.0)
+        await asyncio.sleep(6.0)
+        found = crashes(fleet)
+        later = bad_arrivals_after(fleet, found[MAX_CRASHES - 1] + GOSSIP_S)
+        assert len(later) <= MAX_ATTEMPTS_LATER
+
+    run_fleet(scenario, gateways=4, models=9)
