Connection shedding: from a lag on at which no request is read in time

At 0.22 s callers would still have been served. Callers give up on a request that is not read within a second, and reading takes two rounds: two rounds of over 0.5 s are the sign now, instead of three of over 0.2 s.

--- a/acaciacove/decisions/connection_shedder.py
+++ b/acaciacove/decisions/connection_shedder.py
@@ -8,11 +8,11 @@
 
 from attrs import define
 
-# The event loop takes this long for one round while more work waits than callers have
-# patience for. A processor that is allotted in tenths of a second causes half of it.
-MAX_LAG_S = 0.2
+# Callers give up on a request that is not read within a second. A new connection is
+# taken in one round of the event loop and its request read in the next one.
+MAX_LAG_S = 0.5
 # A single late round is a pause of the process, which is over when it is noticed.
-MIN_LATE_ROUNDS = 3
+MIN_LATE_ROUNDS = 2
 # The loop is quick again at this lag, for this long.
 LOW_LAG_S = 0.05
 RECOVERY_S = 0.5
