--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, of replicas and of consumers for the cases."""
