--- a/review/standins/consumer.py
+++ b/review/standins/consumer.py
@@ -17,6 +17,7 @@
         self.name = name
         self._gateway_host = gateway_host
         self._key = key
+        self.sent: dict[str, float] = {}
         self._record = record
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -36,6 +37,7 @@
             "Acaciacove-Deadline-Ms": str(deadline_ms),
             "Authorization": f"Bearer {self._key}",
         }
+        self.sent[attempt_id] = self._record.now_s()
         self._record.write(f"{self.name} sends {attempt_id}: {method} {path}")
         try:
             answer = await self._exchange(
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -50,9 +50,9 @@
         self.crash_per_s: float | None = None
         self.lost_runs: list[str] = []
         self.runs: list[Run] = []
-        self.arrivals: list[float] = []
-        self.answers = 0
-        self.doubled = 0
+        self.arrivals: list[tuple[float, str]] = []
+        self.answers: list[float] = []
+        self.doubled: list[float] = []
         self.born_ms = int(time.time() * 1000)
         self._store = store
         self._record = record
@@ -117,7 +117,7 @@
         if self.crash_per_s is None or now_s >= self.cold_until_s:
             return False
         since_s = max(self.cold_from_s, now_s - 1.0)
-        return sum(at_s > since_s for at_s in self.arrivals) > self.crash_per_s
+        return sum(at_s > since_s for at_s, _ in self.arrivals) > self.crash_per_s
 
     def _crash(self) -> None:
         self.lost_runs = [run.attempt_id for run in self.runs if not run.ended]
@@ -152,7 +152,7 @@
             fields["Acaciacove-Not-Executed"] = "1"
             self._send(writer, attempt_id, 421, "Misdirected Request", fields, b"")
             return
-        self.arrivals.append(self._record.now_s())
+        self.arrivals.append((self._record.now_s(), attempt_id))
         if self._crashes():
             self._crash()
             return
@@ -180,11 +180,11 @@
         body: bytes,
     ) -> None:
         answer = write_message(f"HTTP/1.1 {status} {reason}", fields, body)
-        self.answers += 1
+        self.answers.append(self._record.now_s())
         self._record.write(f"{self.name} answers {status} to {attempt_id}")
         writer.write(answer)
         if self.is_doubled(answer):
-            self.doubled += 1
+            self.doubled.append(self._record.now_s())
             loop = asyncio.get_running_loop()
             loop.call_later(
                 self.extra_after_s, self._send_extra, writer, answer, attempt_id
