--- a/review/1/case.py
+++ b/review/1/case.py
@@ -69,7 +69,7 @@
         replica.is_doubled = lambda answer: is_doubled(replica, answer, record)
     for each in (replica, other):
         await each.open("127.0.0.1", free_port())
-    host = free_gateway_host(0)
+    host = free_gateway_host()
     store_address = f"127.0.0.1:{store_port}"
     gateway = Gateway("edge-1", host, ["agadir-a", "agadir-b"], store_address, folder)
     try:
@@ -78,6 +78,7 @@
         consumer = Consumer("consumer", host, KEY, record)
         promised = await send_payments(consumer, record)
         consumer.close()
+        has_ended = not gateway.is_running
     except (TimeoutError, OSError) as error:
         record.write(f"the case could not run: {error!r}")
         return NOT_RUN
@@ -86,8 +87,8 @@
         replica.close()
         other.close()
         store.close()
-    if other.runs or record.now_s() - evacuated_s > MAX_EVACUATED_S:
-        record.write("the evacuated replica has run a request, or for too long")
+    if has_ended or other.runs or record.now_s() - evacuated_s > MAX_EVACUATED_S:
+        record.write("the gateway ended, or the evacuation was not kept")
         return NOT_RUN
     return judge(replica, promised, record)
 
@@ -148,8 +149,8 @@
     shares = [doubled_share(replica, at_s) for at_s in replica.doubled]
     record.write(
         f"{len(paid)} runs of {len(set(paid))} payments, {len(replica.answers)}"
-        f" answers, {len(replica.doubled)} sent twice; shares of the answers of each time of"
-        f" garbling: {[round(share, 4) for share in shares]}"
+        f" answers, {len(replica.doubled)} sent twice; shares of the answers of each"
+        f" time of garbling: {[round(share, 4) for share in shares]}"
     )
     record.write(f"REFUSED: promised 'not run' and has run: {refused}")
     record.write(f"TWICE: one attempt run more than once: {twice}")
--- a/review/standins/gateway.py
+++ b/review/standins/gateway.py
@@ -133,6 +133,11 @@
             return False
         return answer is not None and answer.start.split()[1] == "200"
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has been started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
--- a/review/standins/network.py
+++ b/review/standins/network.py
@@ -1,6 +1,6 @@
 """Free loopback addresses."""
 
-import os
+import random
 import socket
 
 from standins.gateway import (
@@ -27,10 +27,14 @@
         return int(probe.getsockname()[1])
 
 
-def free_gateway_host(number: int) -> str:
-    """Return a loopback address on which all ports of a gateway are free."""
-    for step in range(200):
-        host = f"127.{10 + (os.getpid() + step) % 240}.{number + 1}.1"
+def free_gateway_host() -> str:
+    """Return a loopback address on which all ports of a gateway are free.
+
+    It is drawn, so that two runs at the same time don't take the same one.
+    """
+    for _ in range(200):
+        numbers = [str(random.randint(10, 240)) for _ in range(3)]
+        host = ".".join(["127", *numbers])
         if all(_is_free(host, port) for port in USED_PORTS):
             return host
     raise OSError("no loopback address has the ports of a gateway free")
