Tests: the log returns from a copy that is some seconds old

The stand-in of the log learns the drill: it returns to a copy, its offsets go back, Store-Era rises by one, and a read beyond its end gets 410. Operators and endpoints write their records again.

--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -31,7 +31,7 @@
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
 from acaciacove.standins.endpoint_server import EndpointServer
 from acaciacove.standins.keyed_log_server import KeyedLogServer
-from acaciacove.standins.keyed_log_state import KeyedLogState
+from acaciacove.standins.keyed_log_state import KeyedLogCopy, KeyedLogState
 
 STORE_PORT = 7000
 FRONT_PORT = 8000
@@ -42,6 +42,8 @@
 STANDIN_LIMITS = CallerLimits(max_header_bytes=65_536, idle_timeout_s=10.0)
 # Time from a crash to the restart.
 RESTART_DELAY_S = 2.0
+# How long a log is away before it returns from a copy.
+DRILL_AWAY_S = 1.0
 OPERATOR = names.STREAMS[LogStream.OPERATOR]
 ENDPOINTS = names.STREAMS[LogStream.ENDPOINTS]
 OUTCOMES = names.STREAMS[LogStream.OUTCOMES]
@@ -175,6 +177,29 @@
         found = self.store.newest[OUTCOMES].get(names.ROLLOUT_KEY + service)
         return found[1].decode() if found else ""
 
+    async def restore_log(
+        self, copy: KeyedLogCopy, away_s: float = DRILL_AWAY_S
+    ) -> None:
+        """Take the log away for a moment and bring it back from a copy.
+
+        Operators and endpoints write their newest records again.
+        """
+        newest = self.store.copy().newest
+        self.store.down = "reset"
+        await asyncio.sleep(away_s)
+        self.store.restore(copy)
+        self.store.down = None
+        for stream in (OPERATOR, ENDPOINTS):
+            self._write_again(stream, newest.get(stream, {}))
+
+    def _write_again(self, stream: str, newest: dict[str, tuple[int, bytes]]) -> None:
+        for key in set(self.store.newest[stream]) - set(newest):
+            self.store.append(stream, key, b"")
+        for key, (_, value) in newest.items():
+            found = self.store.newest[stream].get(key)
+            if found is None or found[1] != value:
+                self.store.append(stream, key, value)
+
     async def add_gateway(
         self,
         settings: GatewaySettings,
--- a/acaciacove/standins/keyed_log_server.py
+++ b/acaciacove/standins/keyed_log_server.py
@@ -14,6 +14,7 @@
 ANSWER_S = 0.004
 DEFAULT_MAX_READ_KB = 1024
 CHUNK_BYTES = 16_384
+ERA_HEADER = b"Store-Era"
 _LENGTH = Struct(">I")
 _OFFSETS = Struct(">QQ")
 MS = 1000.0
@@ -82,7 +83,7 @@
         stream = query["topic"]
         self.state.last_readers[stream] = caller
         offset = int(query["source"])
-        if offset < self.state.first[stream]:
+        if not self.state.first[stream] <= offset <= self.state.end(stream):
             document = {"firstOffset": self.state.first[stream]}
             await self._answer(front, 410, orjson.dumps(document))
             return
@@ -91,6 +92,10 @@
         if await self._fails(front, caller):
             return
         first = self.state.first[stream]
+        if offset > self.state.end(stream):
+            # The log was restored from a copy while the call waited.
+            await self._answer(front, 410, orjson.dumps({"firstOffset": first}))
+            return
         body = _OFFSETS.pack(self.state.end(stream), first)
         max_bytes = int(query.get("maxReadKb", DEFAULT_MAX_READ_KB)) * 1024
         for key, value in self.state.records[stream][offset - first :]:
@@ -124,6 +129,8 @@
 
     async def _answer(self, front: FrontConnection, status: int, body: bytes) -> None:
         headers = [(b"Content-Length", str(len(body)).encode())]
+        if self.state.states_era:
+            headers.append((ERA_HEADER, str(self.state.era).encode()))
         front.start_response(status, b"", headers)
         rate = self.state.link_bytes_per_s
         for start in range(0, len(body), CHUNK_BYTES):
--- a/acaciacove/standins/keyed_log_state.py
+++ b/acaciacove/standins/keyed_log_state.py
@@ -3,7 +3,16 @@
 import asyncio
 from collections import defaultdict
 
-from attrs import define, field
+from attrs import define, field, frozen
+
+
+@frozen
+class KeyedLogCopy:
+    """A copy of the records, from which a log can be restored."""
+
+    records: dict[str, list[tuple[str, bytes]]]
+    first: dict[str, int]
+    newest: dict[str, dict[str, tuple[int, bytes]]]
 
 
 @define(eq=False)
@@ -18,6 +27,8 @@
     ``last_readers`` maps a stream to the last caller that read it. If
     ``link_bytes_per_s`` is set, bodies of responses are sent at this rate.
     ``partial_reads`` counts the reads whose response did not hold all records.
+    ``era`` counts the restorations from a copy; it is sent with every response unless
+    ``states_era`` is false.
     """
 
     records: dict[str, list[tuple[str, bytes]]] = field(
@@ -36,6 +47,8 @@
     partial_reads: int = 0
     reads: int = 0
     writes: int = 0
+    era: int = 1
+    states_era: bool = True
     _changed: asyncio.Event = field(factory=asyncio.Event)
 
     def end(self, stream: str) -> int:
@@ -59,6 +72,23 @@
         self.first[stream] = self.end(stream)
         self.records[stream].clear()
 
+    def copy(self) -> KeyedLogCopy:
+        """Return a copy of all records."""
+        return KeyedLogCopy(
+            {stream: list(records) for stream, records in self.records.items()},
+            dict(self.first),
+            {stream: dict(newest) for stream, newest in self.newest.items()},
+        )
+
+    def restore(self, copy: KeyedLogCopy) -> None:
+        """Return to a copy: what was written since is lost, and a new era begins."""
+        self.records = defaultdict(list, {s: list(r) for s, r in copy.records.items()})
+        self.first = defaultdict(int, copy.first)
+        self.newest = defaultdict(dict, {s: dict(n) for s, n in copy.newest.items()})
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def wait_for(self, stream: str, offset: int, wait_s: float) -> None:
         """Wait for a record at ``offset``, for at most ``wait_s``."""
         loop = asyncio.get_running_loop()
