A change after the log's return from a copy is in force

Cause: offsets were compared across two histories of the log. After its return from a copy the log gives offsets out again; a gateway ignored every record whose offset was not above the one it remembered for the key. The positions of its reads, the records that it relays, its word to peers on how far it has read, and the identity of a roll-out's order were bare offsets as well.

An order is identified by its content, so that a roll-out goes on with its counts. Peers' records and confirmations hold within one era. Without a stated era, an end before the position shows the return.

test_a_change_after_the_return_is_in_force and the tests of positions, views and orders failed before.

--- a/acaciacove/errors.py
+++ b/acaciacove/errors.py
@@ -20,14 +20,28 @@
 
 
 class OffsetExpiredError(AcaciacoveError):
-    """The log no longer retains the records at the requested offset."""
+    """The log does not have the requested offset.
+
+    The records there have expired, or the log has returned from an older copy and ends
+    before them.
+    """
 
     def __init__(self, earliest_offset: int) -> None:
         """Store the first offset that can still be read."""
-        super().__init__(f"records before offset {earliest_offset} have expired")
+        super().__init__(
+            f"the requested offset is not in the log, which begins at {earliest_offset}"
+        )
         self.earliest_offset = earliest_offset
 
 
+class LogRestoredError(AcaciacoveError):
+    """A page is of another history of the log than the position it was read from."""
+
+    def __init__(self, expected_era: int, era: int) -> None:
+        """Say which era was expected, and which came."""
+        super().__init__(f"expected a page of era {expected_era}, got era {era}")
+
+
 class MalformedMessageError(AcaciacoveError):
     """Bytes from a peer or the log could not be decoded as a message."""
 
--- a/acaciacove/gateway/catalogue/rollout_order.py
+++ b/acaciacove/gateway/catalogue/rollout_order.py
@@ -7,12 +7,13 @@
 class RolloutOrder:
     """The order to move ``service`` to ``target`` within ``duration_s``.
 
-    ``revision`` is the log offset of the order, and ``seen_s`` is when this process
-    first read it.
+    ``order_id`` identifies the order at all gateways, also after the log has returned
+    from a copy, when its offset is another one. ``seen_s`` is when this process first
+    read it.
     """
 
     service: str
     target: str
     duration_s: float
-    revision: int
+    order_id: int
     seen_s: float
--- a/acaciacove/gateway/choose_version.py
+++ b/acaciacove/gateway/choose_version.py
@@ -93,7 +93,7 @@
     subject = context.session or context.request.hints.request_id or ""
     has_session = context.session is not None
     share = target_share(progress, gateway.rollout_settings, has_session, now_s)
-    return unit_hash(f"{progress.order.revision}/{subject}") < share
+    return unit_hash(f"{progress.order.order_id}/{subject}") < share
 
 
 def unit_hash(text: str) -> float:
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -6,10 +6,16 @@
 
 from attrs import define
 
-from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
+from acaciacove.errors import (
+    LogRestoredError,
+    OffsetExpiredError,
+    PlatformUnavailableError,
+)
 from acaciacove.gateway.event_log import EventLog
+from acaciacove.gateway.log_era import LogEra
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_position import BEFORE_ALL, LogPosition, is_restoration
 from acaciacove.gateway.log_reading import LogReading
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import MetadataLog
@@ -28,7 +34,8 @@
     returns the pause between reads, which lets many small records arrive in one page.
     ``retry_s`` returns the longest delay after a failed call. ``on_reading`` receives
     each successful read. ``failing_since_boot_s`` is when calls began to fail, None
-    while they succeed.
+    while they succeed. ``applied`` is the end of the newest page that was applied; the
+    next read begins there unless ``is_lost`` is set.
     """
 
     stream: LogStream
@@ -36,14 +43,21 @@
     pause_s: Callable[[], float]
     retry_s: Callable[[], float]
     on_reading: Callable[[LogReading], None]
-    next_offset: int = -1
+    applied: LogPosition = BEFORE_ALL
+    is_lost: bool = True
     next_wait_s: float = 0.0
     failing_since_boot_s: float | None = None
 
+    @property
+    def next_offset(self) -> int:
+        """Where the next read begins; -1 for a snapshot."""
+        return -1 if self.is_lost else self.applied.offset
+
 
 async def follow_log(
     followed: FollowedStream,
     metadata: MetadataLog,
+    era: LogEra,
     log: EventLog,
     clock_s: Callable[[], float],
     random: Random,
@@ -51,10 +65,13 @@
     """Follow a stream until cancelled."""
     failures = 0
     while True:
+        if not followed.is_lost and followed.applied.era != era.current:
+            # Another call, or a peer, has seen that the log returned from a copy.
+            _lose_position(followed, log, f"the log is in era {era.current} now")
         try:
-            reading = await _read_once(followed, metadata, clock_s, random)
-        except OffsetExpiredError:
-            followed.next_offset = -1
+            reading = await _read_once(followed, metadata, era, clock_s, random)
+        except (OffsetExpiredError, LogRestoredError) as error:
+            _lose_position(followed, log, str(error))
             continue
         except PlatformUnavailableError as error:
             failures += 1
@@ -85,7 +102,7 @@
                 stream=followed.stream.value,
                 offset=followed.next_offset,
             )
-            followed.next_offset = -1
+            followed.is_lost = True
             continue
         if failures:
             log.write(
@@ -99,36 +116,58 @@
             await asyncio.sleep(followed.pause_s())
 
 
+def _lose_position(followed: FollowedStream, log: EventLog, reason: str) -> None:
+    """Continue with a snapshot."""
+    log.write(
+        Event.LOG_POSITION_LOST,
+        stream=followed.stream.value,
+        era=followed.applied.era,
+        offset=followed.next_offset,
+        detail=reason,
+    )
+    followed.is_lost = True
+
+
 async def _read_once(
     followed: FollowedStream,
     metadata: MetadataLog,
+    era: LogEra,
     clock_s: Callable[[], float],
     random: Random,
 ) -> LogReading | None:
     """Read one page and pass it to ``on_reading``; None if the page is partial.
 
     A partial page is not applied: it is the oldest part of a backlog that has mostly
-    been superseded, and confirms nothing.
+    been superseded, and confirms nothing. Raises LogRestoredError if the page is of
+    another history than the position: records before it are missing.
     """
     requested_boot_s = clock_s()
-    is_snapshot = followed.next_offset < 0
+    is_snapshot = followed.is_lost
     wait_s = 0.0 if is_snapshot else _wait_s(followed)
     try:
         if is_snapshot:
             page = await metadata.newest(followed.stream)
         else:
             page = await metadata.read(followed.stream, followed.next_offset, wait_s)
+        if page.era < era.current:
+            raise PlatformUnavailableError(
+                f"got a page of era {page.era} of the log after one of {era.current}"
+            )
     except PlatformUnavailableError:
         _record_failure(followed, requested_boot_s + wait_s, clock_s())
         raise
+    if not is_snapshot and page.era != followed.applied.era:
+        raise LogRestoredError(followed.applied.era, page.era)
     if page.is_partial:
         return None
+    end = LogPosition(page.era, page.next_offset)
     reading = LogReading(
         page=page,
         is_snapshot=is_snapshot,
         failing_since_boot_s=followed.failing_since_boot_s,
         requested_boot_s=requested_boot_s,
         complete_boot_s=_complete_as_of(page, requested_boot_s, wait_s, clock_s()),
+        is_restored=is_snapshot and is_restoration(followed.applied, end),
     )
     followed.failing_since_boot_s = None
     followed.on_reading(reading)
@@ -139,7 +178,8 @@
     followed.next_wait_s = 0.0
     if page.records:
         followed.next_wait_s = random.uniform(MIN_WAIT_SHARE, 1.0) * followed.wait_s()
-    followed.next_offset = page.next_offset
+    followed.applied = end
+    followed.is_lost = False
     return reading
 
 
--- a/acaciacove/gateway/gateway.py
+++ b/acaciacove/gateway/gateway.py
@@ -24,6 +24,8 @@
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.http.held_bytes import HeldBytes
+from acaciacove.gateway.log_era import LogEra
+from acaciacove.gateway.log_position import BEFORE_ALL, LogPosition
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.overload_state import OverloadState
 from acaciacove.gateway.peers.peer import Peer
@@ -82,9 +84,9 @@
     ``gossip_limit`` one on a limit that an endpoint states. The process serves since
     ``started_s``. The last postponed escalation was sent at ``last_release_s``.
 
-    This gateway has read the outcomes of roll-outs up to ``outcomes_offset``, the last
+    This gateway has read the outcomes of roll-outs up to ``outcomes_read``, the last
     new ones at ``outcomes_changed_s``. Some other gateway has read them up to
-    ``peer_outcomes_offset``.
+    ``peer_outcomes_read``. ``era`` is the newest history of the log.
     """
 
     settings: GatewaySettings
@@ -110,8 +112,8 @@
     members: dict[str, Peer] = field(factory=dict)
     members_loaded: bool = False
     tails: dict[LogStream, StreamTail] = field(factory=_relayed_tails)
-    outcomes_offset: int = -1
-    peer_outcomes_offset: int = -1
+    outcomes_read: LogPosition = BEFORE_ALL
+    peer_outcomes_read: LogPosition = BEFORE_ALL
     outcomes_changed_s: float = -1e9
     gossip_work: GossipWork = no_work_gossip
     gossip_limit: GossipLimit = no_limit_gossip
@@ -125,11 +127,13 @@
     guard: RequestGuard = field(init=False)
     shedder: ConnectionShedder = field(factory=ConnectionShedder)
     crash_detector: CrashDetector = field(init=False)
+    era: LogEra = field(init=False)
     rollout_settings: RolloutSettings = field(init=False)
     relay_intervals: RelayIntervals = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create what depends on the settings."""
+        self.era = LogEra(self.log)
         self.sessions = SessionVersions(self.settings.session_life_s)
         self.guard = RequestGuard(self.log, random=self.random)
         self.crash_detector = CrashDetector(
@@ -179,6 +183,10 @@
         known = len(self.peers) + (self.settings.name not in self.peers)
         return known if self.members_loaded else max(known, ASSUMED_GATEWAYS)
 
+    def rank(self) -> int:
+        """Return the place of this gateway among all, for turns without a message."""
+        return sorted({self.settings.name, *self.peers}).index(self.settings.name)
+
     def next_exchange_number(self) -> int:
         """Return a number that is unique among the exchanges of this process."""
         self._last_exchange_number += 1
--- a/acaciacove/gateway/log_page.py
+++ b/acaciacove/gateway/log_page.py
@@ -14,7 +14,7 @@
     request). Pages read from the log itself do not have it. ``recovered_after_s`` is
     when, counted the same way, the log recovered from the last outage known to the
     other gateway. ``is_partial`` is set if the log held more records from
-    ``next_offset`` on than fit into the page.
+    ``next_offset`` on than fit into the page. Offsets are those of the log's ``era``.
     """
 
     records: tuple[LogRecord, ...]
@@ -22,6 +22,7 @@
     complete_after_s: float | None = None
     recovered_after_s: float | None = None
     is_partial: bool = False
+    era: int = 0
 
     @property
     def is_relayed(self) -> bool:
--- a/acaciacove/gateway/log_reading.py
+++ b/acaciacove/gateway/log_reading.py
@@ -15,7 +15,8 @@
     ``is_snapshot`` is set if the page holds the newest record of each key. Calls failed
     from ``failing_since_boot_s`` on; None if the first call succeeded. The successful
     call was made at ``requested_boot_s``. At ``complete_boot_s`` the log held no more
-    than this page and those before it.
+    than this page and those before it. ``is_restored`` is set on the first snapshot
+    after the log has returned from a copy.
     """
 
     page: LogPage
@@ -23,6 +24,7 @@
     failing_since_boot_s: float | None
     requested_boot_s: float
     complete_boot_s: float
+    is_restored: bool = False
 
     @property
     def failed_s(self) -> float:
@@ -36,8 +38,11 @@
 
         Calls that failed only in this process are no outage: a page from another
         gateway states since when the log has been available. If the log itself
-        answered, the failed calls are the only evidence and count as an outage.
+        answered, the failed calls are the only evidence and count as an outage. A
+        return from a copy is one, even if no call of this process failed.
         """
+        if self.is_restored:
+            return self.requested_boot_s
         if self.failed_s < MIN_OUTAGE_HEARTBEATS * heartbeat_s:
             return None
         if not self.page.is_relayed:
--- a/acaciacove/gateway/metadata_log.py
+++ b/acaciacove/gateway/metadata_log.py
@@ -4,6 +4,7 @@
 
 from acaciacove.errors import AcaciacoveError
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_position import LogPosition
 from acaciacove.gateway.log_stream import LogStream
 
 
@@ -21,9 +22,10 @@
 
     ``newest`` returns the newest record of each key. ``read`` returns records from
     ``offset`` on and waits up to ``wait_s`` for one. It raises OffsetExpiredError if
-    they are no longer retained. ``append`` writes one record and returns the offset
-    after it. If ``at`` is given, it writes only if the stream ends at that offset, and
-    raises AppendConflictError otherwise.
+    they are not there. ``append`` writes one record and returns the position after it.
+    If ``at`` is given, it writes only if the stream ends at that offset, and raises
+    AppendConflictError otherwise. A log that has returned from a copy accepts ``at`` as
+    an offset of its new history, so callers compare the era of the result.
     """
 
     async def newest(self, stream: LogStream) -> LogPage:
@@ -36,6 +38,6 @@
 
     async def append(
         self, stream: LogStream, key: str, value: bytes, at: int | None
-    ) -> int:
+    ) -> LogPosition:
         """Append one record."""
         ...
--- a/acaciacove/gateway/peers/gateway_reports.py
+++ b/acaciacove/gateway/peers/gateway_reports.py
@@ -4,6 +4,7 @@
 import time
 
 from acaciacove.gateway.gateway import Gateway
+from acaciacove.gateway.log_position import LogPosition
 from acaciacove.gateway.peers.peer import Peer
 from acaciacove.messages.gateway_report import GatewayReport
 from acaciacove.messages.version_cell import VersionCell
@@ -46,7 +47,9 @@
             rollouts=tuple(p.view(now_s) for p in gateway.rollouts.values()),
             cells=tuple(cells),
             availability_zone=settings.availability_zone,
-            outcomes_offset=gateway.outcomes_offset,
+            outcomes_offset=gateway.outcomes_read.offset,
+            era=gateway.view.operator_era,
+            outcomes_era=gateway.outcomes_read.era,
         )
 
     def apply(self, report: GatewayReport, peer: Peer, now_s: float) -> None:
@@ -54,8 +57,10 @@
         peer.last_seen_s = peer.last_report_s = now_s
         peer.incarnation = report.incarnation
         peer.last_nonce = report.nonce
-        newest_offset = max(self._gateway.peer_outcomes_offset, report.outcomes_offset)
-        self._gateway.peer_outcomes_offset = newest_offset
+        outcomes_read = LogPosition(report.outcomes_era, report.outcomes_offset)
+        self._gateway.peer_outcomes_read = max(
+            self._gateway.peer_outcomes_read, outcomes_read
+        )
         self._confirm_view(report)
         self._apply_rollouts(report, now_s)
 
@@ -68,7 +73,10 @@
         """
         requested_boot_s = self._pending_nonces.get(report.echo)
         view = self._gateway.view
-        if requested_boot_s is None or report.revision != view.operator_revision:
+        if requested_boot_s is None or (report.era, report.revision) != (
+            view.operator_era,
+            view.operator_revision,
+        ):
             return
         view.confirm(requested_boot_s - report.confirmed_age_s)
 
@@ -76,7 +84,7 @@
         peer = f"{report.instance}/{report.incarnation}"
         for view in report.rollouts:
             progress = self._gateway.rollouts.get(view.service)
-            if progress is None or progress.order.revision != view.revision:
+            if progress is None or progress.order.order_id != view.revision:
                 continue
             cells = [
                 cell
--- a/acaciacove/gateway/relay/reader_link.py
+++ b/acaciacove/gateway/relay/reader_link.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from attrs import evolve
+
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_page import LogPage
@@ -36,16 +38,18 @@
         self.received_bytes = 0
 
     async def request_records(
-        self, stream: str, offset: int, wait_s: float, transfer_s: float
+        self, request: LogAsk, transfer_s: float
     ) -> LogPage | None:
         """Return the records that the other gateway has, None if its view is too old.
 
+        It is also too old if it is of another era of the log.
+
         A reply whose bytes keep arriving may take ``transfer_s``. Raises OSError or
         TimeoutError if the other gateway cannot be reached or is slower.
         """
         is_reused = self._connection is not None
         try:
-            return await self._request_once(stream, offset, wait_s, transfer_s)
+            return await self._request_once(request, transfer_s)
         except ConnectionError as error:
             if not is_reused:
                 raise
@@ -53,19 +57,17 @@
                 Event.READER_ASKED_AGAIN,
                 routine=True,
                 peer="{}:{}".format(*self.address),
-                stream=stream,
-                offset=offset,
+                stream=request.stream,
+                offset=request.offset,
                 detail=str(error),
             )
         # The other gateway has restarted since the last request. That it closed the
         # connection then does not mean that it cannot be reached now.
-        return await self._request_once(stream, offset, wait_s, transfer_s)
+        return await self._request_once(request, transfer_s)
 
-    async def _request_once(
-        self, stream: str, offset: int, wait_s: float, transfer_s: float
-    ) -> LogPage | None:
+    async def _request_once(self, request: LogAsk, transfer_s: float) -> LogPage | None:
         intervals = self._intervals()
-        hold_s = min(wait_s, intervals.request_wait_s)
+        hold_s = min(request.wait_s, intervals.request_wait_s)
         completed = False
         self.received_bytes = 0
         requested_boot_s = self._clock_s()
@@ -74,7 +76,7 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     self._connection = await connect(*self.address)
             async with asyncio.timeout(hold_s + intervals.reply_margin_s) as limit:
-                await self._connection.send(LogAsk(stream, offset, hold_s))
+                await self._connection.send(evolve(request, wait_s=hold_s))
                 extend = _extend_while_receiving(
                     limit, intervals.reply_margin_s, transfer_s
                 )
@@ -82,7 +84,7 @@
             if not isinstance(reply, LogTold):
                 raise ConnectionResetError(
                     f"no LogTold reply from gateway {self.address}"
-                    f" for stream {stream} from offset {offset}:"
+                    f" for stream {request.stream} from offset {request.offset}:"
                     f" {self._connection.fault or 'the connection was closed'}"
                 )
             completed = True
@@ -93,7 +95,9 @@
                 self.received_bytes = self._connection.frame_received_bytes
             if not completed:
                 self.close()
-        return _page(reply, self._clock_s() - requested_boot_s) if reply.known else None
+        if not reply.known or reply.era != request.era:
+            return None
+        return _page(reply, self._clock_s() - requested_boot_s)
 
     def close(self) -> None:
         """Close the connection."""
@@ -136,4 +140,5 @@
         next_offset=reply.next_offset,
         complete_after_s=held_s - max(0.0, reply.age_s),
         recovered_after_s=None if reply.present_s is None else held_s - reply.present_s,
+        era=reply.era,
     )
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -8,8 +8,10 @@
 from acaciacove.errors import PlatformUnavailableError
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.gateway_metrics import GatewayMetrics
+from acaciacove.gateway.log_era import LogEra
 from acaciacove.gateway.log_events import Event
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_position import LogPosition
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import MetadataLog
 from acaciacove.gateway.metric import Metric
@@ -22,6 +24,7 @@
 from acaciacove.gateway.relay.relay_failure import RelayFailure
 from acaciacove.gateway.relay.relay_intervals import RelayIntervals
 from acaciacove.gateway.relay.stream_tail import RELAYED_STREAMS
+from acaciacove.messages.log_ask import LogAsk
 
 if TYPE_CHECKING:
     from acaciacove.gateway.relay.reader_link import ReaderLink
@@ -50,6 +53,7 @@
     log: EventLog
     metrics: GatewayMetrics
     relay_intervals: Callable[[], RelayIntervals]
+    era: LogEra
     _links: dict[tuple[str, LogStream], "ReaderLink"] = field(factory=dict)
     _not_before_s: dict[tuple[str, LogStream], float] = field(factory=dict)
     _sources: dict[LogStream, str] = field(factory=dict)
@@ -62,7 +66,7 @@
 
     async def append(
         self, stream: LogStream, key: str, value: bytes, at: int | None
-    ) -> int:
+    ) -> LogPosition:
         """Append one record."""
         return await self.metadata.append(stream, key, value, at)
 
@@ -138,7 +142,8 @@
         intervals = self.relay_intervals()
         transfer_s = intervals.transfer_s if may_read else intervals.longest_transfer_s
         try:
-            page = await link.request_records(stream.value, offset, wait_s, transfer_s)
+            request = LogAsk(stream.value, offset, wait_s, self.era.current)
+            page = await link.request_records(request, transfer_s)
         except (OSError, TimeoutError) as error:
             detail = (
                 f"{error!r} after {link.received_bytes} bytes of the reply"
@@ -153,7 +158,10 @@
             return self._record_failure(name, stream, RelayFailure.UNREACHED, detail)
         if page is None:
             self._defer(name, stream, intervals.stale_pause_s)
-            detail = f"it lacks offset {offset} or its view is too old"
+            detail = (
+                f"it lacks offset {offset} of era {self.era.current}"
+                " or its view is too old"
+            )
             return self._record_failure(name, stream, RelayFailure.STALE, detail)
         self.metrics.count(Metric.LOG_QUESTIONS, "told")
         return page
--- a/acaciacove/gateway/relay/serve_records.py
+++ b/acaciacove/gateway/relay/serve_records.py
@@ -71,7 +71,7 @@
         # A request must not be held for longer than the records may be relayed.
         await _wait_for_change(tail, min(request.wait_s, remaining_s))
     now_boot_s = clock_s()
-    known = is_fresh and tail.covers(request.offset)
+    known = is_fresh and tail.covers(request.offset, request.era)
     return LogTold(
         known=known,
         next_offset=tail.next_offset,
@@ -79,6 +79,7 @@
         age_s=now_boot_s - tail.complete_boot_s,
         records=_newest_of_each_key(tail.since(request.offset)) if known else (),
         present_s=_available_s(tail, now_boot_s),
+        era=tail.era,
     )
 
 
--- a/acaciacove/gateway/relay/stream_tail.py
+++ b/acaciacove/gateway/relay/stream_tail.py
@@ -28,11 +28,12 @@
     ``complete_boot_s`` is when, according to a read of this gateway, nothing else had
     been written. ``requested_boot_s`` is the last request of another gateway.
     ``recovered_boot_s`` is when the log last recovered from an outage, None if none is
-    known.
+    known. Offsets are those of the log's ``era``.
     """
 
     first_offset: int = -1
     next_offset: int = -1
+    era: int = 0
     complete_boot_s: float = float("-inf")
     requested_boot_s: float = float("-inf")
     recovered_boot_s: float | None = None
@@ -44,7 +45,7 @@
         """Add a page that was read from the log or relayed by another gateway."""
         page = reading.page
         if reading.is_snapshot or self.next_offset < 0:
-            self._reset(page.next_offset)
+            self._reset(page.next_offset, page.era)
         else:
             for record in page.records:
                 self._append(record)
@@ -54,15 +55,16 @@
             # lost the log would otherwise keep confirming each other and miss what is
             # written.
             self.complete_boot_s = max(self.complete_boot_s, reading.complete_boot_s)
-        if page.records:
+        if page.records or reading.is_snapshot:
             self.changed.set()
             self.changed = asyncio.Event()
 
-    def _reset(self, next_offset: int) -> None:
+    def _reset(self, next_offset: int, era: int) -> None:
         """Start anew after a snapshot, which is not a gapless sequence of records."""
         self._records.clear()
         self._size_bytes = 0
         self.first_offset = self.next_offset = next_offset
+        self.era = era
 
     def _append(self, record: LogRecord) -> None:
         if record.offset < self.next_offset:
@@ -77,9 +79,9 @@
             self._size_bytes -= len(dropped.value or b"")
             self.first_offset = dropped.offset + 1
 
-    def covers(self, offset: int) -> bool:
-        """Return whether every record from ``offset`` on is retained here."""
-        return 0 <= self.first_offset <= offset <= self.next_offset
+    def covers(self, offset: int, era: int) -> bool:
+        """Return whether every record from ``offset`` of an era on is retained here."""
+        return era == self.era and 0 <= self.first_offset <= offset <= self.next_offset
 
     def since(self, offset: int) -> tuple[LogRecord, ...]:
         """Return the records from ``offset`` on."""
--- a/acaciacove/gateway/rollout/rollout_progress.py
+++ b/acaciacove/gateway/rollout/rollout_progress.py
@@ -140,7 +140,7 @@
         return tuple(
             VersionCell(
                 service=self.order.service,
-                revision=self.order.revision,
+                revision=self.order.order_id,
                 is_target=is_target,
                 name=name,
                 answers=counts.answers,
@@ -170,7 +170,7 @@
         """Return the view of this gateway for its peers."""
         return RolloutView(
             service=self.order.service,
-            revision=self.order.revision,
+            revision=self.order.order_id,
             age_s=now_s - self.began_s,
             old_in_flight=self.old_in_flight,
             judged_bad=self.judged_bad,
--- a/acaciacove/gateway/routing_view.py
+++ b/acaciacove/gateway/routing_view.py
@@ -25,9 +25,9 @@
     """The newest state of every key that this process has read.
 
     ``confirmed_boot_s`` is the start of the latest request whose answer showed
-    ``operator_revision`` to be the newest decision: the view contains every decision
-    made before it. ``endpoints_confirmed_boot_s`` is the same for the entries of
-    endpoints.
+    ``operator_revision``, an offset of ``operator_era``, to be the newest decision: the
+    view contains every decision made before it. ``endpoints_confirmed_boot_s`` is the
+    same for the entries of endpoints.
     """
 
     clock_s: Callable[[], float] = boot_time_s
@@ -39,6 +39,7 @@
     endpoints_loaded: bool = False
     outcomes_loaded: bool = False
     operator_revision: int = -1
+    operator_era: int = 0
     confirmed_boot_s: float = float("-inf")
     endpoints_confirmed_boot_s: float = float("-inf")
 
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -97,7 +97,7 @@
         self.gateway = Gateway(self.settings, self.dialect, view, self.log)
         self.status = StatusPage(self.gateway)
         self.metadata = self._relayed(
-            InstrumentedLog(self.metadata, self.gateway.metrics)
+            InstrumentedLog(self.metadata, self.gateway.metrics, self.gateway.era)
         )
         self.gateway.held.report_cut = self._report_cut
         self.operator = OperatorReader(view, self.codec, self.log)
@@ -114,6 +114,7 @@
             log=self.log,
             metrics=gateway.metrics,
             relay_intervals=lambda: gateway.relay_intervals,
+            era=gateway.era,
         )
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -281,7 +282,9 @@
         )
         random = self.gateway.random
         return [
-            follow_log(stream, self.metadata, self.log, view.clock_s, random)
+            follow_log(
+                stream, self.metadata, self.gateway.era, self.log, view.clock_s, random
+            )
             for stream in streams
         ]
 
--- a/acaciacove/messages/gateway_report.py
+++ b/acaciacove/messages/gateway_report.py
@@ -15,7 +15,9 @@
     ``echo`` is the ``nonce`` of the receiver's last report. It proves that this
     report was created after that one was sent, however long it has waited in a
     queue. ``address`` is IP:PORT. ``outcomes_offset`` is the end of the log of
-    roll-out outcomes when the sender read it.
+    roll-out outcomes when the sender read it. ``revision`` and ``outcomes_offset`` are
+    offsets of ``era`` and ``outcomes_era``, the eras of the log that the sender had
+    read them in.
     """
 
     instance: str
@@ -30,3 +32,5 @@
     cells: tuple[VersionCell, ...]
     availability_zone: str
     outcomes_offset: int = -1
+    era: int = 0
+    outcomes_era: int = 0
--- a/acaciacove/messages/log_told.py
+++ b/acaciacove/messages/log_told.py
@@ -10,10 +10,10 @@
     """Records from the requested offset on, and the age of the sender's state.
 
     ``known`` is false if the sender cannot answer: it does not have the offset, or
-    its state is too old. ``held_s`` is the time for which it delayed the response.
-    ``age_s`` is the time between its last confirmation that nothing else had been
-    written and the response. ``present_s`` is the time since the log became
-    available again; None if the sender knows of no outage.
+    its state is too old or of another ``era`` of the log. ``held_s`` is the time for
+    which it delayed the response. ``age_s`` is the time between its last confirmation
+    that nothing else had been written and the response. ``present_s`` is the time since
+    the log became available again; None if the sender knows of no outage.
     """
 
     known: bool
@@ -22,3 +22,4 @@
     age_s: float
     records: tuple[ToldRecord, ...]
     present_s: float | None
+    era: int = 0
--- a/acaciacove/messages/rollout_view.py
+++ b/acaciacove/messages/rollout_view.py
@@ -7,8 +7,9 @@
 class RolloutView:
     """State of a roll-out at one gateway.
 
-    ``age_s`` is the time since the gateway first read the order, ``old_in_flight``
-    the number of its requests in flight at old versions.
+    ``revision`` is the id of the order. ``age_s`` is the time since the gateway first
+    read the order, ``old_in_flight`` the number of its requests in flight at old
+    versions.
     """
 
     service: str
--- a/acaciacove/messages/version_cell.py
+++ b/acaciacove/messages/version_cell.py
@@ -7,7 +7,7 @@
 class VersionCell:
     """Counts since the order of a roll-out; they never decrease in one incarnation.
 
-    ``revision`` is the log offset of the order. ``is_target`` is true for the new
+    ``revision`` is the id of the order. ``is_target`` is true for the new
     version and false for the old ones. ``name`` is a route with a model size, or an
     endpoint. ``log_time_sum`` is the sum of the natural logarithms of ``timed``
     times in seconds. ``late`` of ``judged`` requests took much longer than the
--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -8,7 +8,7 @@
 
 import h11
 import orjson
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
 from acaciacove.gateway.http.connection_pool import ConnectionPool
@@ -19,10 +19,11 @@
     InvalidResponseError,
 )
 from acaciacove.gateway.log_page import LogPage
+from acaciacove.gateway.log_position import UNSTATED, LogPosition
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import AppendConflictError
-from acaciacove.platform.names import STREAMS
+from acaciacove.platform.names import ERA_FIELD, STREAMS
 
 PARTITION = 0
 OK = 200
@@ -42,14 +43,18 @@
 # faster as the newest record of each key.
 MAX_READ_KB = 288
 CONNECT_TIMEOUT_S = 0.8
+MAX_ERA_DIGITS = 18
+# Of an unreadable field in an error message.
+MAX_QUOTED_BYTES = 40
 
 
 @frozen
 class LogResponse:
-    """Status and body of a response of the log."""
+    """Status, body and era of a response of the log."""
 
     status: int
     body: bytes
+    era: int
 
 
 @define
@@ -80,10 +85,12 @@
 
         The pages together are not a snapshot. ``next_offset`` is that of the first
         page, so that changes made while the other pages were read are read again, in
-        order.
+        order. Raises PlatformUnavailableError if the log returned from a copy in
+        between: pages of two histories do not belong together.
         """
         records: list[LogRecord] = []
         next_offset: int | None = None
+        era = UNSTATED
         after: str | None = None
         while True:
             query = {"topic": STREAMS[stream], "part": PARTITION}
@@ -93,10 +100,16 @@
             document = _document(_expect_ok(response))
             if next_offset is None:
                 next_offset = _offset(document, "endOffset")
+                era = response.era
+            elif era != response.era:
+                raise PlatformUnavailableError(
+                    f"the log's era rose from {era} to {response.era} between two"
+                    f" pages of stream {stream.value}"
+                )
             page = _newest_records(document)
             records += page
             if not document.get("hasMore") or not page:
-                return LogPage(tuple(records), next_offset)
+                return LogPage(tuple(records), next_offset, era=era)
             after = page[-1].key
 
     async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
@@ -110,13 +123,14 @@
         }
         response = await self._call("GET", "log-read", query, wait_s=wait_s)
         if response.status == GONE:
-            raise OffsetExpiredError(_offset(_document(response), "firstOffset"))
-        return _decode_page(_expect_ok(response).body, offset)
+            raise OffsetExpiredError(_first_offset(response))
+        page = _decode_page(_expect_ok(response).body, offset)
+        return evolve(page, era=response.era)
 
     async def append(
         self, stream: LogStream, key: str, value: bytes, at: int | None
-    ) -> int:
-        """Append one record and return the offset after it.
+    ) -> LogPosition:
+        """Append one record and return the position after it.
 
         With ``at``, raises AppendConflictError if the stream does not end there.
         """
@@ -129,7 +143,8 @@
         response = await self._call("POST", "log-append", query, body)
         if response.status == PRECONDITION_FAILED:
             raise AppendConflictError(_offset(_document(response), "endOffset"))
-        return _offset(_document(_expect_ok(response)), "endOffset")
+        end_offset = _offset(_document(_expect_ok(response)), "endOffset")
+        return LogPosition(response.era, end_offset)
 
     async def _call(
         self,
@@ -184,17 +199,35 @@
     """Read a response; each chunk of its body extends the limit."""
     loop = asyncio.get_running_loop()
     status = 0
+    era = UNSTATED
     transfer_ends_s = 0.0
     while True:
         event = await connection.next_response_event()
         if isinstance(event, h11.Response):
             status = event.status_code
+            era = _era(event)
             transfer_ends_s = loop.time() + MAX_TRANSFER_S
         elif isinstance(event, h11.Data):
             body.append(bytes(event.data))
             limit.reschedule(min(transfer_ends_s, loop.time() + CALL_TIMEOUT_S))
         elif isinstance(event, h11.EndOfMessage):
-            return LogResponse(status, b"".join(body.chunks))
+            return LogResponse(status, b"".join(body.chunks), era)
+
+
+def _era(response: h11.Response) -> int:
+    """Return the era that a response states; raises PlatformUnavailableError.
+
+    An unreadable one cannot be ignored: offsets would be compared across histories.
+    """
+    for name, value in response.headers:
+        if name == ERA_FIELD:
+            if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+                raise PlatformUnavailableError(
+                    f"expected a whole number as {ERA_FIELD.decode()} from the log,"
+                    f" got {value[:MAX_QUOTED_BYTES]!r}"
+                )
+            return int(value)
+    return UNSTATED
 
 
 def _expect_ok(response: LogResponse) -> LogResponse:
@@ -230,6 +263,12 @@
         ) from error
 
 
+def _first_offset(response: LogResponse) -> int:
+    """Return where the log begins; 0 if it does not say, as after a restoration."""
+    document = _document(response)
+    return _offset(document, "firstOffset") if "firstOffset" in document else 0
+
+
 def _newest_records(document: dict[str, Any]) -> list[LogRecord]:
     """Return the records of a page; raises PlatformUnavailableError if malformed."""
     try:
--- a/acaciacove/platform/names.py
+++ b/acaciacove/platform/names.py
@@ -79,6 +79,9 @@
 
 READINESS_PATH = "/-/readiness"
 
+# The history of the log: it rises by one when the log returns from a copy.
+ERA_FIELD = b"store-era"
+
 STREAMS = {
     LogStream.OPERATOR: "keyed.op",
     LogStream.ENDPOINTS: "keyed.servers",
--- a/acaciacove/wire/acaciacove.capnp
+++ b/acaciacove/wire/acaciacove.capnp
@@ -187,6 +187,8 @@
   cells @9 :List(VersionCell);
   availabilityZone @10 :Text;
   outcomesOffset @11 :Int64 = -1;
+  era @12 :Int64;
+  outcomesEra @13 :Int64;
 }
 
 struct ToldRecord {
@@ -200,6 +202,7 @@
   stream @0 :Text;
   offset @1 :Int64;
   waitS @2 :Float64;
+  era @3 :Int64;
 }
 
 struct LogTold {
@@ -209,6 +212,7 @@
   ageS @3 :Float64;
   records @4 :List(ToldRecord);
   presentS @5 :Float64 = nan;
+  era @6 :Int64;
 }
 
 struct WorkSent {
