Roll-outs: an outcome that the log lost is recorded again

After a return of the log from a copy, a completed roll-out stood as in progress, or as none, for ever, and gateways began its trial anew. The recorder read on from its old offset and ignored what came below it.

It now reads anew in each era, keeps what it knows until the log holds it again or a later outcome, and the first gateway in turn writes it again under the same condition as before. An append whose answer is of another era than the read is reported and read again: its condition held in a history that nobody had read.

--- a/acaciacove/gateway/outcome_recorder.py
+++ b/acaciacove/gateway/outcome_recorder.py
@@ -11,6 +11,11 @@
 from acaciacove.gateway.catalogue.rollout_status import RolloutStatus
 from acaciacove.gateway.gateway import Gateway
 from acaciacove.gateway.log_events import Event
+from acaciacove.gateway.log_position import (
+    BEFORE_ALL,
+    LogPosition,
+    is_restoration,
+)
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import AppendConflictError, MetadataLog
@@ -45,10 +50,13 @@
         self._gateway = gateway
         self._metadata = metadata
         self._codec = codec
-        self._next_offset = -1
+        self._read = BEFORE_ALL
+        self._is_lost = True
         self._read_s = -1e9
         self._due_s: dict[tuple[str, RolloutState], float] = {}
         self._offsets: dict[str, int] = {}
+        # Outcomes that the log held before it returned from a copy, and lacks since.
+        self._lost_outcomes: dict[str, RolloutStatus] = {}
 
     async def run(self) -> None:
         """Evaluate and record until cancelled."""
@@ -57,7 +65,11 @@
         self._gateway.view.outcomes_loaded = True
         while True:
             await asyncio.sleep(STEP_EVERY_S)
+            if self._read.era != self._gateway.era.current:
+                await self._read_outcomes()
             self._sync_orders()
+            for lost in list(self._lost_outcomes.values()):
+                await self._record_again_in_slot(lost)
             if not self._gateway.rollouts:
                 continue
             now_s = asyncio.get_running_loop().time()
@@ -70,7 +82,7 @@
                     await self._record_in_slot(progress, missing)
 
     def _read_every_s(self) -> float:
-        if self._gateway.peer_outcomes_offset > self._next_offset:
+        if self._gateway.peer_outcomes_read > self._read:
             return RETRY_S
         return max(READ_EVERY_S, self._gateway.gateway_count / FLEET_READS_PER_S)
 
@@ -82,7 +94,7 @@
             progress = gateway.rollouts[service]
             if (
                 order is None
-                or order.revision != progress.order.revision
+                or order.order_id != progress.order.order_id
                 or self._is_ended(order)
             ):
                 del gateway.rollouts[service]
@@ -103,27 +115,47 @@
     async def _read_outcomes(self) -> bool:
         """Read new outcomes; return false if the log cannot be read now."""
         self._read_s = asyncio.get_running_loop().time()
+        is_snapshot = self._is_lost or self._read.era != self._gateway.era.current
         try:
-            if self._next_offset < 0:
+            if is_snapshot:
                 page = await self._metadata.newest(LogStream.OUTCOMES)
             else:
                 page = await self._metadata.read(
-                    LogStream.OUTCOMES, self._next_offset, 0.0
+                    LogStream.OUTCOMES, self._read.offset, 0.0
                 )
         except OffsetExpiredError:
-            self._next_offset = -1
+            self._is_lost = True
             return False
         except PlatformUnavailableError:
             # The readers of the decision stream log the outage; the next round retries.
             return False
+        if not is_snapshot and page.era != self._read.era:
+            # The offset is one of a history that is gone.
+            self._is_lost = True
+            return False
+        end = LogPosition(page.era, page.next_offset)
+        if is_restoration(self._read, end):
+            self._begin_history()
         for record in page.records:
             self._apply(record)
-        self._next_offset = page.next_offset
-        self._gateway.outcomes_offset = page.next_offset
+        self._read, self._is_lost = end, False
+        self._gateway.outcomes_read = end
         if page.records:
             self._gateway.outcomes_changed_s = self._read_s
         return True
 
+    def _begin_history(self) -> None:
+        """Keep what is known until the log holds it again, or a later outcome."""
+        self._offsets.clear()
+        self._lost_outcomes = dict(self._gateway.view.outcomes)
+        for outcome in self._lost_outcomes.values():
+            self._gateway.log.write(
+                Event.ROLLOUT_RECORD_LOST,
+                service=outcome.service,
+                target=outcome.target,
+                state=outcome.state.value,
+            )
+
     def _apply(self, record: LogRecord) -> None:
         if record.offset <= self._offsets.get(record.key, -1):
             return
@@ -135,8 +167,20 @@
                 Event.RECORD_UNREADABLE, key=record.key, detail=str(error)
             )
             return
-        if outcome is not None:
-            self._gateway.view.outcomes[outcome.service] = outcome
+        if outcome is None:
+            return
+        lost = self._lost_outcomes.get(outcome.service)
+        if lost is not None and not self._replaces(outcome, lost):
+            return
+        self._lost_outcomes.pop(outcome.service, None)
+        self._gateway.view.outcomes[outcome.service] = outcome
+
+    def _replaces(self, found: RolloutStatus, lost: RolloutStatus) -> bool:
+        """Return whether an outcome in the log is not older than one that it lost."""
+        if found.target == lost.target:
+            return found.state.is_final or found.state is lost.state
+        order = self._gateway.view.orders.get(found.service)
+        return order is not None and order.target == found.target
 
     def _step(self, progress: RolloutProgress) -> None:
         phase = progress.phase
@@ -196,47 +240,62 @@
     async def _record_in_slot(
         self, progress: RolloutProgress, state: RolloutState
     ) -> None:
-        now_s = asyncio.get_running_loop().time()
-        key = (progress.order.service, state)
-        if key not in self._due_s:
-            self._due_s[key] = now_s + SLOT_S * self._slot()
-        if now_s < self._due_s[key]:
+        if not self._is_due((progress.order.service, state)):
             return
-        self._due_s[key] = now_s + RETRY_S
         # A process that was suspended after its evaluation may hold a stale view. It
         # first reads what others have recorded since then, and the append is rejected
         # if anything was written after that read.
         if not await self._read_outcomes() or self._is_ended(progress.order):
             return
         if self._missing_state(progress) is state:
-            await self._record(progress, state)
+            order = progress.order
+            await self._append(
+                RolloutStatus(order.service, order.target, state, self._read.offset)
+            )
 
-    def _slot(self) -> int:
-        name = self._gateway.settings.name
-        return sorted({name, *self._gateway.peers}).index(name)
+    async def _record_again_in_slot(self, lost: RolloutStatus) -> None:
+        """Record an outcome that the log lost, unless another gateway does."""
+        if not self._is_due((lost.service, lost.state)):
+            return
+        if await self._read_outcomes() and lost.service in self._lost_outcomes:
+            await self._append(lost)
 
-    async def _record(self, progress: RolloutProgress, state: RolloutState) -> None:
-        """Append the state, provided that nothing was written since the last read."""
-        order = progress.order
-        status = RolloutStatus(order.service, order.target, state, self._next_offset)
+    def _is_due(self, key: tuple[str, RolloutState]) -> bool:
+        """Return whether the slot of this gateway has come, and plan the next try."""
+        now_s = asyncio.get_running_loop().time()
+        if key not in self._due_s:
+            self._due_s[key] = now_s + SLOT_S * self._gateway.rank()
+        if now_s < self._due_s[key]:
+            return False
+        self._due_s[key] = now_s + RETRY_S
+        return True
+
+    async def _append(self, status: RolloutStatus) -> None:
+        """Append an outcome, provided that nothing was written since the last read."""
         name, value = self._codec.write_outcome(status)
+        failure = None
         try:
-            await self._metadata.append(
-                LogStream.OUTCOMES, name, value, self._next_offset
+            written = await self._metadata.append(
+                LogStream.OUTCOMES, name, value, self._read.offset
             )
+            if written.era != self._read.era:
+                # The condition held in a history that was not read. The next read,
+                # a snapshot, shows what the log holds now.
+                failure = f"read in era {self._read.era}, written in {written.era}"
         except (AppendConflictError, PlatformUnavailableError) as error:
+            failure = str(error)
+        if failure is not None:
             self._gateway.log.write(
                 Event.ROLLOUT_NOT_RECORDED,
-                service=order.service,
-                state=state.value,
-                detail=str(error),
+                service=status.service,
+                state=status.state.value,
+                detail=failure,
+            )
+        else:
+            self._gateway.log.write(
+                Event.ROLLOUT_RECORDED,
+                service=status.service,
+                target=status.target,
+                state=status.state.value,
             )
-            await self._read_outcomes()
-            return
-        self._gateway.log.write(
-            Event.ROLLOUT_RECORDED,
-            service=order.service,
-            target=order.target,
-            state=state.value,
-        )
         await self._read_outcomes()
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from acaciacove.gateway import outcome_recorder
+from acaciacove.gateway.log_position import LogPosition
 from acaciacove.gateway.operator_decision import RolloutSpec
 from acaciacove.gateway.rollout.rollout_state import RolloutState
 from acaciacove.platform.names import ROLLOUT_KEY
@@ -277,7 +278,8 @@
         value = fleet.outcome("model").replace("in_progress", "completed")
         fleet.store.append(OUTCOMES, ROLLOUT_KEY + "model", value.encode())
         first, second = (running.gateway for running in fleet.gateways.values())
-        first.peer_outcomes_offset = first.outcomes_offset + 1
+        read = first.outcomes_read
+        first.peer_outcomes_read = LogPosition(read.era, read.offset + 1)
         await asyncio.sleep(2.0)
         for gateway in (first, second):
             assert gateway.view.outcomes["model"].state is RolloutState.COMPLETED
