Endpoints: entries of a copy are compared by the endpoints' own counts

After a return of the log from a copy, an endpoint that had left was in use again, a draining one counted as ready, a start under the same name was hidden by its predecessor, and one that had registered since the copy was dropped.

A report is now ordered by the endpoint's start and its own count of reports.

--- a/acaciacove/decisions/entry_retention.py
+++ b/acaciacove/decisions/entry_retention.py
@@ -27,23 +27,30 @@
     _confirmed_s: float = float("-inf")
     _last_read_s: float = float("-inf")
     _had_outage: bool = False
+    _is_restored: bool = False
     _retained: dict[str, RetainedEntry] = field(factory=dict)
     _reregistered: set[str] = field(factory=set)
 
     def begin_read(
-        self, now_s: float, recovered_s: float | None, failing_s: float | None
+        self,
+        now_s: float,
+        recovered_s: float | None,
+        failing_s: float | None,
+        is_restored: bool = False,
     ) -> None:
         """Start a read of the log.
 
         ``recovered_s`` is when the log recovered from an outage before this read, or
         None if there is no sign of an outage since the previous read. Reads have failed
         since ``failing_s``. A removal before that time would have ended the read that
-        was waiting then.
+        was waiting then. If ``is_restored``, the log has returned from a copy: an entry
+        that it lacks is no sign that the endpoint has left.
         """
         self._last_read_s = now_s
         if failing_s is not None:
             self._confirmed_s = max(self._confirmed_s, failing_s)
         self._had_outage = recovered_s is not None
+        self._is_restored = is_restored
         if recovered_s is None:
             return
         self._recovered_s = recovered_s
@@ -80,7 +87,7 @@
     def _new_entry(self, now_s: float, drain_s: float) -> RetainedEntry:
         reregistered_s = self._recovered_s + REREGISTRATION_S
         safe_s = self._confirmed_s + RETAINED_DRAIN_SHARE * drain_s
-        if self._had_outage and safe_s <= now_s:
+        if self._is_restored or (self._had_outage and safe_s <= now_s):
             return RetainedEntry(reregistered_s, expires_on_read=True)
         if safe_s < reregistered_s:
             return RetainedEntry(safe_s, expires_on_read=False)
--- a/acaciacove/platform/record_writer.py
+++ b/acaciacove/platform/record_writer.py
@@ -103,6 +103,7 @@
             "state": "draining" if report.draining else "ready",
             "coldRemainingMs": report.cold_remaining_s * MS,
             "born": report.incarnation,
+            "sequence": report.sequence,
         }
     )
 
--- a/acaciacove/platform/records.py
+++ b/acaciacove/platform/records.py
@@ -204,9 +204,17 @@
         slots=slots,
         draining=IS_DRAINING[_text(document, "state")],
         cold_remaining_s=max(0.0, cold_ms / MS),
+        sequence=_sequence(document),
     )
 
 
+def _sequence(document: dict[str, Any]) -> int:
+    value = document.get("sequence", 0)
+    if not isinstance(value, int):
+        raise ValueError(f"sequence must be an integer, got {value!r}")
+    return value
+
+
 def _text(document: dict[str, Any], name: str) -> str:
     value = document[name]
     if not isinstance(value, str) or not value:
