Quarantine: records are compared with the log after its return from a copy

A quarantine that the log had lost was not in force after a restart of all gateways, and one that had been lifted came back with the copy. Gateways now compare what they know with the log, one after the other: they write what is missing and remove what has been cleared.

--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -332,6 +332,14 @@
         self._update_suspicion(verdict.fingerprint, now_s)
         return True
 
+    def is_cleared(self, fingerprint: int) -> bool:
+        """Return whether a request is known to be cleared, and not suspected since."""
+        return (
+            fingerprint not in self._trials
+            and fingerprint not in self._quarantined
+            and self._clearances.covers(fingerprint, float("-inf"))
+        )
+
     def verdicts(self, now_s: float) -> list[RequestVerdict]:
         """Return all verdicts that peers should have as well."""
         self._remove_expired(now_s)
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -7,7 +7,7 @@
 import math
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 
 from attrs import define, field
@@ -188,7 +188,14 @@
         return RequestNews(tuple(crashes), tuple(verdicts))
 
     def restore(self, record: RequestRecord, now_s: float) -> None:
-        """Restore a record of the log, without writing it again."""
+        """Restore a record of the log, without writing it again.
+
+        The record of a request that has been cleared is removed from the log: one that
+        has returned from a copy holds it again.
+        """
+        if self.quarantine.is_cleared(record.fingerprint):
+            self._queue_record(record.fingerprint, None)
+            return
         left_s = min(record.until_s - time.time(), QUARANTINE_DURATION_S)
         if record.quarantined:
             verdict = RequestVerdict(record.fingerprint, QUARANTINED, left_s=left_s)
@@ -198,6 +205,22 @@
             self.quarantine.suspect(record.fingerprint)
             self._set_logged(record.fingerprint, RequestStatus.TRIAL)
 
+    def queue_lost_records(self, found: Collection[str], now_s: float) -> None:
+        """Write what the log lacks; ``found`` are the keys of its records."""
+        for verdict in self.quarantine.verdicts(now_s):
+            is_quarantined = verdict.kind == QUARANTINED
+            name = format_fingerprint(verdict.fingerprint)
+            if verdict.kind == CLEARED or name in found:
+                continue
+            left_s = verdict.left_s if is_quarantined else QUARANTINE_DURATION_S
+            self.log.write(Event.REQUEST_RECORD_LOST, fingerprint=name)
+            self._queue_record(
+                verdict.fingerprint,
+                RequestRecord(
+                    verdict.fingerprint, is_quarantined, time.time() + left_s
+                ),
+            )
+
     def _report_changes(
         self, fingerprints: Iterable[int], now_s: float
     ) -> tuple[RequestVerdict, ...]:
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -132,7 +132,7 @@
             self._expire_retained(),
             self._join_gossip(),
             recorder.run(),
-            sync_records(self.gateway.guard, self.metadata, self.log),
+            sync_records(self.gateway, self.metadata),
             self._load_metrics(),
             watch_load(self.gateway),
         ):
