Soak: the log returns from a copy that is some seconds old

Each second a copy is made; the fault takes the log away for 1.5 s and brings it back from one of the newest eight, with its offsets back and the era one higher. What operators and endpoints had written is written again.

--- a/acaciacove/soak/fault_kind.py
+++ b/acaciacove/soak/fault_kind.py
@@ -23,6 +23,8 @@
     LOG_REFUSES = "log_refuses"
     LOG_FORGETS = "log_forgets"
     LOG_LOSES_REPLIES = "log_loses_replies"
+    # It is away, and returns from a copy that is some seconds old.
+    LOG_RESTORED = "log_restored"
     # Connections to an endpoint, by the endpoint's number.
     ENDPOINT_DELAYED = "endpoint_delayed"
     ENDPOINT_RESET = "endpoint_reset"
@@ -89,6 +91,7 @@
         FaultKind.LOG_REFUSES,
         FaultKind.LOG_FORGETS,
         FaultKind.LOG_LOSES_REPLIES,
+        FaultKind.LOG_RESTORED,
     }
 )
 DELAYING = frozenset({FaultKind.LOG_DELAYED, FaultKind.ENDPOINT_DELAYED})
--- a/acaciacove/soak/fault_plan.py
+++ b/acaciacove/soak/fault_plan.py
@@ -66,6 +66,12 @@
         interval_s=(2.0, 5.0),
         duration_s=4.0,
     ),
+    RepeatedFaults(
+        name="copies",
+        kinds=(FaultKind.LOG_RESTORED,),
+        interval_s=(8.0, 16.0),
+        duration_s=1.5,
+    ),
     RepeatedFaults(
         name="parts",
         kinds=(FaultKind.PROMPT_PART_CRASHES,),
@@ -82,8 +88,8 @@
 GROWTH_S = 2.5
 GROWTH_MARGIN_S = 0.1
 # Unannounced departures, the log's refusals before them, notices, loads, the ways in
-# which answers end, crashing parts of prompts and concentrated connections are drawn
-# separately.
+# which answers end, returns of the log from a copy, crashing parts of prompts and
+# concentrated connections are drawn separately.
 SEPARATE_KINDS = frozenset(
     {
         FaultKind.ENDPOINT_REMOVED,
@@ -129,11 +135,14 @@
                 for step in range(1, RESTART_SERIES_LENGTH)
             ]
         at_s += random.expovariate(1.0 / MEAN_GAP_S)
-    if settings.seed % NO_LOG_FAULTS_EVERY == 0:
+    has_log_faults = settings.seed % NO_LOG_FAULTS_EVERY != 0
+    if not has_log_faults:
         drawn = [fault for fault in drawn if fault[1] not in LOG_FAULTS]
     drawn += _draw_departures(Random(f"leaves/{settings.seed}"), last_s)
     drawn += _draw_notices(Random(f"notices/{settings.seed}"), last_s)
     for group in REPEATED_FAULTS:
+        if not has_log_faults and LOG_FAULTS.issuperset(group.kinds):
+            continue
         drawn += _draw_repeated(Random(f"{group.name}/{settings.seed}"), last_s, group)
     if settings.seed % 2 == 0:
         at_s = last_s + CONCENTRATION_AFTER_S
--- a/acaciacove/soak/inject_faults.py
+++ b/acaciacove/soak/inject_faults.py
@@ -133,10 +133,15 @@
             store.truncate_history(stream)
     elif fault.kind is FaultKind.LOG_LOSES_REPLIES:
         store.lost_replies += 1
+    elif fault.kind is FaultKind.LOG_RESTORED:
+        store.down = "reset"
     else:
         store.down = "silent" if fault.kind is FaultKind.LOG_AWAY else "busy"
 
     def undo() -> None:
+        if fault.kind is FaultKind.LOG_RESTORED:
+            copies = environment.log_copies
+            environment.fleet.return_log(copies[fault.target % len(copies)])
         if fault.kind not in INSTANTANEOUS:
             store.down = None
 
--- a/acaciacove/soak/run_soak.py
+++ b/acaciacove/soak/run_soak.py
@@ -76,6 +76,7 @@
     ]
     async with background(
         environment.send_heartbeats(),
+        environment.copy_log(),
         environment.watch_stalls(),
         environment.change_paces(),
         _probe_readiness(environment),
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections import deque
 from pathlib import Path
 from random import Random
 
@@ -41,6 +42,7 @@
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
 from acaciacove.standins.endpoint_server import EndpointServer
 from acaciacove.standins.gateway_fleet import ENDPOINTS, RESTART_DELAY_S, GatewayFleet
+from acaciacove.standins.keyed_log_state import KeyedLogCopy
 
 ZONES = ("a", "b", "c")
 # Entries expire after so many heartbeats that did not reach the log.
@@ -50,6 +52,9 @@
 # machine, during which the soak's time measurements are not valid.
 STALL_STEP_S = 0.05
 STALL_S = 0.25
+COPY_INTERVAL_S = 1.0
+# The log returns from one of the newest copies, which are up to 8 s old.
+MAX_LOG_COPIES = 8
 # Endpoints of every other two seeds report a pace, which changes many times a second.
 PACE_INTERVAL_S = 0.05
 MIN_PACE_PERCENT, MAX_PACE_PERCENT = 50, 300
@@ -85,6 +90,9 @@
     are_callers_slow: bool = False
     are_connections_concentrated: bool = False
     catalogue_version: int = 1
+    log_copies: deque[KeyedLogCopy] = field(
+        factory=lambda: deque(maxlen=MAX_LOG_COPIES)
+    )
     _last_heartbeats_s: dict[str, float] = field(factory=dict)
     _endpoints_started: int = 0
     _restarts: set[asyncio.Task[None]] = field(factory=set)
@@ -263,6 +271,12 @@
         ):
             store.append(ENDPOINTS, instance, b"")
 
+    async def copy_log(self) -> None:
+        """Make a copy of the log each second, from which it may return."""
+        while True:
+            self.log_copies.append(self.fleet.store.copy())
+            await asyncio.sleep(COPY_INTERVAL_S)
+
     async def change_paces(self) -> None:
         """Change the pace that endpoints report and keep, until cancelled."""
         if self.settings.seed // 2 % 2:
--- a/acaciacove/standins/gateway_fleet.py
+++ b/acaciacove/standins/gateway_fleet.py
@@ -184,11 +184,15 @@
 
         Operators and endpoints write their newest records again.
         """
-        newest = self.store.copy().newest
         self.store.down = "reset"
         await asyncio.sleep(away_s)
-        self.store.restore(copy)
+        self.return_log(copy)
         self.store.down = None
+
+    def return_log(self, copy: KeyedLogCopy) -> None:
+        """Bring the log back from a copy; what was written again is in it at once."""
+        newest = self.store.copy().newest
+        self.store.restore(copy)
         for stream in (OPERATOR, ENDPOINTS):
             self._write_again(stream, newest.get(stream, {}))
 
