Streams: an event that never ends costs bounded memory and processor time

An endpoint may send bytes that are no event, without end. Each piece was searched together with all before it, so that an event of 256 kB in pieces of a byte cost the square of its size; without a memory limit it had no bound at all.

--- a/acaciacove/gateway/forward_response.py
+++ b/acaciacove/gateway/forward_response.py
@@ -71,7 +71,7 @@
         if data is None:
             break
         events = splitter.push(data)
-        _keep(gateway, exchange, len(splitter.rest))
+        _keep(exchange, splitter.rest_bytes)
         if not events:
             continue
         now_s = loop.time()
@@ -97,7 +97,7 @@
         _start_stream(front, head)
         context.events_delivered = True
     recorder.record_end()
-    if splitter.rest:
+    if splitter.rest_bytes:
         await front.write(splitter.rest)
     front.finish_response()
     return AttemptOutcome.DELIVERED
@@ -120,7 +120,7 @@
     if splitter.is_inside_event:
         raise InvalidResponseError(
             f"the stream from {instance} ended inside an event, after"
-            f" {len(splitter.rest)} bytes of it"
+            f" {splitter.rest_bytes} bytes of it"
         )
     is_resumed = context.last_event_id or context.request.hints.last_event_id
     if exchange.is_close_delimited and not context.events_delivered and not is_resumed:
@@ -129,13 +129,14 @@
         )
 
 
-def _keep(gateway: Gateway, exchange: Exchange, rest_bytes: int) -> None:
+def _keep(exchange: Exchange, rest_bytes: int) -> None:
     """Count the bytes of an incomplete event.
 
-    Raises InvalidResponseError if the memory is limited and the event too large for it.
+    Raises InvalidResponseError if it is too large: bytes that are no event may come
+    without end.
     """
     exchange.kept.set(rest_bytes)
-    if gateway.held.budget.limit_bytes and rest_bytes > MAX_ANSWER_BYTES:
+    if rest_bytes > MAX_ANSWER_BYTES:
         raise InvalidResponseError(
             f"an event from {exchange.state.endpoint.instance} exceeds"
             f" {MAX_ANSWER_BYTES} bytes"
