Connections: one connection's events leave turns to the others

64 kB in chunks of one byte are some ten thousand events, which were handled in one go while no other connection was served. After 64 events without a wait the event loop goes round once.

--- a/acaciacove/gateway/http/connection.py
+++ b/acaciacove/gateway/http/connection.py
@@ -15,6 +15,10 @@
 # Reading from the socket pauses when more bytes than this are unread, so that a fast
 # sender is slowed down by flow control instead of filling memory.
 READ_AHEAD_BYTES = 65_536
+# Events of bytes that have arrived already are handled in one go up to this number. A
+# body in chunks of one byte has thousands in one read, during which no other connection
+# would be served.
+MAX_EVENTS_PER_TURN = 64
 # The value of SO_LINGER with which a close sends a reset: switched on, with no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Limits what one read takes from a socket. An asyncio.Protocol reads up to 262,144
@@ -38,6 +42,7 @@
         self._unread = ByteAccount()
         self._reading_paused = False
         self._input_ready = asyncio.Event()
+        self._events_in_turn = 0
 
     @property
     def is_open(self) -> bool:
@@ -109,6 +114,10 @@
 
         Raises ConnectionLostError, or h11.RemoteProtocolError for invalid input.
         """
+        self._events_in_turn += 1
+        if self._events_in_turn > MAX_EVENTS_PER_TURN:
+            self._events_in_turn = 1
+            await asyncio.sleep(0)
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
@@ -122,6 +131,7 @@
                 raise ConnectionLostError(
                     "the connection was lost while waiting for the next HTTP event"
                 )
+            self._events_in_turn = 0
             self._input_ready.clear()
             self._resume_reading()
             await self._input_ready.wait()
