Endpoints: a response that never ends is given up early

Informational responses, pieces of a byte, the body of a failure and a response to an earlier request had no bound but the caller's time. Each has one now, so that another endpoint can be tried: 16 responses with 1xx, 4,096 pieces under 4 bytes, 1 s for a failure's body, 64 kB and 0.5 s for what is skipped.

--- a/acaciacove/gateway/http/endpoint_connection.py
+++ b/acaciacove/gateway/http/endpoint_connection.py
@@ -18,6 +18,16 @@
 )
 
 MAX_RESPONSE_HEADER_BYTES = 65_536
+# Responses with the status 1xx before the final one. Their number is not limited by
+# the protocol.
+MAX_INFORMATIONAL_RESPONSES = 16
+# Pieces of a body shorter than the shortest event, of which a response may have so
+# many. Each costs as much processor time as a piece of any size.
+MIN_PIECE_BYTES = 4
+MAX_SHORT_PIECES = 4_096
+# A response to an earlier request is skipped if it is no longer than this.
+MAX_SKIPPED_BYTES = 65_536
+SKIP_TIMEOUT_S = 0.5
 # How long sent bytes may stay unacknowledged. A host that has lost power sends
 # nothing, not even a reset, and a send would hang for minutes without this bound.
 # It is long enough for three round trips on a lossy link and shorter than callers wait.
@@ -34,6 +44,8 @@
         self.idle_timeout_s: float | None = None
         self.busy = False
         self._request: h11.Request | None = None
+        self._informational = 0
+        self._short_pieces = 0
         self._unsent = ByteAccount()
 
     def data_received(self, data: bytes) -> None:
@@ -80,6 +92,7 @@
         """Write a complete request."""
         self.busy = True
         self._request = request
+        self._informational = self._short_pieces = 0
         try:
             self.send(request)
             if body:
@@ -92,7 +105,8 @@
     async def next_response_event(self) -> Any:
         """Return the next event of the response.
 
-        Raises InvalidResponseError for a protocol error.
+        Raises InvalidResponseError for a protocol error, and for a response that costs
+        too much processor time for its bytes.
         """
         try:
             event = await self.next_event()
@@ -104,17 +118,41 @@
             raise ConnectionLostError(
                 "the endpoint closed the connection before its response was complete"
             )
+        self._count_overhead(event)
         return event
 
+    def _count_overhead(self, event: Any) -> None:
+        if isinstance(event, h11.InformationalResponse):
+            self._informational += 1
+        elif isinstance(event, h11.Data) and len(event.data) < MIN_PIECE_BYTES:
+            self._short_pieces += 1
+        if self._informational > MAX_INFORMATIONAL_RESPONSES:
+            raise InvalidResponseError(
+                f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
+                " before the final one"
+            )
+        if self._short_pieces > MAX_SHORT_PIECES:
+            raise InvalidResponseError(
+                f"a body with more than {MAX_SHORT_PIECES} pieces of less than"
+                f" {MIN_PIECE_BYTES} bytes"
+            )
+
     async def skip_response(self) -> None:
         """Skip a response that belongs to an earlier request.
 
         A late second response may arrive where the response to the current request
         is expected. It is read to its end and dropped, and a new state machine
-        continues with the bytes after it.
+        continues with the bytes after it. Raises InvalidResponseError if it does not
+        end soon: the caller waits for the response after it.
         """
-        while not isinstance(await self.next_response_event(), h11.EndOfMessage):
-            pass
+        try:
+            async with asyncio.timeout(SKIP_TIMEOUT_S):
+                await self._skip_body()
+        except TimeoutError:
+            raise InvalidResponseError(
+                "the response to an earlier request did not end within"
+                f" {SKIP_TIMEOUT_S} s"
+            ) from None
         rest, closed = self.h11.trailing_data
         if closed and not rest:
             raise ConnectionLostError(
@@ -131,6 +169,20 @@
         if rest:
             self.h11.receive_data(rest)
 
+    async def _skip_body(self) -> None:
+        size_bytes = 0
+        while True:
+            event = await self.next_response_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.Data):
+                size_bytes += len(event.data)
+            if size_bytes > MAX_SKIPPED_BYTES:
+                raise InvalidResponseError(
+                    "the response to an earlier request exceeds"
+                    f" {MAX_SKIPPED_BYTES} bytes"
+                )
+
     def _replay_request_body(self) -> None:
         """Bring the new state machine to the end of the request that was sent."""
         assert self._request is not None
--- a/acaciacove/gateway/process_response.py
+++ b/acaciacove/gateway/process_response.py
@@ -33,6 +33,8 @@
 SERVER_ERROR_STATUS = 500
 # A refusal is short and sent at once; the caller waits for the next endpoint meanwhile.
 REFUSAL_BODY_TIMEOUT_S = 0.2
+# A failure is short as well, and may become the response to the caller.
+FAILURE_BODY_TIMEOUT_S = 1.0
 
 
 async def process_response(
@@ -157,7 +159,14 @@
     is_endpoint_failure = head.status >= SERVER_ERROR_STATUS or head.is_success
     if is_endpoint_failure:
         record_result(gateway, exchange, True, None)
-    body = await exchange.read_body(MAX_BUFFERED_BYTES)
+    try:
+        async with asyncio.timeout(FAILURE_BODY_TIMEOUT_S):
+            body = await exchange.read_body(MAX_BUFFERED_BYTES)
+    except TimeoutError:
+        raise InvalidResponseError(
+            f"the failure response from {exchange.state.endpoint.instance} did not end"
+            f" within {FAILURE_BODY_TIMEOUT_S} s"
+        ) from None
     if body is None or head.is_success:
         return AttemptOutcome.LOST
     context.last_failure = (head, body)
