Log client: a response has a bound

A response whose bytes kept arriving was read for 4 s, whatever its size. Beyond 4 MB the call fails; the largest page that the log sends has 1.4 MB.

--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -43,6 +43,8 @@
 # faster as the newest record of each key.
 MAX_READ_KB = 288
 CONNECT_TIMEOUT_S = 0.8
+# A page of newest records holds 1 MB of them, which base64 makes a third larger.
+MAX_RESPONSE_BYTES = 4 * 2**20
 MAX_ERA_DIGITS = 18
 # Of an unreadable field in an error message.
 MAX_QUOTED_BYTES = 40
@@ -209,6 +211,10 @@
             transfer_ends_s = loop.time() + MAX_TRANSFER_S
         elif isinstance(event, h11.Data):
             body.append(bytes(event.data))
+            if body.size_bytes > MAX_RESPONSE_BYTES:
+                raise InvalidResponseError(
+                    f"the log's response exceeds {MAX_RESPONSE_BYTES} bytes"
+                )
             limit.reschedule(min(transfer_ends_s, loop.time() + CALL_TIMEOUT_S))
         elif isinstance(event, h11.EndOfMessage):
             return LogResponse(status, b"".join(body.chunks), era)
