--- a/acaciacove/gateway/probe_protocol.py
+++ b/acaciacove/gateway/probe_protocol.py
@@ -1,5 +1,6 @@
 """Answers the platform's readiness probes and scrapes of metrics."""
 
+import asyncio
 from collections.abc import Callable
 
 import h11
@@ -8,6 +9,9 @@
 from acaciacove.gateway.http.connection import HttpConnection
 
 MAX_PROBE_HEADER_BYTES = 8_192
+# A connection without a complete request for this long is closed. The balancer probes
+# each second, and metrics are read every few seconds.
+REQUEST_TIMEOUT_S = 15.0
 
 
 @frozen
@@ -27,6 +31,24 @@
         super().__init__(h11.SERVER, MAX_PROBE_HEADER_BYTES)
         self._answer_path = answer
         self._is_writable = True
+        self._timeout: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for the first request."""
+        super().connection_made(transport)
+        self._restart_timeout()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop to wait for requests."""
+        super().connection_lost(exc)
+        if self._timeout is not None:
+            self._timeout.cancel()
+
+    def _restart_timeout(self) -> None:
+        if self._timeout is not None:
+            self._timeout.cancel()
+        loop = asyncio.get_running_loop()
+        self._timeout = loop.call_later(REQUEST_TIMEOUT_S, self.abort)
 
     def pause_writing(self) -> None:
         """Note that the client does not read its answers."""
@@ -61,6 +83,7 @@
                     self.abort()
                     return
                 self._answer(self._answer_path(path))
+                self._restart_timeout()
                 if self.h11.our_state is not h11.DONE:
                     self.close()
                     return
