Peers: a message has a bound in size and time

Half a frame held its connection for ever, and a request for records could claim 16 MB. A frame must be complete 30 s after its first byte, and a request for records has 4 kB at most.

--- a/acaciacove/gateway/relay/serve_records.py
+++ b/acaciacove/gateway/relay/serve_records.py
@@ -11,12 +11,15 @@
 from acaciacove.gateway.relay.stream_tail import StreamTail
 from acaciacove.messages.log_ask import LogAsk
 from acaciacove.messages.log_told import LogTold
+from acaciacove.messages.message import Message
 from acaciacove.messages.told_record import ToldRecord
 from acaciacove.wire.connection import Connection
 
 # Records that may be relayed for no longer than this are not relayed: an empty reply
 # without a wait would only lead to the same request again.
 MIN_REMAINING_S = 0.01
+# A request names a stream and an offset.
+MAX_REQUEST_BYTES = 4_096
 
 Tails = Mapping[LogStream, StreamTail]
 
@@ -34,7 +37,7 @@
     the log itself.
     """
     try:
-        while isinstance(request := await connection.receive(), LogAsk):
+        while isinstance(request := await _receive(connection), LogAsk):
             tail = _tail_of(tails, request.stream)
             if tail is None:
                 return
@@ -54,6 +57,10 @@
         connection.close()
 
 
+async def _receive(connection: Connection) -> Message | None:
+    return await connection.receive(max_bytes=MAX_REQUEST_BYTES)
+
+
 def _tail_of(tails: Tails, name: str) -> StreamTail | None:
     """Return the tail of a stream, None if the stream is not relayed."""
     return next((t for stream, t in tails.items() if stream.value == name), None)
--- a/acaciacove/wire/connection.py
+++ b/acaciacove/wire/connection.py
@@ -6,6 +6,7 @@
     StreamReader,
     StreamWriter,
     open_connection,
+    timeout,
 )
 from collections.abc import Callable, Iterable
 from socket import AF_INET, IPPROTO_TCP, TCP_NODELAY
@@ -16,6 +17,8 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 16 * 2**20
+# Once its first byte has arrived, a message must be complete within this time.
+FRAME_TIMEOUT_S = 30.0
 
 
 class Connection:
@@ -49,22 +52,33 @@
         )
 
     async def receive(
-        self, on_progress: Callable[[], None] = lambda: None
+        self,
+        on_progress: Callable[[], None] = lambda: None,
+        max_bytes: int = MAX_FRAME_BYTES,
     ) -> Message | None:
         """Wait for a message; None after a disconnect, or on a malformed frame.
 
         ``on_progress`` is called for each part of the message that arrives. ``fault``
-        says why there is none if the connection did not end between two frames.
+        says why there is none if the connection did not end between two frames. A
+        message of more than ``max_bytes``, or one that comes too slowly, is a fault.
         """
         self.frame_received_bytes = 0
         self.fault = None
         try:
-            prefix = await self._read_exactly(LENGTH_BYTES, on_progress)
-            size_bytes = int.from_bytes(prefix, "big")
-            if size_bytes > MAX_FRAME_BYTES:
-                self.fault = f"a frame of {size_bytes} bytes exceeds {MAX_FRAME_BYTES}"
-                return None
-            return decode(await self._read_exactly(size_bytes, on_progress))
+            first = await self._read_exactly(1, on_progress)
+            async with timeout(FRAME_TIMEOUT_S):
+                prefix = first + await self._read_exactly(LENGTH_BYTES - 1, on_progress)
+                size_bytes = int.from_bytes(prefix, "big")
+                if size_bytes > max_bytes:
+                    self.fault = f"a frame of {size_bytes} bytes exceeds {max_bytes}"
+                    return None
+                return decode(await self._read_exactly(size_bytes, on_progress))
+        except TimeoutError:
+            received_bytes = self.frame_received_bytes
+            self.fault = (
+                f"{received_bytes} bytes of a frame came within {FRAME_TIMEOUT_S} s"
+            )
+            return None
         except (IncompleteReadError, LimitOverrunError, OSError):
             if self.frame_received_bytes:
                 received_bytes = self.frame_received_bytes
