Retries: a request is sent again on another connection

The id does not tell which send an answer is for; the connection does, if it carries each request once.

A connection that has carried a request is not used for it again. Ruled out: to wait for a second copy before the next send, which has no bound. The stand-in of an endpoint learns to refuse twice; the test failed before with 503 for payments that had run.

--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -72,7 +72,9 @@
     async def open(self, timeout_s: float) -> None:
         """Acquire a connection; raises ConnectFailedError."""
         non_idempotent = not self.context.route.may_repeat
-        self.connection = await self.state.pool.acquire(non_idempotent, timeout_s)
+        used = self.context.used_connections
+        self.connection = await self.state.pool.acquire(non_idempotent, timeout_s, used)
+        used.append(self.connection)
         self.connection.count_held_in(self.gateway.held.budget)
 
     def send(self) -> None:
--- a/acaciacove/gateway/http/connection_pool.py
+++ b/acaciacove/gateway/http/connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Collection
 
 from acaciacove.gateway.http.endpoint_connection import EndpointConnection, connect
 
@@ -27,12 +28,18 @@
         self.handshakes = 0
 
     async def acquire(
-        self, non_idempotent: bool, timeout_s: float
+        self,
+        non_idempotent: bool,
+        timeout_s: float,
+        avoided: Collection[EndpointConnection] = (),
     ) -> EndpointConnection:
-        """Return an idle or a new connection; raises ConnectFailedError."""
-        idle = self._pop_idle(
-            REUSE_SHARE_NON_IDEMPOTENT if non_idempotent else REUSE_SHARE
-        )
+        """Return an idle or a new connection; raises ConnectFailedError.
+
+        Those ``avoided`` have carried the same request before. A second copy of the
+        answer to that send has the same id as the answer to the next one.
+        """
+        share = REUSE_SHARE_NON_IDEMPOTENT if non_idempotent else REUSE_SHARE
+        idle = self._pop_idle(share, avoided)
         if idle is not None:
             return idle
         self.open_count += 1
@@ -49,15 +56,25 @@
         connection = await connect(self._host, self._port, timeout_s)
         connection.abort()
 
-    def _pop_idle(self, share: float) -> EndpointConnection | None:
+    def _pop_idle(
+        self, share: float, avoided: Collection[EndpointConnection]
+    ) -> EndpointConnection | None:
         now_s = asyncio.get_running_loop().time()
-        while self._idle:
+        passed_over: list[EndpointConnection] = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
             limit_s = connection.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
-            if connection.is_open and now_s - connection.idle_since_s < share * limit_s:
-                return connection
-            self._discard(connection)
-        return None
+            if connection in avoided:
+                passed_over.append(connection)
+            elif (
+                connection.is_open and now_s - connection.idle_since_s < share * limit_s
+            ):
+                found = connection
+            else:
+                self._discard(connection)
+        self._idle.extend(reversed(passed_over))
+        return found
 
     def release(self, connection: EndpointConnection, reusable: bool) -> None:
         """Return a connection to the pool if it is reusable, else close it."""
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -8,6 +8,7 @@
 from acaciacove.gateway.catalogue.route import Route
 from acaciacove.gateway.catalogue.service import Service
 from acaciacove.gateway.http.caller_request import CallerRequest
+from acaciacove.gateway.http.endpoint_connection import EndpointConnection
 from acaciacove.gateway.http.response_head import ResponseHead
 from acaciacove.gateway.overload_refusal import OverloadRefusal
 from acaciacove.gateway.quarantine.crash_keys import shared_keys
@@ -27,7 +28,8 @@
     model. ``confidences`` maps models to the confidence that they stated in their
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
     attempts as instance and version, and ``responses`` the response heads.
-    ``trial_key`` is set for a request that is suspected of crashing endpoints, or has
+    ``used_connections`` have carried it, and carry it no second time. ``trial_key`` is
+    set for a request that is suspected of crashing endpoints, or has
     something that is: only this gateway may try it. ``held_key`` is the key for which
     it was refused. ``postponed_s`` is how long its
     escalation waited for capacity. ``overload_refusal`` is set for one that overload
@@ -47,6 +49,7 @@
     last_failure: tuple[ResponseHead, bytes] | None = None
     tried_instances: set[str] = field(factory=set)
     refused_by: set[str] = field(factory=set)
+    used_connections: list[EndpointConnection] = field(factory=list)
     last_event_id: str | None = None
     events_delivered: bool = False
     first_chunk_s: float | None = None
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -18,6 +18,8 @@
     - ``full``: answers 503 and marks the request as not run; ``retry_after`` is the
       value of that field in these answers
     - ``cut_refusals``: closes the connection in the middle of a refusal's body
+    - ``refuses_once``: refuses the first arrival of each request as ``full`` does, and
+      sends that refusal a second time after ``second_refusal_s``
     - ``leaving``: value of the field that announces the departure, in each answer
     - ``mute``: never answers
     - ``cut_after``: closes the connection in the middle of the event after this many
@@ -54,6 +56,8 @@
     full: bool = False
     retry_after: str | None = None
     cut_refusals: bool = False
+    refuses_once: bool = False
+    second_refusal_s: float = 0.01
     leaving: str | None = None
     mute: bool = False
     cut_after: int | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -48,6 +48,9 @@
         if self.behaviour.full:
             await self._refuse(front, arrival, 503)
             return
+        if self.behaviour.refuses_once and self._is_first_arrival(arrival):
+            await self._refuse_twice(front, arrival)
+            return
         arrival.ran = True
         self.running += 1
         try:
@@ -87,6 +90,27 @@
             return
         await _send_response(front, status, fields, b"")
 
+    def _is_first_arrival(self, arrival: EndpointArrival) -> bool:
+        return sum(a.request_id == arrival.request_id for a in self.arrivals) == 1
+
+    async def _refuse_twice(
+        self, front: FrontConnection, arrival: EndpointArrival
+    ) -> None:
+        """Refuse a request, and send the refusal again on the same connection."""
+        await self._refuse(front, arrival, 503)
+        copy = (
+            b"HTTP/1.1 503 \r\nAcaciacove-Not-Executed: 1\r\nAcaciacove-Attempt-Id: "
+            + arrival.request_id.encode()
+            + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+
+        def send_again() -> None:
+            if front.transport is not None and not front.transport.is_closing():
+                front.transport.write(copy)
+
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.behaviour.second_refusal_s, send_again)
+
     async def _run(self, arrival: EndpointArrival, front: FrontConnection) -> None:
         behaviour = self.behaviour
         if behaviour.mute:
--- a/tests/test_gateway_endpoint_notices.py
+++ b/tests/test_gateway_endpoint_notices.py
@@ -220,8 +220,8 @@
         pool = gateway.states.of(endpoint).pool
         acquire = pool.acquire
 
-        async def acquire_slowly(non_idempotent, timeout_s):
-            connection = await acquire(non_idempotent, timeout_s)
+        async def acquire_slowly(non_idempotent, timeout_s, avoided):
+            connection = await acquire(non_idempotent, timeout_s, avoided)
             notice = gateway.states.record_notice(endpoint)
             notice.record_rest(3.0, asyncio.get_running_loop().time())
             return connection
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from attrs import evolve
 
 from acaciacove.standins.endpoint_behaviour import EndpointBehaviour
@@ -145,6 +146,34 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("second_refusal_s", [0.0, 0.005, 0.015])
+@pytest.mark.parametrize("max_attempts", [2, 3])
+@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+def test_a_refusal_that_comes_twice_is_not_taken_for_the_next_answer(
+    path, max_attempts, second_refusal_s
+):
+    """Guards against a payment that is made twice, or that its caller is told was not
+    made: a second copy of a refusal comes where the answer to the next send is due.
+    """
+    base = catalogue()
+    routes = tuple(evolve(r, max_attempts=max_attempts) for r in base.routes)
+
+    async def scenario(fleet):
+        (server,) = fleet.endpoints.values()
+        server.behaviour.refuses_once = True
+        server.behaviour.second_refusal_s = second_refusal_s
+        found = []
+        for number in range(12):
+            answer = await call(path, f"r-{number}", body=b"pay")
+            found.append((answer.status, len(runs_of(fleet, f"r-{number}"))))
+            await asyncio.sleep(0.1)
+        return set(found)
+
+    published = evolve(base, routes=routes)
+    found = run_fleet(scenario, apps=1, models=0, published=published)
+    assert found == {(200, 1)}
+
+
 def test_unsigned_success_is_rejected():
     async def scenario(fleet):
         for server in fleet.endpoints.values():
