Endpoints: a removal in an outage takes effect without waiting for a long read

An endpoint whose entry was removed while the log was away is kept until a read 2.2 s after the return has not brought it back. While entries are retained, reads wait for 0.1 s at most.

Tried and dropped: to count from the last failed call, which drops live endpoints that beat every 2 s.

--- a/acaciacove/decisions/entry_retention.py
+++ b/acaciacove/decisions/entry_retention.py
@@ -63,6 +63,11 @@
         """Finish a read. Entries that were not removed existed at ``complete_s``."""
         self._confirmed_s = max(self._confirmed_s, complete_s)
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no removed entry is retained."""
+        return not self._retained
+
     def is_retained(self, instance: str) -> bool:
         """Return whether an entry was removed and may still be registered again."""
         return instance in self._retained
--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -49,6 +49,11 @@
         """The log for changes of the view."""
         return self.gateway.log
 
+    @property
+    def is_waiting_for_entries(self) -> bool:
+        """Return whether removed entries are retained until a later read."""
+        return not self._retention.is_empty
+
     def apply_reading(self, reading: LogReading) -> None:
         """Apply the result of one read of the stream."""
         recovered_s = reading.recovered_boot_s(self.gateway.settings.heartbeat_s)
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -42,6 +42,10 @@
 # this long, no gateway is assumed to read through it.
 RELAY_REQUEST_MEMORY_S = 5.0
 TRIM_EVERY_S = 1.0
+# Entries that an outage may have removed are retained until a read after their time has
+# shown that they are not back. A read that waits for longer would retain them too long
+# for an endpoint that has left.
+RETAINED_WAIT_S = 0.1
 METRICS_PATH = "/metrics"
 STATUS_PATH = "/status"
 JSON_TYPE = b"application/json"
@@ -295,12 +299,16 @@
         )
 
     def _endpoints_wait_s(self) -> float:
+        if self.endpoints.is_waiting_for_entries:
+            return RETAINED_WAIT_S
         return self.gateway.relay_intervals.endpoints_wait_s(
             len(self.gateway.view.endpoints)
         )
 
     def _wait_s(self, stream: LogStream, relay_wait_s: float) -> float:
         """Return how long a read may wait, less while peers read through this one."""
+        if relay_wait_s <= RETAINED_WAIT_S:
+            return relay_wait_s
         requested_boot_s = self.gateway.tails[stream].requested_boot_s
         is_relaying = self.clock_s() - requested_boot_s < RELAY_REQUEST_MEMORY_S
         unshared_wait_s = self.gateway.relay_intervals.unshared_wait_s
--- a/tests/test_gateway_removals.py
+++ b/tests/test_gateway_removals.py
@@ -269,3 +269,31 @@
         assert len(gateways_with(fleet, "app-1")) == gateways
 
     run_fleet(scenario, gateways=gateways)
+
+
+async def leave_during_outage(fleet, how, outage_s):
+    """Return the gateways that still use an endpoint when their limits apply again."""
+    await asyncio.sleep(2.0)
+    fleet.store.down = how
+    await asyncio.sleep(outage_s)
+    remove(fleet, "app-0")
+    restore_log(fleet)
+    await asyncio.sleep(RECOVERY_S)
+    return gateways_with(fleet, "app-0")
+
+
+@pytest.mark.parametrize("how", ["busy", "reset"])
+@pytest.mark.parametrize("outage_s", [5.0 + 0.1 * step for step in range(10)])
+def test_an_endpoint_that_left_in_an_outage_is_dropped_in_time(outage_s, how):
+    """Guards against requests to an endpoint whose entry was removed while the log was
+    away, for as long as a read that finds nothing waits: it may have left.
+    """
+    assert run_fleet(lambda fleet: leave_during_outage(fleet, how, outage_s)) == []
+
+
+@pytest.mark.parametrize("outage_s", [5.0 + 0.1 * step for step in range(10)])
+def test_an_endpoint_that_left_in_a_silent_outage_is_dropped_in_time(outage_s):
+    """Guards against the same after an outage in which calls get no answer: the return
+    of the log is noticed up to a call's time-out late.
+    """
+    assert run_fleet(lambda fleet: leave_during_outage(fleet, "silent", outage_s)) == []
