Callers: a changed limit of heads holds on open connections

A connection that was open before an operator raised maxHeaderBytes kept the old limit, and answered 431 to a head between the two that came in two parts. The limit is read again for each request. The other limits were read for each request before.

--- a/acaciacove/gateway/http/front_connection.py
+++ b/acaciacove/gateway/http/front_connection.py
@@ -66,7 +66,8 @@
         returns whether the connection is taken; otherwise it is closed at once, with
         everything unread.
         """
-        super().__init__(h11.SERVER, limits().max_header_bytes)
+        self._max_header_bytes = limits().max_header_bytes
+        super().__init__(h11.SERVER, self._max_header_bytes)
         self._serve = serve
         self._dialect = dialect
         self._limits = limits
@@ -226,6 +227,8 @@
         limits = self._limits()
         if self._first_byte_s is None and not await self._wait_for_first_byte(limits):
             return None
+        limits = self._limits()
+        self._apply_head_limit(limits.max_header_bytes)
         try:
             async with asyncio.timeout(limits.header_timeout_s):
                 event = await self._next_caller_event()
@@ -237,6 +240,23 @@
             raise BadRequestError(BAD_REQUEST_STATUS, "no request")
         return event
 
+    def _apply_head_limit(self, max_header_bytes: int) -> None:
+        """Begin a request with the limit that is in force now.
+
+        The state machine has one limit for good, and a connection outlives catalogues.
+        """
+        if max_header_bytes == self._max_header_bytes:
+            return
+        received, is_closed = self.h11.trailing_data
+        self._max_header_bytes = max_header_bytes
+        self.h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=max_header_bytes
+        )
+        if received:
+            self.h11.receive_data(received)
+        if is_closed:
+            self.h11.receive_data(b"")
+
     async def _wait_for_first_byte(self, limits: CallerLimits) -> bool:
         """Wait on an idle connection; returns False on idle timeout or close."""
         try:
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -12,6 +12,7 @@
     KEY,
     Caller,
     call,
+    catalogue,
     run_fleet,
     runs_of,
 )
@@ -280,3 +281,30 @@
         assert await caller.reader.read() == b""
 
     run_fleet(scenario, grace_s=grace_s)
+
+
+def test_a_raised_header_limit_holds_on_open_connections():
+    """Guards against 431 on a connection that was open before the operator raised the
+    limit, for a head that arrives in two parts.
+    """
+
+    async def scenario(fleet):
+        caller = await Caller().open()
+        first = await caller.request("/look/1", "1")
+        limits = CallerLimits(max_header_bytes=16_384)
+        fleet.publish(catalogue(2, limits=limits))
+        await asyncio.sleep(1.0)
+        head = (
+            b"GET /look/1 HTTP/1.1\r\nHost: api.example\r\nAcaciacove-Attempt-Id: 2\r\n"
+            b"Authorization: Bearer key-of-ozark\r\nX-Long: " + b"x" * 8_000
+        )
+        caller.writer.write(head)
+        await asyncio.sleep(0.1)
+        caller.writer.write(b"\r\n\r\n")
+        line = await caller.reader.readline()
+        return first.status, line
+
+    limits = CallerLimits(max_header_bytes=4_096)
+    status, line = run_fleet(scenario, published=catalogue(limits=limits))
+    assert status == 200
+    assert line.startswith(b"HTTP/1.1 200")
