Daemon: SIGHUP does not end a process that starts

The handler was installed after the imports, up to 0.4 s after the start. The signal is ignored from the first line of the program on, and the settings are read once more when the handler is there.

--- a/acaciacove/gateway/daemon.py
+++ b/acaciacove/gateway/daemon.py
@@ -45,6 +45,8 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: reload(running, read_settings, signalled=True)
     )
+    # The signal was ignored until now.
+    reload(running, read_settings, signalled=False)
     watch = asyncio.create_task(_reload_periodically(running, read_settings))
     try:
         await running.run(stop)
--- a/acaciacove/platform/__main__.py
+++ b/acaciacove/platform/__main__.py
@@ -6,6 +6,7 @@
 be refused at every restart.
 """
 
+import signal
 import sys
 
 from acaciacove.platform.early_listener import open_front_socket
@@ -13,6 +14,9 @@
 
 def main() -> int:
     """Open the port for callers, read the settings, then serve."""
+    # Settings that change while the process starts are read again once it has started.
+    # Without a handler, the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     front = open_front_socket()
     from acaciacove.platform.run_gateway import run_gateway
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,11 +1,15 @@
 """Tests with real processes that are killed or paused while bookings run."""
 
 import asyncio
+import os
+import subprocess
+import sys
 
 import orjson
 import pytest
 
 from acaciacove.adapters.log_entry import LogEntry
+from acaciacove.exit_status import ExitStatus
 from acaciacove.state.billing_ledger import BillingLedger
 from acaciacove.state.billing_record import BILLING_STREAM
 from tests.embedded import run
@@ -122,3 +126,21 @@
             check_outcomes(fleet, answers)
 
     run(test)
+
+
+def test_a_signal_to_reload_does_not_end_a_process_that_starts():
+    """Guards against a gateway that SIGHUP ends before it has installed its handler."""
+    program = (
+        "import os, signal, sys\n"
+        "import acaciacove.platform.__main__ as program\n"
+        "program.open_front_socket = lambda: os.kill(os.getpid(), signal.SIGHUP)\n"
+        "sys.exit(program.main())\n"
+    )
+    missing = {"ACACIACOVE_NODE_FILE": "/nonexistent/boot.conf"}
+    ended = subprocess.run(
+        [sys.executable, "-c", program],
+        env=os.environ | missing,
+        capture_output=True,
+        check=False,
+    )
+    assert ended.returncode == ExitStatus.USAGE
