--- a/acaciacove/decisions/request_quarantine.py
+++ b/acaciacove/decisions/request_quarantine.py
@@ -25,17 +25,15 @@
 from acaciacove.decisions.request_assessment import RequestAssessment
 from acaciacove.decisions.request_status import RequestStatus
 from acaciacove.decisions.request_trial import RequestTrial
+from acaciacove.decisions.request_trials import RequestTrials
 from acaciacove.messages.request_verdict import (
     CLEARED,
     QUARANTINED,
-    TRIED,
     RequestVerdict,
 )
 
 # Trials of a suspected request, as one may end without a clear result.
 MAX_TRIALS = 2
-# How long a trial without a result blocks other trials.
-TRIAL_TIMEOUT_S = 10.0
 # Retry-After during a trial; its result is usually known by then.
 TRIAL_RETRY_AFTER_S = 1.0
 QUARANTINE_DURATION_S = 86_400.0
@@ -59,7 +57,7 @@
     """
 
     evidence: CrashEvidence = field(factory=CrashEvidence)
-    _trials: OrderedDict[int, RequestTrial] = field(factory=OrderedDict)
+    trials: RequestTrials = field(factory=RequestTrials)
     _quarantined: OrderedDict[int, float] = field(factory=OrderedDict)
     _clearances: Clearances = field(factory=Clearances)
     _candidates: OrderedDict[int, float] = field(factory=OrderedDict)
@@ -69,7 +67,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether there is no request to quarantine or to clear."""
-        return not (self.evidence or self._trials or self._quarantined)
+        return not (self.evidence or self.trials or self._quarantined)
 
     @property
     def quarantined_count(self) -> int:
@@ -86,7 +84,7 @@
             return RequestStatus.QUARANTINED
         if is_shared(fingerprint):
             self._consider_shared(fingerprint, now_s)
-        trial = self._trials.get(fingerprint)
+        trial = self.trials.get(fingerprint)
         if trial is None:
             return RequestStatus.FREE
         if trial.until_s > now_s:
@@ -117,7 +115,7 @@
 
     def _is_ambiguous(self, tried: int, keys: Sequence[int]) -> bool:
         others = [key for key in keys if key != tried and is_shared(key)]
-        return any(key in self._trials or self._may_be_cause(key) for key in others)
+        return any(key in self.trials or self._may_be_cause(key) for key in others)
 
     def _may_be_cause(self, key: int) -> bool:
         if self.evidence.crash_count(key) < MIN_CRASHES_TO_SUSPECT:
@@ -144,7 +142,7 @@
 
     def _update_suspicion(self, fingerprint: int, now_s: float) -> None:
         """Suspect a request, or quarantine it if it crashed its trial endpoint."""
-        trial = self._trials.get(fingerprint)
+        trial = self.trials.get(fingerprint)
         if trial is not None:
             if self.evidence.was_in_flight_at(trial.endpoint, fingerprint):
                 self._judge_trial(fingerprint, now_s)
@@ -162,7 +160,7 @@
 
     def _consider_shared(self, key: int, now_s: float) -> None:
         """Suspect something shared if no request clears it for ``PROOF_WAIT_S``."""
-        if key in self._trials or key in self._quarantined:
+        if key in self.trials or key in self._quarantined:
             return
         if not self._is_suspicious(key):
             self._candidates.pop(key, None)
@@ -177,7 +175,7 @@
     def _judge_trial(self, key: int, now_s: float) -> None:
         """Quarantine a key whose trial ended in a crash, unless another caused it."""
         if self._has_likelier_suspect(key):
-            del self._trials[key]
+            self.trials.discard(key)
         else:
             self._convict(key, now_s)
 
@@ -188,14 +186,14 @@
         self._quarantine(key, now_s + duration_s)
 
     def _quarantine(self, fingerprint: int, until_s: float) -> None:
-        self._trials.pop(fingerprint, None)
+        self.trials.discard(fingerprint)
         self._candidates.pop(fingerprint, None)
         self._quarantined[fingerprint] = until_s
         while len(self._quarantined) > MAX_ENTRIES:
             self._quarantined.popitem(last=False)
-        for other in list(self._trials):
+        for other in self.trials.suspects():
             if self.evidence.explains(fingerprint, other):
-                del self._trials[other]
+                self.trials.discard(other)
 
     def _end_quarantine(self, key: int) -> None:
         """End a quarantine; something shared is let through once more, as a trial."""
@@ -204,49 +202,12 @@
             self._tried_again[key] = None
             while len(self._tried_again) > MAX_ENTRIES:
                 self._tried_again.popitem(last=False)
-            self._set_trial(key, RequestTrial(number=MAX_TRIALS - 1))
-
-    def claim_trial(
-        self, fingerprint: int, endpoint: int, claim: int, now_s: float
-    ) -> RequestVerdict:
-        """Claim the one trial of a suspected request; returns the verdict to gossip.
-
-        Other gateways may claim it at the same time. The claimant must check
-        ``holds_trial`` after the time in which competing claims arrive.
-        """
-        number = self._trials.get(fingerprint, RequestTrial()).number + 1
-        trial = RequestTrial(number, endpoint, claim, now_s + TRIAL_TIMEOUT_S)
-        self._set_trial(fingerprint, trial)
-        return _trial_verdict(fingerprint, trial)
-
-    def release_trial(
-        self, fingerprint: int, claim: int, now_s: float
-    ) -> RequestVerdict | None:
-        """End a trial that gave no result; returns the verdict to gossip.
-
-        Returns None if the trial has ended or belongs to another claim.
-        """
-        trial = self._trials.get(fingerprint)
-        if trial is None or trial.claim != claim or trial.until_s <= now_s:
-            return None
-        released = RequestTrial(trial.number, until_s=now_s)
-        self._set_trial(fingerprint, released)
-        return _trial_verdict(fingerprint, released)
-
-    def holds_trial(self, fingerprint: int, claim: int) -> bool:
-        """Return whether the trial still belongs to a claim."""
-        trial = self._trials.get(fingerprint)
-        return trial is not None and trial.claim == claim
+            self.trials.set(key, RequestTrial(number=MAX_TRIALS - 1))
 
     def suspect(self, fingerprint: int) -> None:
         """Refuse a request from now on, except for one trial at a time."""
-        if fingerprint not in self._trials and fingerprint not in self._quarantined:
-            self._set_trial(fingerprint, RequestTrial())
-
-    def _set_trial(self, fingerprint: int, trial: RequestTrial) -> None:
-        self._trials[fingerprint] = trial
-        while len(self._trials) > MAX_ENTRIES:
-            self._trials.popitem(last=False)
+        if fingerprint not in self._quarantined:
+            self.trials.add(fingerprint)
 
     def record_served(self, keys: Sequence[int], now_s: float) -> list[int]:
         """Record a served request; returns the keys that peers need an update on."""
@@ -264,7 +225,7 @@
         """Record that a request was served; returns whether peers need an update."""
         self._candidates.pop(fingerprint, None)
         self._tried_again.pop(fingerprint, None)
-        was_restricted = self._trials.pop(fingerprint, None) is not None
+        was_restricted = self.trials.discard(fingerprint)
         was_restricted = (
             self._quarantined.pop(fingerprint, None) is not None or was_restricted
         )
@@ -289,7 +250,11 @@
                 fingerprint, now_s + min(verdict.left_s, QUARANTINE_DURATION_S)
             )
             return True
-        return self._apply_trial(verdict, now_s)
+        if not self.trials.apply(verdict, now_s):
+            return False
+        if verdict.trials:
+            self._update_suspicion(fingerprint, now_s)
+        return True
 
     def _apply_cleared(self, verdict: RequestVerdict, now_s: float) -> bool:
         key = verdict.fingerprint
@@ -318,24 +283,10 @@
             return False
         return self._clearances.covers(key, float("-inf"))
 
-    def _apply_trial(self, verdict: RequestVerdict, now_s: float) -> bool:
-        local = self._trials.get(verdict.fingerprint)
-        if local is not None and _supersedes(local, verdict):
-            return False
-        if not verdict.trials:
-            self.suspect(verdict.fingerprint)
-            return True
-        is_released = not verdict.endpoint
-        until_s = now_s if is_released else now_s + TRIAL_TIMEOUT_S
-        trial = RequestTrial(verdict.trials, verdict.endpoint, verdict.claim, until_s)
-        self._set_trial(verdict.fingerprint, trial)
-        self._update_suspicion(verdict.fingerprint, now_s)
-        return True
-
     def is_cleared(self, fingerprint: int) -> bool:
         """Return whether a request is known to be cleared, and not suspected since."""
         return (
-            fingerprint not in self._trials
+            fingerprint not in self.trials
             and fingerprint not in self._quarantined
             and self._clearances.covers(fingerprint, float("-inf"))
         )
@@ -347,7 +298,7 @@
             RequestVerdict(each, QUARANTINED, left_s=until_s - now_s)
             for each, until_s in self._quarantined.items()
         ]
-        found += [_trial_verdict(each, trial) for each, trial in self._trials.items()]
+        found += self.trials.verdicts()
         return found + [
             RequestVerdict(each, CLEARED, left_s=until_s - now_s)
             for each, until_s in self._clearances.items()
@@ -368,19 +319,3 @@
     is_first = left_s <= SHARED_QUARANTINE_S
     duration_s = SHARED_QUARANTINE_S if is_first else QUARANTINE_DURATION_S
     return now_s + left_s - duration_s
-
-
-def _trial_verdict(fingerprint: int, trial: RequestTrial) -> RequestVerdict:
-    return RequestVerdict(
-        fingerprint, TRIED, trial.number, trial.endpoint, claim=trial.claim
-    )
-
-
-def _supersedes(local: RequestTrial, received: RequestVerdict) -> bool:
-    """Return whether a local trial takes precedence over a received one.
-
-    The higher trial number wins, and the lower claim if the numbers are equal.
-    """
-    return local.number > received.trials or (
-        local.number == received.trials and local.claim <= received.claim
-    )
--- a/acaciacove/gateway/http/front_connection.py
+++ b/acaciacove/gateway/http/front_connection.py
@@ -2,11 +2,9 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import h11
 
-from acaciacove.decisions.byte_account import ByteAccount
 from acaciacove.gateway.catalogue.caller_limits import CallerLimits
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.dialect import Dialect
@@ -16,10 +14,8 @@
     ConnectionLostError,
 )
 from acaciacove.gateway.http.held_bytes import HeldBytes
-from acaciacove.gateway.http.output_queue import OutputQueue
-from acaciacove.gateway.http.request_connection import RequestConnection
+from acaciacove.gateway.http.response_connection import ResponseConnection
 
-Headers = list[tuple[bytes, bytes]]
 Serve = Callable[[CallerRequest, "FrontConnection"], Awaitable[None]]
 
 # How long the connection stays open for a refused caller to read the refusal.
@@ -27,8 +23,8 @@
 LINGER_POLL_S = 0.05
 
 
-class FrontConnection(RequestConnection):
-    """Serves a caller's requests and writes the responses.
+class FrontConnection(ResponseConnection):
+    """Serves a caller's requests, one after the other.
 
     A task reads one request after another and passes each to ``serve``, which
     responds through this object. When the caller disconnects, the task is cancelled,
@@ -56,19 +52,14 @@
         returns whether the connection is taken; otherwise it is closed at once, with
         everything unread.
         """
-        super().__init__(dialect, limits, held or HeldBytes())
+        super().__init__(dialect, limits, held or HeldBytes(), is_draining)
         self._serve = serve
-        self._is_draining = is_draining
         self._connections = connections
         self._refuse_unread = refuse_unread or serve
         self._may_accept = may_accept
-        self._output: OutputQueue | None = None
-        self._room = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._discarding = False
         self.serving = False
-        self.response_started = False
-        self.request_id: str | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves this connection, or close it."""
@@ -78,7 +69,7 @@
             self._discarding = True
             self.abort()
             return
-        self._output = OutputQueue(self.transport, ByteAccount(self._held.budget))
+        self._open_output(self.transport)
         self.count_unread_in(self._held.budget)
         self._connections.add(self)
         self._held.add(self)
@@ -105,19 +96,6 @@
         if self._task is not None:
             self._task.cancel()
 
-    def _release_held(self) -> None:
-        self._held.discard(self)
-        self._body.clear()
-        if self._output is not None:
-            self._output.clear()
-        self._room.set()
-
-    def close(self) -> None:
-        """Close after everything that was sent has been written."""
-        if self._output is not None and not self.lost:
-            self._output.move_to_transport()
-        super().close()
-
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or served."""
         if not self.serving and self._first_byte_s is None:
@@ -211,124 +189,3 @@
         deadline_s = loop.time() + LINGER_TIMEOUT_S
         while not (self.lost or self._eof_seen) and loop.time() < deadline_s:
             await asyncio.sleep(LINGER_POLL_S)
-
-    #
-    # Response methods for ``serve``
-    #
-
-    def start_response(self, status: int, reason: bytes, headers: Headers) -> None:
-        """Send the head of the response."""
-        self.response_started = True
-        headers = list(headers)
-        if self._is_draining() or self._must_close:
-            headers.append((b"Connection", b"close"))
-        else:
-            idle_s = int(self._limits().idle_timeout_s)
-            headers.append((b"Keep-Alive", f"timeout={idle_s}".encode()))
-        self._send_to_caller(
-            h11.Response(status_code=status, headers=headers, reason=reason)
-        )
-
-    async def write(self, data: bytes) -> None:
-        """Send a chunk of the response body; wait until the answer may grow further.
-
-        Bytes that the caller does not read yet are kept in order.
-        """
-        assert self._output is not None
-        self._send_to_caller(h11.Data(data=data))
-        try:
-            while not self.lost and not self._output.may_grow():
-                self._held.wait(self)
-                await self._wait_for_room()
-        finally:
-            self._held.stop_waiting(self)
-        self._check_connected()
-
-    def finish_response(self) -> None:
-        """Send the end of the response; ``flush`` waits until all of it is written."""
-        self._send_to_caller(h11.EndOfMessage())
-
-    async def flush(self) -> None:
-        """Wait until the kernel has taken every byte of the response."""
-        while self.unread_bytes:
-            await self._wait_for_room()
-        self._check_connected()
-
-    async def _wait_for_room(self) -> None:
-        self._room.clear()
-        await self._room.wait()
-
-    def _check_connected(self) -> None:
-        assert self.transport is not None
-        if self.lost or self.transport.is_closing():
-            raise CallerDisconnectedError(
-                "the caller closed its connection before it had read the response"
-            )
-
-    def pause_writing(self) -> None:
-        """Keep further bytes until the kernel has taken the earlier ones."""
-        if self._output is not None:
-            self._output.pause()
-
-    def resume_writing(self) -> None:
-        """Write kept bytes, and wake the response's writer."""
-        if self._output is not None:
-            self._output.resume()
-        self._room.set()
-
-    def _write(self, data: bytes) -> None:
-        assert self._output is not None
-        self._output.push(data)
-
-    #
-    # What the budget of held bytes sees of the caller
-    #
-
-    @property
-    def unread_bytes(self) -> int:
-        """Bytes of responses that the caller has not read."""
-        if self._output is None or self.lost:
-            return 0
-        return self._output.unread_bytes
-
-    @property
-    def last_read_s(self) -> float:
-        """When the caller last read, on the event loop's clock."""
-        return 0.0 if self._output is None else self._output.last_read_s
-
-    @property
-    def is_denied(self) -> bool:
-        """Whether the budget forbids that the response grows."""
-        return (
-            self._output is not None
-            and not self.lost
-            and self._output.is_denied_by_budget()
-        )
-
-    def wake_writer(self) -> None:
-        """Have ``write`` check again whether the response may grow."""
-        self._room.set()
-
-    def cut(self) -> None:
-        """Disconnect the caller and release its bytes at once."""
-        self.abort_response()
-        self._release_held()
-
-    def abort_response(self) -> None:
-        """End the connection, so that the response does not look complete.
-
-        A caller of HTTP/1.0 gets a response without chunks. Only a reset shows it that
-        the response is cut off.
-        """
-        if self.response_started and self.h11.their_http_version == b"1.0":
-            self.reset()
-        else:
-            self.abort()
-
-    def _send_to_caller(self, event: Any) -> None:
-        try:
-            self.send(event)
-        except ConnectionLostError as error:
-            raise CallerDisconnectedError(
-                "the caller closed its connection before the response was complete"
-            ) from error
--- a/acaciacove/gateway/quarantine/request_guard.py
+++ b/acaciacove/gateway/quarantine/request_guard.py
@@ -120,10 +120,10 @@
             )
         claim = self.random.getrandbits(CLAIM_BITS)
         incarnation = incarnation_id(endpoint)
-        verdict = self.quarantine.claim_trial(fingerprint, incarnation, claim, now_s)
+        verdict = self.quarantine.trials.claim(fingerprint, incarnation, claim, now_s)
         self.broadcast_update(RequestNews((), (verdict,)))
         await asyncio.sleep(CLAIM_SETTLE_S)
-        if not self.quarantine.holds_trial(fingerprint, claim):
+        if not self.quarantine.trials.holds(fingerprint, claim):
             raise TrialTakenError(
                 f"lost the trial of request {format_fingerprint(fingerprint)} at "
                 f"endpoint {endpoint.instance} to another claim"
@@ -142,7 +142,7 @@
             claim = self._claims.pop(key, None)
             if claim is None:
                 continue
-            verdict = self.quarantine.release_trial(key, claim, now_s)
+            verdict = self.quarantine.trials.release(key, claim, now_s)
             if verdict is not None:
                 self.broadcast_update(RequestNews((), (verdict,)))
 
--- a/tests/test_decisions_quarantine.py
+++ b/tests/test_decisions_quarantine.py
@@ -13,10 +13,10 @@
     MAX_ENTRIES,
     MAX_TRIALS,
     QUARANTINE_DURATION_S,
-    TRIAL_TIMEOUT_S,
     RequestQuarantine,
 )
 from acaciacove.decisions.request_status import RequestStatus
+from acaciacove.decisions.request_trials import TRIAL_TIMEOUT_S
 from acaciacove.gateway.catalogue.endpoint import Endpoint
 from acaciacove.gateway.event_log import EventLog
 from acaciacove.gateway.peers.gossip_sender import GossipSender
@@ -53,14 +53,14 @@
     assert quarantine.status(BAD, 0.0) is RequestStatus.FREE
     quarantine_after_crashes(BAD, quarantine=quarantine)
     assert quarantine.status(BAD, 0.0) is RequestStatus.TRIAL
-    quarantine.claim_trial(BAD, 9, 1, 0.0)
+    quarantine.trials.claim(BAD, 9, 1, 0.0)
     assert quarantine.status(BAD, 0.0) is RequestStatus.WAITING
     assert quarantine.status(OTHER, 0.0) is RequestStatus.FREE
 
 
 def test_request_that_crashes_its_trial_endpoint_is_quarantined():
     quarantine = quarantine_after_crashes(BAD)
-    quarantine.claim_trial(BAD, 9, 1, 0.0)
+    quarantine.trials.claim(BAD, 9, 1, 0.0)
     quarantine.record_crash(8, (BAD,), 0.1)
     assert quarantine.status(BAD, 0.2) is RequestStatus.WAITING
     quarantine.record_crash(9, (BAD,), 0.1)
@@ -78,7 +78,7 @@
     """
     quarantine, now_s = quarantine_after_crashes(BAD), 0.0
     for number in range(MAX_TRIALS):
-        quarantine.claim_trial(BAD, number + 10, 1, now_s)
+        quarantine.trials.claim(BAD, number + 10, 1, now_s)
         now_s += TRIAL_TIMEOUT_S
     assert quarantine.status(BAD, now_s) is RequestStatus.QUARANTINED
 
@@ -317,11 +317,11 @@
 
 def test_lower_of_two_claims_wins_the_trial_in_either_order():
     one, other = quarantine_after_crashes(BAD), quarantine_after_crashes(BAD)
-    first = one.claim_trial(BAD, 11, 500, 0.0)
-    second = other.claim_trial(BAD, 12, 400, 0.0)
+    first = one.trials.claim(BAD, 11, 500, 0.0)
+    second = other.trials.claim(BAD, 12, 400, 0.0)
     assert one.apply(second, 0.001) and not other.apply(first, 0.001)
-    assert not one.holds_trial(BAD, 500) and other.holds_trial(BAD, 400)
+    assert not one.trials.holds(BAD, 500) and other.trials.holds(BAD, 400)
     third = quarantine_after_crashes(BAD)
     third.apply(first, 0.0)
     third.apply(second, 0.0)
-    assert third.holds_trial(BAD, 400)
+    assert third.trials.holds(BAD, 400)
--- a/tests/test_decisions_shared_keys.py
+++ b/tests/test_decisions_shared_keys.py
@@ -11,10 +11,10 @@
     PROOF_WAIT_S,
     QUARANTINE_DURATION_S,
     SHARED_QUARANTINE_S,
-    TRIAL_TIMEOUT_S,
     RequestQuarantine,
 )
 from acaciacove.decisions.request_status import RequestStatus
+from acaciacove.decisions.request_trials import TRIAL_TIMEOUT_S
 from acaciacove.messages.request_verdict import CLEARED, QUARANTINED, RequestVerdict
 
 BAD, FIRST, MIDDLE = (shared_crash_key(n) for n in (1, 2, 3))
@@ -106,7 +106,7 @@
     for key in (BAD, FIRST):
         quarantine.status(key, 0.0)
         quarantine.status(key, PROOF_WAIT_S)
-    quarantine.claim_trial(BAD, 9, 1, 2.0)
+    quarantine.trials.claim(BAD, 9, 1, 2.0)
     crash(quarantine, 9, BAD, at_s=2.1)
     assert quarantine.assess((60, BAD), 2.2).status is HELD
     assert quarantine.assess((61, FIRST), 2.2).status is FREE
@@ -117,7 +117,7 @@
     quarantine, now_s, sent = suspect_bad(), PROOF_WAIT_S, 0
     while now_s < QUARANTINE_DURATION_S:
         if quarantine.assess((70, BAD), now_s).status is TRIAL:
-            quarantine.claim_trial(BAD, 100 + sent, 1, now_s)
+            quarantine.trials.claim(BAD, 100 + sent, 1, now_s)
             crash(quarantine, 100 + sent, BAD, at_s=now_s)
             sent += 1
         now_s += 10.0
@@ -128,10 +128,10 @@
     """Guards against endless trials whose connections are cut."""
     quarantine, now_s = suspect_bad(), 2.0
     for number in range(MAX_TRIALS):
-        quarantine.claim_trial(BAD, 20 + number, 5, now_s)
+        quarantine.trials.claim(BAD, 20 + number, 5, now_s)
         assert quarantine.status(BAD, now_s + 0.1) is WAITING
-        assert quarantine.release_trial(BAD, 5, now_s + 0.2)
-        assert quarantine.release_trial(BAD, 5, now_s + 0.2) is None
+        assert quarantine.trials.release(BAD, 5, now_s + 0.2)
+        assert quarantine.trials.release(BAD, 5, now_s + 0.2) is None
         now_s += 0.3
     assert quarantine.status(BAD, now_s) is HELD
     assert quarantine.retry_after_s(BAD, now_s) == SHARED_QUARANTINE_S
@@ -140,9 +140,9 @@
 def test_released_trial_is_known_to_peers():
     """Guards against callers who wait for a trial that has ended without a result."""
     one, other = suspect_bad(), suspect_bad()
-    assert other.apply(one.claim_trial(BAD, 9, 5, 2.0), 2.01)
+    assert other.apply(one.trials.claim(BAD, 9, 5, 2.0), 2.01)
     assert other.status(BAD, 2.1) is WAITING
-    assert other.apply(one.release_trial(BAD, 5, 2.2), 2.21)
+    assert other.apply(one.trials.release(BAD, 5, 2.2), 2.21)
     assert other.status(BAD, 2.3) is TRIAL
     assert TRIAL_TIMEOUT_S > 1.0
 
@@ -173,7 +173,7 @@
 def test_older_clearance_does_not_end_a_quarantine():
     """Guards against a clearance that goes round and frees a part that turned bad."""
     quarantine = suspect_bad()
-    quarantine.claim_trial(BAD, 9, 1, 40.0)
+    quarantine.trials.claim(BAD, 9, 1, 40.0)
     crash(quarantine, 9, BAD, at_s=40.0)
     older = RequestVerdict(BAD, CLEARED, left_s=CLEARED_RETENTION_S - 10.0)
     newer = RequestVerdict(BAD, CLEARED, left_s=CLEARED_RETENTION_S - 1.0)
