--- a/acaciacove/gateway/gauges.py
+++ b/acaciacove/gateway/gauges.py
@@ -24,6 +24,9 @@
         ("operator_revision", "log offset of the newest decision"): {
             (): float(view.operator_revision)
         },
+        ("log_era", "era of the log; 0 if it states none"): {
+            (): float(gateway.era.current)
+        },
         ("catalogue_version", "version of the catalogue in force"): {
             (): float(catalogue.version if catalogue else -1)
         },
