After a return of the log: an entry that expired unseen is forgotten; turns begin anew

Gateways took no turns when they recorded a lost outcome again, as their turns were those of the first time. rollout_record_lost named outcomes that the copy still held.

--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -80,6 +80,8 @@
         listed = {record.key for record in records}
         for key in [k for k in self.view.endpoints if k not in listed]:
             self._remove(key)
+        for key in self._doubted.keys() - listed:
+            del self._doubted[key]
         for record in sorted(records, key=lambda r: r.offset):
             self.apply(record)
         self.view.endpoints_loaded = True
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -66,7 +66,7 @@
     failures = 0
     while True:
         if not followed.is_lost and followed.applied.era != era.current:
-            # Another call, or a peer, has seen that the log returned from a copy.
+            # A call for another stream has seen that the log returned from a copy.
             _lose_position(followed, log, f"the log is in era {era.current} now")
         try:
             reading = await _read_once(followed, metadata, era, clock_s, random)
--- a/acaciacove/gateway/outcome_recorder.py
+++ b/acaciacove/gateway/outcome_recorder.py
@@ -134,10 +134,13 @@
             self._is_lost = True
             return False
         end = LogPosition(page.era, page.next_offset)
-        if is_restoration(self._read, end):
+        is_restored = is_restoration(self._read, end)
+        if is_restored:
             self._begin_history()
         for record in page.records:
             self._apply(record)
+        if is_restored:
+            self._log_lost_outcomes()
         self._read, self._is_lost = end, False
         self._gateway.outcomes_read = end
         if page.records:
@@ -147,7 +150,11 @@
     def _begin_history(self) -> None:
         """Keep what is known until the log holds it again, or a later outcome."""
         self._offsets.clear()
+        # The gateways take turns anew.
+        self._due_s.clear()
         self._lost_outcomes = dict(self._gateway.view.outcomes)
+
+    def _log_lost_outcomes(self) -> None:
         for outcome in self._lost_outcomes.values():
             self._gateway.log.write(
                 Event.ROLLOUT_RECORD_LOST,
--- a/tests/test_gateway_log_restored.py
+++ b/tests/test_gateway_log_restored.py
@@ -176,6 +176,33 @@
     assert run_fleet(scenario, gateways=gateways) == []
 
 
+def test_an_entry_of_the_copy_that_expires_unseen_is_not_believed():
+    """Guards against requests to an endpoint that has left, whose entry expired in the
+    log between two snapshots of which the second does not show its removal.
+    """
+
+    async def scenario(fleet):
+        await fleet.add_endpoint(report("app-left", "app", 90, sequence=3))
+        await asyncio.sleep(1.0)
+        copy = fleet.store.copy()
+        fleet.store.append(ENDPOINTS, "app-left", b"")
+        await asyncio.sleep(SETTLED_S)
+        fleet.store.down = "reset"
+        await asyncio.sleep(1.0)
+        fleet.store.restore(copy)
+        fleet.store.down = None
+        await asyncio.sleep(1.0)
+        fleet.store.down = "reset"
+        await asyncio.sleep(0.5)
+        fleet.store.append(ENDPOINTS, "app-left", b"")
+        fleet.store.truncate_history(ENDPOINTS)
+        fleet.store.down = None
+        await asyncio.sleep(10.0)
+        return sorted(fleet.gateways["gateway-0"].gateway.view.endpoints)
+
+    assert "app-left" not in run_fleet(scenario)
+
+
 def test_an_endpoint_that_drains_does_not_count_as_ready_again():
     """Guards against requests to a draining endpoint whose entry in the copy is from
     before it drained.
