--- a/acaciacove/gateway/http/check_head.py
+++ b/acaciacove/gateway/http/check_head.py
@@ -4,10 +4,12 @@
 
 from acaciacove.gateway.catalogue.caller_limits import CallerLimits
 from acaciacove.gateway.http.errors import BadRequestError
-from acaciacove.gateway.http.read_body import BODY_TOO_LARGE_STATUS
+from acaciacove.gateway.http.read_body import (
+    BAD_REQUEST_STATUS,
+    BODY_TOO_LARGE_STATUS,
+)
 
 HEADER_TOO_LARGE_STATUS = 431
-BAD_REQUEST_STATUS = 400
 # Bytes of a header line in addition to name and value: ": " and CRLF.
 LINE_OVERHEAD_BYTES = 4
 
--- a/acaciacove/gateway/http/endpoint_connection.py
+++ b/acaciacove/gateway/http/endpoint_connection.py
@@ -16,15 +16,12 @@
     ConnectRefusedError,
     InvalidResponseError,
 )
+from acaciacove.gateway.http.read_body import MAX_SHORT_PIECES, MIN_PIECE_BYTES
 
 MAX_RESPONSE_HEADER_BYTES = 65_536
 # Responses with the status 1xx before the final one. Their number is not limited by
 # the protocol.
 MAX_INFORMATIONAL_RESPONSES = 16
-# Pieces of a body shorter than the shortest event, of which a response may have so
-# many. Each costs as much processor time as a piece of any size.
-MIN_PIECE_BYTES = 4
-MAX_SHORT_PIECES = 4_096
 # A response to an earlier request is skipped if it is no longer than this.
 MAX_SKIPPED_BYTES = 65_536
 SKIP_TIMEOUT_S = 0.5
--- a/acaciacove/gateway/http/read_body.py
+++ b/acaciacove/gateway/http/read_body.py
@@ -15,9 +15,14 @@
 
 REQUEST_TIMEOUT_STATUS = 408
 BODY_TOO_LARGE_STATUS = 413
+BAD_REQUEST_STATUS = 400
 # A body must arrive at this average rate at least. A caller with 0.13 Mbit/s finishes
 # the usual limit of 4,194,304 bytes, in 256 s.
 MIN_BODY_BYTES_PER_S = 16_384
+# Pieces of a chunked body shorter than this cost as much processor time as any other.
+# At the usual limit, a body of them alone would take some minutes of it.
+MIN_PIECE_BYTES = 4
+MAX_SHORT_PIECES = 4_096
 
 
 async def read_body(
@@ -35,6 +40,7 @@
     began_s = loop.time()
     chunks: list[bytes] = []
     size_bytes = 0
+    short_pieces = 0
     while True:
         allowed_s = limits.header_timeout_s + size_bytes / MIN_BODY_BYTES_PER_S
         until_s = min(began_s + allowed_s, loop.time() + limits.header_timeout_s)
@@ -51,6 +57,9 @@
                 " request body"
             )
         size_bytes += len(event.data)
+        short_pieces += len(event.data) < MIN_PIECE_BYTES
+        if short_pieces > MAX_SHORT_PIECES:
+            raise BadRequestError(BAD_REQUEST_STATUS, "too many short chunks")
         if size_bytes > limits.max_body_bytes:
             raise BadRequestError(BODY_TOO_LARGE_STATUS, "body too large")
         if not reserve(len(event.data)):
--- a/acaciacove/gateway/http/request_connection.py
+++ b/acaciacove/gateway/http/request_connection.py
@@ -10,7 +10,6 @@
 from acaciacove.gateway.catalogue.caller_limits import CallerLimits
 from acaciacove.gateway.http.caller_request import CallerRequest
 from acaciacove.gateway.http.check_head import (
-    BAD_REQUEST_STATUS,
     refuse_ambiguous_framing,
     refuse_too_large,
 )
@@ -18,7 +17,11 @@
 from acaciacove.gateway.http.dialect import Dialect
 from acaciacove.gateway.http.errors import BadRequestError, BodyOverBudgetError
 from acaciacove.gateway.http.held_bytes import HeldBytes
-from acaciacove.gateway.http.read_body import REQUEST_TIMEOUT_STATUS, read_body
+from acaciacove.gateway.http.read_body import (
+    BAD_REQUEST_STATUS,
+    REQUEST_TIMEOUT_STATUS,
+    read_body,
+)
 
 
 class RequestConnection(HttpConnection):
