--- a/tests/test_gateway_log_restored.py
+++ b/tests/test_gateway_log_restored.py
@@ -71,6 +71,14 @@
     assert seen == [{20}, {21}, {22}]
 
 
+async def return_unwritten(fleet, copy):
+    """Return the log from a copy, with nothing written again yet."""
+    fleet.store.down = "reset"
+    await asyncio.sleep(1.0)
+    fleet.store.restore(copy)
+    fleet.store.down = None
+
+
 @pytest.mark.parametrize("gateways", [1, 4])
 @pytest.mark.parametrize("changes", range(1, 2 * LOST_CHANGES))
 def test_an_old_position_that_is_valid_again_is_not_read_on_from(changes, gateways):
@@ -112,10 +120,7 @@
         fleet.take_zone_out("c")
         await publish(fleet, [3, 4, 5])
         newest = fleet.store.copy().newest[OPERATOR]
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         before = set()
         for _ in range(15):
             await asyncio.sleep(0.1)
@@ -163,10 +168,7 @@
         copy = fleet.store.copy()
         fleet.store.append(ENDPOINTS, "app-left", b"")
         await asyncio.sleep(SETTLED_S)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         arrivals = len(fleet.arrivals)
         for number in range(60):
             await call("/look/1", f"{number:x}")
@@ -187,10 +189,7 @@
         copy = fleet.store.copy()
         fleet.store.append(ENDPOINTS, "app-left", b"")
         await asyncio.sleep(SETTLED_S)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         await asyncio.sleep(1.0)
         fleet.store.down = "reset"
         await asyncio.sleep(0.5)
@@ -212,10 +211,7 @@
         copy = fleet.store.copy()
         fleet.announce_draining("app-0")
         await asyncio.sleep(1.0)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         arrivals = len(fleet.arrivals)
         for number in range(40):
             await call("/look/1", f"{number:x}")
@@ -234,10 +230,7 @@
         copy = fleet.store.copy()
         await fleet.add_endpoint(report("app-new", "app", 90))
         await asyncio.sleep(1.0)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         statuses = set()
         for number in range(15):
             statuses.add((await call("/look/1", f"{number:x}")).status)
@@ -263,10 +256,7 @@
             report("app-0", "app", 10, incarnation="2", cold_remaining_s=20.0)
         )
         await asyncio.sleep(1.0)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         await asyncio.sleep(1.0)
         found = fleet.gateways["gateway-0"].gateway.view.endpoints["app-0"]
         return found.incarnation, found.cold_until_s - asyncio.get_running_loop().time()
@@ -332,10 +322,7 @@
         before = gateway.rollouts["app"]
         sent = before.sent_all
         newest = fleet.store.copy().newest[OPERATOR]
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         await asyncio.sleep(0.5)
         key = names.ROLLOUT_KEY + "app"
         fleet.store.append(OPERATOR, key, newest[key][1])
@@ -354,10 +341,7 @@
         copy = fleet.store.copy()
         fleet.roll_out(RolloutSpec("app", "v3", 60.0))
         await asyncio.sleep(0.5)
-        fleet.store.down = "reset"
-        await asyncio.sleep(1.0)
-        fleet.store.restore(copy)
-        fleet.store.down = None
+        await return_unwritten(fleet, copy)
         seen = set()
         for _ in range(15):
             await asyncio.sleep(0.1)
