Review case 8: a replica that has left gets work after a cut of the store

Broken: DRAIN. A gateway is cut off from a stable store while a replica's entry is removed. It keeps the replica until 2.2 s after the first read that succeeds, which comes up to 1.3 s after the end of the cut, and so past contactTimeoutMs.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d target/deps/acaciacove ] && [ -d target/review-2 ] || exit 2
+PYTHONPATH=target/review-2 exec python3 -P review/8/case.py
--- a/review/standins-2/review2_replica.py
+++ b/review/standins-2/review2_replica.py
@@ -89,10 +89,14 @@
         self.state = "draining"
         self.store.put(SERVERS, self.name, self.entry())
 
-    def exit(self) -> None:
-        """End the process of the replica: its entry goes, its channels are closed."""
+    def stop_pinging(self) -> None:
+        """Write no more pings."""
         if self._pings is not None:
             self._pings.cancel()
+
+    def exit(self) -> None:
+        """End the process of the replica: its entry goes, its channels are closed."""
+        self.stop_pinging()
         if self._server is not None:
             self._server.close()
         for writer in self._open:
--- a/review/standins-2/review2_store.py
+++ b/review/standins-2/review2_store.py
@@ -15,6 +15,9 @@
 OPERATOR = "keyed.op"
 SERVERS = "keyed.servers"
 PAGE_ITEMS = 500
+FIRST_RETRANSMISSION_S = 0.2
+# How long a gateway waits for a connection to the store.
+CONNECT_TIMEOUT_S = 0.8
 
 
 class Store:
@@ -23,6 +26,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.is_cut = False
         self._grown = asyncio.Event()
         self._server: asyncio.Server | None = None
 
@@ -56,9 +60,17 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self.is_cut:
+            # A connection can't be made during a cut, but the kernel makes it here. It
+            # is ended when the gateway would have given up.
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            writer.transport.abort()
+            return
         try:
             while (request := await read_message(reader)) is not None:
-                writer.write(await self._answer(request))
+                answer = await self._answer(request)
+                await self._pass_cut()
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             # Cancelled at the end of the case.
@@ -66,7 +78,15 @@
         finally:
             writer.close()
 
+    async def _pass_cut(self) -> None:
+        """Hold a message back that a cut keeps off, until TCP sends it again."""
+        pause_s = FIRST_RETRANSMISSION_S
+        while self.is_cut:
+            await asyncio.sleep(pause_s)
+            pause_s *= 2
+
     async def _answer(self, request: Message) -> bytes:
+        await self._pass_cut()
         target = urlsplit(request.first_line.split(" ")[1])
         query = {name: values[-1] for name, values in parse_qs(target.query).items()}
         topic = query.get("topic", "")
--- a/review/standins-2/review2_world.py
+++ b/review/standins-2/review2_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import signal
 import sys
 import tempfile
 import traceback
@@ -333,6 +334,10 @@
     play: Callable[[World, bool], Awaitable[tuple[bool, str]]],
     has_trouble: bool,
 ) -> tuple[bool, str]:
+    task = asyncio.current_task()
+    assert task is not None
+    # Whoever stops the script must not leave its processes behind.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     with tempfile.TemporaryDirectory() as folder:
         world = World(Path(folder))
         try:
