Have each case read TROUBLE itself, and stop with 2 where nothing was tested

A script that was cancelled, or in which no request was served, ended with 1 or 0. The cut of case 8 is 5.4 s, so that a late timer doesn't take it over the 5.5 s of the site file.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,5 +1,7 @@
 """An entry whose ``born`` is text must not end the gateways."""
 
+import os
+
 from review2_store import SERVERS
 from review2_world import SERVICE, World, run_case
 
@@ -49,4 +51,5 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    # With TROUBLE=0 the same is played without the disruption.
+    run_case(__file__, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A replica that leaves while a gateway is cut off from the store gets no more work."""
 
 import asyncio
+import os
 from dataclasses import dataclass
 
 from review2_replica import Replica
@@ -12,7 +13,8 @@
 KINDS = ("idempotent", "non_idempotent")
 PER_S = 40.0
 CALM_S = 2.0
-CUT_S = 5.5
+# Below the 5.5 s of the site file, also where a timer is late.
+CUT_S = 5.4
 # When the replica's entry is removed, from the beginning of the cut. It serves on until
 # ``AFTER_S`` after the cut.
 LEAVES_S = 3.5
@@ -87,4 +89,5 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    # With TROUBLE=0 the same is played without the disruption.
+    run_case(__file__, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins-2/review2_world.py
+++ b/review/standins-2/review2_world.py
@@ -308,20 +308,21 @@
 def _exit_2_on_error() -> Iterator[None]:
     try:
         yield
-    except Exception:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt):
         traceback.print_exc()
         sys.exit(NOT_RUN)
 
 
 def run_case(
-    path: str, play: Callable[[World, bool], Awaitable[tuple[bool, str]]]
+    path: str,
+    play: Callable[[World, bool], Awaitable[tuple[bool, str]]],
+    has_trouble: bool,
 ) -> None:
     """Play a case and exit with its status.
 
     ``play`` gets the world and whether there is trouble, and returns whether the rule
     held, and a line on what was seen. The record is written beside ``path``.
     """
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with _exit_2_on_error():
         held, seen = asyncio.run(_play(path, play, has_trouble))
     verdict = f"trouble={int(has_trouble)} held={int(held)}: {seen}"
@@ -344,6 +345,8 @@
             held, seen = await play(world, has_trouble)
         finally:
             await world.close()
+        if not any(call.result == 200 for call in world.calls):
+            raise RuntimeError("no request was served at all, so nothing was tested")
         verdict = f"trouble={int(has_trouble)} held={int(held)}: {seen}"
         world.write_record(Path(path).with_name("record.txt"), verdict)
         if os.environ.get("KEEP_LOGS"):
