Records: each field of another writer's record is checked where it is read

The traceback names EndpointReport.started_ms: the decoder passed any born on as text, and a property converted it later, in the task that follows the log. Ruled out: an error that the decoder itself does not catch, and the size of the record.

The class is a value that passes a decoder and raises where it is used. One module reads fields with type, range and length; the decoders of entries, roll-outs, outcomes and members use it, and started_ms is a number from there on. Related: a peer's port of 5,000 digits (ValueError in the datagram callback), a member's port out of range (OverflowError in the task that sends reports), a stated rate of 1e308 of a response or a peer (OverflowError in each later request to that endpoint), token counts of hundreds of digits.

--- a/acaciacove/gateway/choice/stated_limit.py
+++ b/acaciacove/gateway/choice/stated_limit.py
@@ -14,6 +14,9 @@
 LIMIT_EXPIRY_S = 30.0
 # A smaller relative change of the rate does not count as a change.
 MIN_CHANGE_SHARE = 0.2
+# A higher rate is a fault, and limits nothing. The number of requests in a window is a
+# whole number, which an infinite product cannot be converted to.
+MAX_RATE_PER_S = 1e9
 # Keeps rounding errors of the product from costing a request.
 ROUNDING = 1e-6
 
--- a/acaciacove/gateway/endpoint_report.py
+++ b/acaciacove/gateway/endpoint_report.py
@@ -7,11 +7,12 @@
 class EndpointReport:
     """What an endpoint reports about itself; times are relative to its arrival.
 
-    ``sequence`` is the endpoint's own count of reports since its start, 0 if unstated.
+    ``started_ms`` is the endpoint's start in Unix milliseconds. ``sequence`` is its own
+    count of reports since then. Both are 0 if unstated.
     """
 
     instance: str
-    incarnation: str
+    started_ms: int
     service: str
     host: str
     port: int
@@ -23,7 +24,6 @@
     sequence: int = 0
 
     @property
-    def started_ms(self) -> int:
-        """The start of the endpoint in Unix milliseconds, 0 if it is not stated so."""
-        is_number = self.incarnation.isascii() and self.incarnation.isdigit()
-        return int(self.incarnation) if is_number else 0
+    def incarnation(self) -> str:
+        """The identity of this run of the endpoint, empty if its start is unstated."""
+        return str(self.started_ms) if self.started_ms else ""
--- a/acaciacove/gateway/peers/limit_gossip.py
+++ b/acaciacove/gateway/peers/limit_gossip.py
@@ -11,7 +11,7 @@
 
 from attrs import define
 
-from acaciacove.gateway.choice.stated_limit import LIMIT_EXPIRY_S
+from acaciacove.gateway.choice.stated_limit import LIMIT_EXPIRY_S, MAX_RATE_PER_S
 from acaciacove.gateway.endpoint_state import EndpointState
 from acaciacove.gateway.endpoint_states import EndpointStates, incarnation_id
 from acaciacove.gateway.event_log import EventLog
@@ -87,4 +87,4 @@
 
 def _is_valid(seen: LimitSeen) -> bool:
     per_s = 0.0 if seen.per_s is None else seen.per_s
-    return per_s >= 0 and math.isfinite(per_s) and 0 <= seen.age_s < math.inf
+    return 0 <= per_s <= MAX_RATE_PER_S and 0 <= seen.age_s < math.inf
--- a/acaciacove/gateway/peers/member_record.py
+++ b/acaciacove/gateway/peers/member_record.py
@@ -3,6 +3,12 @@
 import orjson
 from attrs import frozen
 
+from acaciacove.checked_fields import (
+    MAX_PORT,
+    check_name,
+    read_ip,
+    read_whole_number,
+)
 from acaciacove.errors import MalformedMessageError
 
 
@@ -31,14 +37,15 @@
     """Decode a member record; raises MalformedMessageError."""
     try:
         document = orjson.loads(value)
+        # Gateways of an earlier release write no zone. If their records were rejected,
+        # they would not be counted when the shared limits are split while a fleet is
+        # upgraded.
+        zone = document.get("availability_zone", "")
         return MemberRecord(
-            instance=key,
-            host=str(document["host"]),
-            port=int(document["port"]),
-            # Gateways of an earlier release write no zone. If their records were
-            # rejected, they would not be counted when the shared limits are split
-            # while a fleet is upgraded.
-            availability_zone=str(document.get("availability_zone", "")),
+            instance=check_name(key, "key"),
+            host=read_ip(document, "host"),
+            port=read_whole_number(document, "port", 1, MAX_PORT),
+            availability_zone=check_name(zone, "availability_zone") if zone else "",
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise MalformedMessageError(
--- a/acaciacove/platform/header_fields.py
+++ b/acaciacove/platform/header_fields.py
@@ -3,6 +3,7 @@
 import math
 
 from acaciacove.gateway.choice.prompt import Prompt
+from acaciacove.gateway.choice.stated_limit import MAX_RATE_PER_S
 from acaciacove.gateway.http.caller_hints import CallerHints
 from acaciacove.gateway.http.dialect import Dialect, RawHeaders
 from acaciacove.gateway.http.forward_hints import ForwardHints
@@ -94,7 +95,7 @@
         idle_timeout_s=_idle_timeout_s(fields.get(names.KEEP_ALIVE)),
         encoded=names.CONTENT_ENCODING in fields,
         misdirected=status == MISDIRECTED_REQUEST,
-        rate_limit_per_s=_rate(fields.get(names.RATE_LIMIT)),
+        rate_limit_per_s=_rate(fields.get(names.RATE_LIMIT), unreadable),
         leaving=_leaving(fields.get(names.LEAVING), unreadable),
         rest_s=_rest_s(status, fields.get(names.RETRY_AFTER), unreadable),
         unreadable=tuple(unreadable),
@@ -136,9 +137,15 @@
     return value if value is not None and math.isfinite(value) else None
 
 
-def _rate(text: str | None) -> float | None:
+def _rate(text: str | None, unreadable: list[str]) -> float | None:
+    """Return the stated rate; adds to ``unreadable`` what is none."""
     value = _number(text)
-    return value if value is not None and value >= 0 else None
+    if value is not None and 0 <= value <= MAX_RATE_PER_S:
+        return value
+    if text is not None:
+        expected = f"0 to {MAX_RATE_PER_S:.0f} requests/s"
+        unreadable.append(_describe(names.RATE_LIMIT, expected, text))
+    return None
 
 
 def _leaving(text: str | None, unreadable: list[str]) -> bool:
@@ -173,10 +180,10 @@
 def _prompt(parts_text: str | None, tokens_text: str | None) -> Prompt | None:
     try:
         input_tokens, max_output = (
-            int(word) for word in (tokens_text or "0,0").split(",")[:2]
+            _token_count(word) for word in (tokens_text or "0,0").split(",")[:2]
         )
         parts = tuple(
-            (part.split(":")[0].strip(), int(part.split(":")[1]))
+            (part.split(":")[0].strip(), _token_count(part.split(":")[1]))
             for part in (parts_text or "").split(",")
             if part.strip()
         )
@@ -187,6 +194,13 @@
     return Prompt(parts=parts, input_tokens=input_tokens, max_output_tokens=max_output)
 
 
+def _token_count(word: str) -> int:
+    count = _count(word)
+    if count is None:
+        raise ValueError(f"expected a count of tokens, got {len(word)} characters")
+    return count
+
+
 def _load(text: str | None, unreadable: list[str]) -> LoadReport | None:
     """Return the reported load; adds to ``unreadable`` any other value.
 
--- a/acaciacove/platform/record_writer.py
+++ b/acaciacove/platform/record_writer.py
@@ -102,7 +102,7 @@
             "slots": report.slots,
             "state": "draining" if report.draining else "ready",
             "coldRemainingMs": report.cold_remaining_s * MS,
-            "born": report.incarnation,
+            "born": report.started_ms,
             "sequence": report.sequence,
         }
     )
--- a/acaciacove/platform/records.py
+++ b/acaciacove/platform/records.py
@@ -1,11 +1,17 @@
 """Decodes records of the platform's log into the gateway's types."""
 
-import math
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import orjson
 
+from acaciacove.checked_fields import (
+    check_name,
+    read_address,
+    read_name,
+    read_number,
+    read_whole_number,
+)
 from acaciacove.errors import MalformedMessageError
 from acaciacove.gateway.catalogue.caller_limits import CallerLimits
 from acaciacove.gateway.catalogue.catalogue import Catalogue
@@ -39,6 +45,12 @@
 }
 STATE_NAMES = {state: name for name, state in STATES.items()}
 IS_DRAINING = {"ready": False, "draining": True}
+# An endpoint that has just become warm may report a time that is over.
+LOWEST_COLD_MS = -1_000.0
+MAX_SLOTS = 1_000_000
+# What reading a field of the wrong type or range raises. OverflowError is the one of a
+# number that the target type does not hold.
+DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 # Defaults for routes without these fields; operators' catalogues always have them.
 DEFAULT_TIMEOUT_MS = 30_000.0
 DEFAULT_TARGET_MS = 1_000.0
@@ -75,7 +87,7 @@
     try:
         document = orjson.loads(record.value or b"")
         return read(document, record)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise MalformedMessageError(
             f"malformed record {record.key!r} at offset {record.offset}: {error!r}"
         ) from error
@@ -168,9 +180,9 @@
 
 def _rollout(document: dict[str, Any], record: LogRecord) -> RolloutSpec:
     return RolloutSpec(
-        service=document["service"],
-        target=document["target"],
-        duration_s=float(document["durationS"]),
+        service=read_name(document, "service"),
+        target=read_name(document, "target"),
+        duration_s=read_number(document, "durationS", 0.0),
     )
 
 
@@ -180,48 +192,24 @@
 
 
 def _endpoint(document: dict[str, Any], record: LogRecord) -> EndpointReport:
-    host, _, port = _text(document, "address").rpartition(":")
-    cold_ms = document.get("coldRemainingMs", 0)
-    if not isinstance(cold_ms, int | float) or not math.isfinite(cold_ms):
-        raise ValueError(f"coldRemainingMs must be a finite number, got {cold_ms!r}")
-    slots = document.get("slots", 0)
-    if not isinstance(slots, int):
-        raise ValueError(f"slots must be an integer, got {slots!r}")
-    if not host or not record.key:
-        raise ValueError(
-            f"record key and host must not be empty, got {record.key!r} and {host!r}"
-        )
+    host, port = read_address(document, "address")
+    cold_ms = read_number(document, "coldRemainingMs", LOWEST_COLD_MS, default=0)
     return EndpointReport(
-        instance=record.key,
-        # Start time of the endpoint in Unix milliseconds. The platform provides no
-        # other identifier of an incarnation.
-        incarnation=str(document.get("born", "")),
-        service=_text(document, "service"),
+        instance=check_name(record.key, "key"),
+        # The platform provides no other identifier of an incarnation.
+        started_ms=read_whole_number(document, "born", default=0),
+        service=read_name(document, "service"),
         host=host,
-        port=int(port),
-        availability_zone=_text(document, "zone"),
-        version=_text(document, "version"),
-        slots=slots,
-        draining=IS_DRAINING[_text(document, "state")],
+        port=port,
+        availability_zone=read_name(document, "zone"),
+        version=read_name(document, "version"),
+        slots=read_whole_number(document, "slots", highest=MAX_SLOTS, default=0),
+        draining=IS_DRAINING[read_name(document, "state")],
         cold_remaining_s=max(0.0, cold_ms / MS),
-        sequence=_sequence(document),
+        sequence=read_whole_number(document, "sequence", default=0),
     )
 
 
-def _sequence(document: dict[str, Any]) -> int:
-    value = document.get("sequence", 0)
-    if not isinstance(value, int):
-        raise ValueError(f"sequence must be an integer, got {value!r}")
-    return value
-
-
-def _text(document: dict[str, Any], name: str) -> str:
-    value = document[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name} must be a non-empty string, got {value!r}")
-    return value
-
-
 def read_outcome(record: LogRecord) -> RolloutStatus | None:
     """Decode the recorded outcome of a roll-out; None if there is none."""
     service = removed_rollout(record.key)
@@ -233,7 +221,7 @@
 def _outcome(document: dict[str, Any], record: LogRecord) -> RolloutStatus:
     return RolloutStatus(
         service=record.key[len(names.ROLLOUT_KEY) :],
-        target=document["target"],
+        target=read_name(document, "target"),
         state=STATES[document["state"]],
         revision=record.offset,
     )
--- a/acaciacove/settings/gateway_settings.py
+++ b/acaciacove/settings/gateway_settings.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from acaciacove.checked_fields import MAX_PORT_DIGITS, MAX_QUOTED_CHARS
 from acaciacove.settings.checked_settings import CheckedSettings
 from acaciacove.settings.checks import (
     at_least,
@@ -17,8 +18,10 @@
 def is_ip_and_port(value: str) -> str | None:
     """Accept an IP address and a port, written IP:PORT."""
     host, _, port = value.rpartition(":")
-    if not (port.isascii() and port.isdigit()):
-        return f"must be written IP:PORT, not {value!r}"
+    # A longer one may have more digits than a whole number is converted from.
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number:
+        return f"must be written IP:PORT, not {value[:MAX_QUOTED_CHARS]!r}"
     return is_ip_address(host) or is_port(int(port))
 
 
--- a/acaciacove/soak/soak_environment.py
+++ b/acaciacove/soak/soak_environment.py
@@ -124,7 +124,7 @@
         self._endpoints_started += 1
         report = EndpointReport(
             instance=f"i-{number}",
-            incarnation="1",
+            started_ms=1,
             service=service,
             host=self.addresses.advertised_endpoint(number),
             port=ENDPOINT_PORT,
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -82,7 +82,7 @@
     """Return a heartbeat of an endpoint with its own address."""
     values = {
         "instance": instance,
-        "incarnation": "1",
+        "started_ms": 1,
         "service": service,
         "host": f"10.0.2.{number}",
         "port": ENDPOINT_PORT,
--- a/tests/test_gateway_endpoint_notices.py
+++ b/tests/test_gateway_endpoint_notices.py
@@ -100,7 +100,7 @@
         await call("/look/1", "r-1")
         assert (await call("/look/1", "r-2")).status == 503
         server.behaviour.leaving = None
-        server.report = evolve(server.report, incarnation="2")
+        server.report = evolve(server.report, started_ms=2)
         fleet.register(server.report)
         await asyncio.sleep(1.0)
         assert (await call("/look/1", "r-3")).status == 200
--- a/tests/test_gateway_log_restored.py
+++ b/tests/test_gateway_log_restored.py
@@ -252,9 +252,7 @@
 
     async def scenario(fleet):
         copy = fleet.store.copy()
-        fleet.register(
-            report("app-0", "app", 10, incarnation="2", cold_remaining_s=20.0)
-        )
+        fleet.register(report("app-0", "app", 10, started_ms=2, cold_remaining_s=20.0))
         await asyncio.sleep(1.0)
         await return_unwritten(fleet, copy)
         await asyncio.sleep(1.0)
--- a/tests/test_gateway_routing_view.py
+++ b/tests/test_gateway_routing_view.py
@@ -299,7 +299,7 @@
 
     async def scenario(fleet):
         server = fleet.endpoints["model-0"]
-        restarted = evolve(server.report, incarnation="2", cold_remaining_s=3.0)
+        restarted = evolve(server.report, started_ms=2, cold_remaining_s=3.0)
         fleet.register(restarted)
         await asyncio.sleep(0.5)
         fleet.store.append(ENDPOINTS, "model-1", b"")
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -105,7 +105,7 @@
 
 REPORT = EndpointReport(
     instance="i-1",
-    incarnation="17",
+    started_ms=17,
     service="s",
     host="10.0.0.1",
     port=80,
