Log: a silent read is repeated, so that a return is noticed at once

An entry that is missing after failed calls is retained until 2.2 s after the log's return, which was dated by the first call that succeeds. Calls were made one at a time: one begun in the cut hung for 0.8 s and a pause of 0.5 s followed. Ruled out: a shorter retention, since live endpoints may register 2 s after the return.

A call that reads and is silent for 0.5 s beyond its wait is repeated on another connection, then every 0.3 s; appends never are, nor is anything whose bytes arrive. The page says when its call was made, also after other gateways were asked in vain, which dated the return up to 0.8 s early. The pause after a failed call counts from its start, and while entries are retained the pause between reads ends with their time.

--- a/acaciacove/decisions/entry_retention.py
+++ b/acaciacove/decisions/entry_retention.py
@@ -68,6 +68,14 @@
         """Return whether no removed entry is retained."""
         return not self._retained
 
+    @property
+    def next_read_s(self) -> float:
+        """When a read can first show that a retained entry is not back."""
+        return min(
+            (e.expires_at_s for e in self._retained.values() if e.expires_on_read),
+            default=float("inf"),
+        )
+
     def is_retained(self, instance: str) -> bool:
         """Return whether an entry was removed and may still be registered again."""
         return instance in self._retained
--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -54,6 +54,11 @@
         """Return whether removed entries are retained until a later read."""
         return not self._retention.is_empty
 
+    @property
+    def next_expiry_in_s(self) -> float:
+        """The time until a read can show that a retained entry is not back."""
+        return max(0.0, self._retention.next_read_s - self.view.clock_s())
+
     def apply_reading(self, reading: LogReading) -> None:
         """Apply the result of one read of the stream."""
         recovered_s = reading.recovered_boot_s(self.gateway.settings.heartbeat_s)
@@ -74,6 +79,7 @@
                 self.apply(record)
         self._retention.end_read(reading.complete_boot_s)
         self.view.confirm_endpoints(reading.complete_boot_s)
+        self.expire()
 
     def apply_snapshot(self, records: tuple[LogRecord, ...]) -> None:
         """Apply the newest record of each key; keys without a record were removed."""
--- a/acaciacove/gateway/follow_log.py
+++ b/acaciacove/gateway/follow_log.py
@@ -68,6 +68,7 @@
         if not followed.is_lost and followed.applied.era != era.current:
             # A call for another stream has seen that the log returned from a copy.
             _lose_position(followed, log, f"the log is in era {era.current} now")
+        began_s = clock_s()
         try:
             reading = await _read_once(followed, metadata, era, clock_s, random)
         except (OffsetExpiredError, LogRestoredError) as error:
@@ -92,9 +93,10 @@
                     detail=str(error),
                 )
             doublings = min(failures, MAX_BACKOFF_DOUBLINGS)
-            await asyncio.sleep(
-                min(followed.retry_s(), INITIAL_BACKOFF_S * 2**doublings)
-            )
+            delay_s = min(followed.retry_s(), INITIAL_BACKOFF_S * 2**doublings)
+            # Counted from the start of a silent call: a pause after its end would hide
+            # the return of the log for as long.
+            await asyncio.sleep(max(0.0, began_s + delay_s - clock_s()))
             continue
         if reading is None:
             log.write(
@@ -141,7 +143,7 @@
     been superseded, and confirms nothing. Raises LogRestoredError if the page is of
     another history than the position: records before it are missing.
     """
-    requested_boot_s = clock_s()
+    began_boot_s = clock_s()
     is_snapshot = followed.is_lost
     wait_s = 0.0 if is_snapshot else _wait_s(followed)
     try:
@@ -154,12 +156,16 @@
                 f"got a page of era {page.era} of the log after one of {era.current}"
             )
     except PlatformUnavailableError:
-        _record_failure(followed, requested_boot_s + wait_s, clock_s())
+        _record_failure(followed, began_boot_s + wait_s, clock_s())
         raise
     if not is_snapshot and page.era != followed.applied.era:
         raise LogRestoredError(followed.applied.era, page.era)
     if page.is_partial:
         return None
+    if page.is_repeated:
+        _record_failure(followed, began_boot_s + wait_s, clock_s())
+        wait_s = 0.0
+    requested_boot_s = began_boot_s + page.asked_after_s
     end = LogPosition(page.era, page.next_offset)
     reading = LogReading(
         page=page,
--- a/acaciacove/gateway/log_page.py
+++ b/acaciacove/gateway/log_page.py
@@ -15,6 +15,11 @@
     when, counted the same way, the log recovered from the last outage known to the
     other gateway. ``is_partial`` is set if the log held more records from
     ``next_offset`` on than fit into the page. Offsets are those of the log's ``era``.
+
+    A page of the log itself answers a call that was made ``asked_after_s`` after the
+    read began: other gateways may have been asked before, or calls got no answer. One
+    that ``is_repeated`` answers a call that the log does not hold, while an earlier one
+    was silent.
     """
 
     records: tuple[LogRecord, ...]
@@ -23,6 +28,8 @@
     recovered_after_s: float | None = None
     is_partial: bool = False
     era: int = 0
+    asked_after_s: float = 0.0
+    is_repeated: bool = False
 
     @property
     def is_relayed(self) -> bool:
--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from acaciacove.errors import PlatformUnavailableError
 from acaciacove.gateway.event_log import EventLog
@@ -72,11 +72,14 @@
 
     async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
         """Return the records from an offset on, relayed or read from the log."""
+        began_s = self.clock_s()
         if stream in RELAYED_STREAMS:
             page = await self._read_from_peers(stream, offset, wait_s)
             if page is not None:
                 return page
-        return await self._read_log(stream, offset, wait_s)
+        asked_s = self.clock_s() - began_s
+        page = await self._read_log(stream, offset, wait_s)
+        return evolve(page, asked_after_s=page.asked_after_s + asked_s)
 
     async def _read_from_peers(
         self, stream: LogStream, offset: int, wait_s: float
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -293,10 +293,14 @@
         ]
 
     def _read_pause_s(self) -> float:
-        """Return the pause between reads of endpoints, longer for more endpoints."""
-        return self.gateway.relay_intervals.read_pause_s(
+        """Return the pause between reads of endpoints, longer for more endpoints.
+
+        It ends when a read can show that a retained entry is not back.
+        """
+        pause_s = self.gateway.relay_intervals.read_pause_s(
             len(self.gateway.view.endpoints)
         )
+        return min(pause_s, self.endpoints.next_expiry_in_s)
 
     def _endpoints_wait_s(self) -> float:
         if self.endpoints.is_waiting_for_entries:
--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from base64 import b64decode
+from collections.abc import Collection
 from struct import Struct
 from typing import Any
 from urllib.parse import urlencode
 
 import h11
 import orjson
-from attrs import define, evolve, field, frozen
+from attrs import evolve, frozen
 
 from acaciacove.errors import OffsetExpiredError, PlatformUnavailableError
 from acaciacove.gateway.http.connection_pool import ConnectionPool
@@ -23,6 +24,7 @@
 from acaciacove.gateway.log_record import LogRecord
 from acaciacove.gateway.log_stream import LogStream
 from acaciacove.gateway.metadata_log import AppendConflictError
+from acaciacove.platform.call_progress import CallProgress
 from acaciacove.platform.names import ERA_FIELD, STREAMS
 
 PARTITION = 0
@@ -39,6 +41,13 @@
 # A response whose bytes keep arriving may take this long in all. Under a shorter limit
 # a large one would be thrown away over a slow link, again and again.
 MAX_TRANSFER_S = 4.0
+# A call to read that is silent for this long beyond its wait is repeated on another
+# connection. While the log cannot be reached, sent bytes are lost, and TCP sends them
+# again up to a second after its return: a new connection shows the return at once.
+REPEAT_AFTER_S = 0.5
+# The same while the log has not answered since the last silent call, and between
+# further repetitions.
+REPEAT_EVERY_S = 0.3
 # Fits the longest record, 256 kB. What does not fit is superseded in part, and read
 # faster as the newest record of each key.
 MAX_READ_KB = 288
@@ -52,24 +61,17 @@
 
 @frozen
 class LogResponse:
-    """Status, body and era of a response of the log."""
+    """Status, body and era of a response of the log.
+
+    It answers a call that was made ``asked_after_s`` after the first one, and that
+    repeats it if ``is_repeated``.
+    """
 
     status: int
     body: bytes
     era: int
-
-
-@define
-class _PartialBody:
-    """The chunks of a response's body that have arrived so far."""
-
-    chunks: list[bytes] = field(factory=list)
-    size_bytes: int = 0
-
-    def append(self, chunk: bytes) -> None:
-        """Add the next chunk."""
-        self.chunks.append(chunk)
-        self.size_bytes += len(chunk)
+    asked_after_s: float = 0.0
+    is_repeated: bool = False
 
 
 class LogClient:
@@ -80,6 +82,7 @@
         self._host = host
         self._caller = caller
         self._pool = ConnectionPool(host, port)
+        self._is_silent = False
         self.calls = 0
 
     async def newest(self, stream: LogStream) -> LogPage:
@@ -91,27 +94,27 @@
         between: pages of two histories do not belong together.
         """
         records: list[LogRecord] = []
-        next_offset: int | None = None
-        era = UNSTATED
+        first: LogResponse | None = None
+        next_offset = 0
         after: str | None = None
         while True:
             query = {"topic": STREAMS[stream], "part": PARTITION}
             if after is not None:
                 query["after"] = after
-            response = await self._call("GET", "log-newest", query)
+            response = await self._get("log-newest", query)
             document = _document(_expect_ok(response))
-            if next_offset is None:
+            if first is None:
+                first = response
                 next_offset = _offset(document, "endOffset")
-                era = response.era
-            elif era != response.era:
+            elif first.era != response.era:
                 raise PlatformUnavailableError(
-                    f"the log's era rose from {era} to {response.era} between two"
-                    f" pages of stream {stream.value}"
+                    f"the log's era rose from {first.era} to {response.era} between"
+                    f" two pages of stream {stream.value}"
                 )
             page = _newest_records(document)
             records += page
             if not document.get("hasMore") or not page:
-                return LogPage(tuple(records), next_offset, era=era)
+                return _with_source(LogPage(tuple(records), next_offset), first)
             after = page[-1].key
 
     async def read(self, stream: LogStream, offset: int, wait_s: float) -> LogPage:
@@ -120,14 +123,13 @@
             "topic": STREAMS[stream],
             "part": PARTITION,
             "source": offset,
-            "waitMs": int(wait_s * MS),
             "maxReadKb": MAX_READ_KB,
         }
-        response = await self._call("GET", "log-read", query, wait_s=wait_s)
+        response = await self._get("log-read", query, wait_s)
         if response.status == GONE:
             raise OffsetExpiredError(_first_offset(response))
         page = _decode_page(_expect_ok(response).body, offset)
-        return evolve(page, era=response.era)
+        return _with_source(page, response)
 
     async def append(
         self, stream: LogStream, key: str, value: bytes, at: int | None
@@ -142,17 +144,51 @@
         name = key.encode()
         content = bytes([len(name)]) + name + value
         body = _LENGTH.pack(len(content)) + content
-        response = await self._call("POST", "log-append", query, body)
+        progress = CallProgress()
+        response = await self._call("POST", "log-append", query, progress, body)
         if response.status == PRECONDITION_FAILED:
             raise AppendConflictError(_offset(_document(response), "endOffset"))
         end_offset = _offset(_document(_expect_ok(response)), "endOffset")
         return LogPosition(response.era, end_offset)
 
+    async def _get(
+        self, name: str, query: dict[str, Any], wait_s: float = 0.0
+    ) -> LogResponse:
+        """Make a call that reads; repeat it on other connections while it is silent.
+
+        The log may hold the first call for ``wait_s``. The first call that ends decides
+        the result: an answer of any kind shows that the log can be reached.
+        """
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        calls: dict[asyncio.Task[LogResponse], float] = {}
+        progress: list[CallProgress] = []
+        pause_s = wait_s + (REPEAT_EVERY_S if self._is_silent else REPEAT_AFTER_S)
+        try:
+            while True:
+                held_s = 0.0 if calls else wait_s
+                timed = query | {"waitMs": int(held_s * MS)} if wait_s else query
+                progress.append(CallProgress())
+                call = self._call("GET", name, timed, progress[-1], wait_s=held_s)
+                calls[asyncio.create_task(call)] = loop.time() - began_s
+                done = await _first_ended(calls, progress, pause_s)
+                if done is not None:
+                    break
+                pause_s = REPEAT_EVERY_S
+        finally:
+            for task in calls:
+                task.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+        self._is_silent = not any(each.has_answer for each in progress)
+        is_repeated = done is not next(iter(calls))
+        return evolve(done.result(), asked_after_s=calls[done], is_repeated=is_repeated)
+
     async def _call(
         self,
         method: str,
         name: str,
         query: dict[str, Any],
+        progress: CallProgress,
         body: bytes = b"",
         wait_s: float = 0.0,
     ) -> LogResponse:
@@ -166,25 +202,24 @@
             headers.append((b"Content-Length", str(len(body)).encode()))
         request = h11.Request(method=method, target=target, headers=headers)
         connection: EndpointConnection | None = None
-        body_received = _PartialBody()
         complete = False
         try:
             async with asyncio.timeout(wait_s + CALL_TIMEOUT_S) as limit:
                 connection = await self._pool.acquire(False, CONNECT_TIMEOUT_S)
                 connection.send_request(request, body)
-                response = await _read_response(connection, body_received, limit)
+                response = await _read_response(connection, progress, limit)
             complete = True
             return response
         except (ConnectFailedError, ConnectionLostError, InvalidResponseError) as error:
             raise PlatformUnavailableError(
-                f"call {name} to the log failed after {body_received.size_bytes}"
+                f"call {name} to the log failed after {progress.size_bytes}"
                 f" bytes of its response: {error}"
             ) from error
         except TimeoutError as error:
             raise PlatformUnavailableError(
                 f"call {name} to the log got no complete response: silence for"
                 f" {CALL_TIMEOUT_S} s beyond a wait of {wait_s} s, or"
-                f" {MAX_TRANSFER_S} s in all, after {body_received.size_bytes} bytes"
+                f" {MAX_TRANSFER_S} s in all, after {progress.size_bytes} bytes"
             ) from error
         finally:
             if connection is not None:
@@ -195,8 +230,37 @@
         self._pool.close()
 
 
+async def _first_ended(
+    calls: Collection[asyncio.Task[LogResponse]],
+    progress: list[CallProgress],
+    pause_s: float,
+) -> asyncio.Task[LogResponse] | None:
+    """Return the first call that ends, an answered one if there are several.
+
+    Returns None if all calls are silent for ``pause_s``.
+    """
+    while True:
+        done, _ = await asyncio.wait(
+            calls, timeout=pause_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if done:
+            return min(done, key=lambda task: task.exception() is not None)
+        if not any(each.has_answer for each in progress):
+            return None
+
+
+def _with_source(page: LogPage, response: LogResponse) -> LogPage:
+    """Return a page with the era and the call of the response that it came from."""
+    return evolve(
+        page,
+        era=response.era,
+        asked_after_s=response.asked_after_s,
+        is_repeated=response.is_repeated,
+    )
+
+
 async def _read_response(
-    connection: EndpointConnection, body: _PartialBody, limit: asyncio.Timeout
+    connection: EndpointConnection, progress: CallProgress, limit: asyncio.Timeout
 ) -> LogResponse:
     """Read a response; each chunk of its body extends the limit."""
     loop = asyncio.get_running_loop()
@@ -206,18 +270,19 @@
     while True:
         event = await connection.next_response_event()
         if isinstance(event, h11.Response):
+            progress.has_answer = True
             status = event.status_code
             era = _era(event)
             transfer_ends_s = loop.time() + MAX_TRANSFER_S
         elif isinstance(event, h11.Data):
-            body.append(bytes(event.data))
-            if body.size_bytes > MAX_RESPONSE_BYTES:
+            progress.append(bytes(event.data))
+            if progress.size_bytes > MAX_RESPONSE_BYTES:
                 raise InvalidResponseError(
                     f"the log's response exceeds {MAX_RESPONSE_BYTES} bytes"
                 )
             limit.reschedule(min(transfer_ends_s, loop.time() + CALL_TIMEOUT_S))
         elif isinstance(event, h11.EndOfMessage):
-            return LogResponse(status, b"".join(body.chunks), era)
+            return LogResponse(status, b"".join(progress.chunks), era)
 
 
 def _era(response: h11.Response) -> int:
--- a/tests/test_gateway_removals.py
+++ b/tests/test_gateway_removals.py
@@ -297,3 +297,51 @@
     of the log is noticed up to a call's time-out late.
     """
     assert run_fleet(lambda fleet: leave_during_outage(fleet, "silent", outage_s)) == []
+
+
+async def write_heartbeats(fleet, instances, every_s):
+    """Register endpoints again and again, as they do while the log is available."""
+    while True:
+        await asyncio.sleep(every_s)
+        for instance in instances:
+            fleet.register(fleet.endpoints[instance].report)
+
+
+@pytest.mark.parametrize("cut_s", [1.1, 1.6, 2.2, 2.9, 3.5, 4.1, 4.7, 5.2, 5.4])
+@pytest.mark.parametrize("leaves_before_end_s", [0.1, 1.0])
+@pytest.mark.parametrize("gateways", FLEET_SIZES)
+def test_an_endpoint_that_left_while_a_gateway_was_cut_off_is_dropped_in_time(
+    gateways, leaves_before_end_s, cut_s
+):
+    """Guards against requests to an endpoint that has left: the log was available all
+    the time, but the cut gateway takes the removal for an expiry, counts from the
+    moment at which it notices the log's return, and notices that late.
+    """
+
+    async def scenario(fleet):
+        heartbeats = asyncio.create_task(write_heartbeats(fleet, ["app-1"], 1.2))
+        await asyncio.sleep(2.0)
+        reject_calls(fleet, "silent", reader_order(fleet.gateways)[0])
+        await asyncio.sleep(cut_s - leaves_before_end_s)
+        remove(fleet, "app-0")
+        await asyncio.sleep(leaves_before_end_s)
+        restore_log(fleet)
+        await check_used(fleet, ["app-1"], RECOVERY_S)
+        heartbeats.cancel()
+        assert gateways_with(fleet, "app-0") == []
+
+    run_fleet(scenario, gateways=gateways)
+
+
+@pytest.mark.parametrize("endpoints", [4, 30])
+@pytest.mark.parametrize("outage_s", [5.0, 5.2, 5.4, 5.6, 5.8])
+def test_retained_entries_of_a_large_service_are_dropped_in_time(outage_s, endpoints):
+    """Guards against the same while reads are half a second apart, as they are for many
+    endpoints: the read that shows that an entry is not back came up to a pause late.
+    """
+
+    async def scenario(fleet):
+        assert len(fleet.endpoints) == endpoints
+        return await leave_during_outage(fleet, "silent", outage_s)
+
+    assert run_fleet(scenario, apps=endpoints, models=0) == []
