Log: the digest of what was built, and answers that are skipped for their id

The build writes the digest of its sources, and the first log line of a gateway has it as build_id. An answer that is skipped since it has another request's id leaves response_skipped with both ids; it left no line before.

--- a/acaciacove/gateway/daemon.py
+++ b/acaciacove/gateway/daemon.py
@@ -30,13 +30,16 @@
     codec: RecordCodec,
     metadata: MetadataLog,
     front: socket.socket | None = None,
+    build_id: str | None = None,
 ) -> None:
     """Run one gateway until SIGTERM or SIGINT.
 
     ``front`` is a listening socket for callers that the process has already opened.
+    ``build_id`` identifies the sources of the process in its log.
     """
     settings = read_settings()
     log = EventLog(settings.name)
+    log.write(Event.BUILD, build_id=build_id)
     running = RunningGateway(settings, dialect, codec, metadata, log, front)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
--- a/acaciacove/gateway/exchange.py
+++ b/acaciacove/gateway/exchange.py
@@ -26,6 +26,7 @@
 # Responses to earlier requests that are skipped on one connection before it is
 # abandoned.
 MAX_SKIPPED_RESPONSES = 3
+MAX_LOGGED_ID_CHARS = 40
 # The queue that a new request finds is known from a load report of the last 0.6 s.
 RECENT_FRESHNESS = 0.8
 
@@ -216,6 +217,14 @@
                     method, event
                 )
                 return head
+            self.gateway.log.write(
+                Event.RESPONSE_SKIPPED,
+                routine=True,
+                request_id=request_id,
+                endpoint=self.state.endpoint.instance,
+                other_id=(head.request_id or "")[:MAX_LOGGED_ID_CHARS],
+                status=head.status,
+            )
             await self.connection.skip_response()
         raise InvalidResponseError(
             f"expected a response to request {request_id}"
--- a/acaciacove/gateway/log_events.py
+++ b/acaciacove/gateway/log_events.py
@@ -6,6 +6,7 @@
 class Event(StrEnum):
     """Stable names that operators search for."""
 
+    BUILD = "build"
     STARTED = "started"
     READY = "ready"
     LEAVING = "leaving"
@@ -47,6 +48,7 @@
     ENDPOINT_SLOWNESS_KNOWN = "endpoint_slowness_known"
     HEADER_UNREADABLE = "header_unreadable"
     REFUSAL_CUT = "refusal_cut"
+    RESPONSE_SKIPPED = "response_skipped"
     RESPONSE_CLOSE_DELIMITED = "response_close_delimited"
     ENDPOINT_CRASHED = "endpoint_crashed"
     CRASH_UNCERTAIN = "crash_uncertain"
--- a/acaciacove/platform/run_gateway.py
+++ b/acaciacove/platform/run_gateway.py
@@ -8,6 +8,7 @@
 from acaciacove.errors import InvalidSettingsError
 from acaciacove.exit_status import ExitStatus
 from acaciacove.gateway.daemon import serve_gateway
+from acaciacove.platform.build_id import read_build_id
 from acaciacove.platform.early_listener import node_file_path
 from acaciacove.platform.header_fields import DIALECT
 from acaciacove.platform.log_client import LogClient
@@ -27,6 +28,13 @@
     host, _, port = settings.log_address.rpartition(":")
     log_client = LogClient(host, int(port), settings.name)
     asyncio.run(
-        serve_gateway(lambda: read_node_file(path), DIALECT, CODEC, log_client, front)
+        serve_gateway(
+            lambda: read_node_file(path),
+            DIALECT,
+            CODEC,
+            log_client,
+            front,
+            read_build_id(),
+        )
     )
     return ExitStatus.SUCCESS
