Retries: what may run only once goes to each run of an endpoint once

A caller was told that its payment was not made while it was, or it was made twice (TWICE, REFUSED): the second copy of an endpoint's refusal came where the answer to the next send of the same attempt was due. A send on another connection tells them apart only if the copy comes on the connection of its original.

A request that may run only once is not sent twice to the same run of an endpoint. If no other may be used its caller gets the refusal, which is true, and comes back with a new id.

The test of a refusal that comes twice now lets its caller come back, as the gateway no longer sends a booking again to the only endpoint; it is stricter: ten moments in place of three, copies on all connections, and no refused attempt may have run.

--- a/acaciacove/gateway/attempt.py
+++ b/acaciacove/gateway/attempt.py
@@ -191,6 +191,7 @@
     now_s = asyncio.get_running_loop().time()
     context.sent_count += 1
     context.tried_instances.add(state.endpoint.instance)
+    context.sent_to.add(state.endpoint.key)
     context.trail.append(f"{state.endpoint.instance}@{state.endpoint.version}")
     service = context.service.name
     gateway.record_sent(service, now_s)
--- a/acaciacove/gateway/request_context.py
+++ b/acaciacove/gateway/request_context.py
@@ -28,7 +28,8 @@
     model. ``confidences`` maps models to the confidence that they stated in their
     responses, and ``next_model`` is the model to escalate to. ``trail`` lists the
     attempts as instance and version, and ``responses`` the response heads.
-    ``used_connections`` have carried it, and carry it no second time. ``trial_key`` is
+    ``used_connections`` have carried it, and carry it no second time. ``sent_to`` are
+    the runs of endpoints that it was sent to. ``trial_key`` is
     set for a request that is suspected of crashing endpoints, or has
     something that is: only this gateway may try it. ``held_key`` is the key for which
     it was refused. ``postponed_s`` is how long its
@@ -50,6 +51,7 @@
     tried_instances: set[str] = field(factory=set)
     refused_by: set[str] = field(factory=set)
     used_connections: list[EndpointConnection] = field(factory=list)
+    sent_to: set[tuple[str, str]] = field(factory=set)
     last_event_id: str | None = None
     events_delivered: bool = False
     first_chunk_s: float | None = None
--- a/acaciacove/gateway/usable_endpoints.py
+++ b/acaciacove/gateway/usable_endpoints.py
@@ -29,9 +29,16 @@
 def usable_endpoints(
     gateway: Gateway, context: RequestContext, now_s: float
 ) -> list[EndpointState]:
-    """Return the usable endpoints, without those already tried if possible."""
+    """Return the usable endpoints, without those already tried if possible.
+
+    A request that may run only once goes to each endpoint once. After a second send, a
+    copy of the refusal of the first one would say "not run" of a request that runs: it
+    has the same id, and may come at any moment and on any connection of the endpoint.
+    """
     willing = _willing_endpoints(gateway, context, now_s)
     states = [gateway.states.of(endpoint) for endpoint in willing]
+    if not context.route.may_repeat:
+        states = [s for s in states if s.endpoint.key not in context.sent_to]
     usable = _within_limits(gateway, context, states, now_s)
     untried = [s for s in usable if s.endpoint.instance not in context.tried_instances]
     healthy = [s for s in untried or usable if not s.health.is_ejected(now_s)]
--- a/acaciacove/standins/endpoint_behaviour.py
+++ b/acaciacove/standins/endpoint_behaviour.py
@@ -18,8 +18,9 @@
     - ``full``: answers 503 and marks the request as not run; ``retry_after`` is the
       value of that field in these answers
     - ``cut_refusals``: closes the connection in the middle of a refusal's body
-    - ``refuses_once``: refuses the first arrival of each request as ``full`` does, and
-      sends that refusal a second time after ``second_refusal_s``
+    - ``refuses_once``: refuses the first arrival of each body as ``full`` does, and
+      sends that refusal a second time after ``second_refusal_s``, on the same
+      connection or, with ``second_on_all``, on all that are open then
     - ``leaving``: value of the field that announces the departure, in each answer
     - ``mute``: never answers
     - ``cut_after``: closes the connection in the middle of the event after this many
@@ -58,6 +59,7 @@
     cut_refusals: bool = False
     refuses_once: bool = False
     second_refusal_s: float = 0.01
+    second_on_all: bool = False
     leaving: str | None = None
     mute: bool = False
     cut_after: int | None = None
--- a/acaciacove/standins/endpoint_server.py
+++ b/acaciacove/standins/endpoint_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from weakref import WeakSet
 
 from acaciacove.gateway.endpoint_report import EndpointReport
 from acaciacove.gateway.http.caller_request import CallerRequest
@@ -35,10 +36,12 @@
         self.arrivals = arrivals
         self.crash = crash
         self.running = 0
+        self._fronts: WeakSet[FrontConnection] = WeakSet()
         self._matching_requests = 0
 
     async def serve(self, request: CallerRequest, front: FrontConnection) -> None:
         """Answer one request."""
+        self._fronts.add(front)
         arrival = self._record_arrival(request)
         local = self.report.instance
         expected = arrival.fields.get(names.EXPECTED_INSTANCE.decode(), local)
@@ -91,12 +94,18 @@
         await _send_response(front, status, fields, b"")
 
     def _is_first_arrival(self, arrival: EndpointArrival) -> bool:
-        return sum(a.request_id == arrival.request_id for a in self.arrivals) == 1
+        return (
+            sum(
+                a.body == arrival.body and a.instance == arrival.instance
+                for a in self.arrivals
+            )
+            == 1
+        )
 
     async def _refuse_twice(
         self, front: FrontConnection, arrival: EndpointArrival
     ) -> None:
-        """Refuse a request, and send the refusal again on the same connection."""
+        """Refuse a request, and send the refusal again."""
         await self._refuse(front, arrival, 503)
         copy = (
             b"HTTP/1.1 503 \r\nAcaciacove-Not-Executed: 1\r\nAcaciacove-Attempt-Id: "
@@ -105,8 +114,9 @@
         )
 
         def send_again() -> None:
-            if front.transport is not None and not front.transport.is_closing():
-                front.transport.write(copy)
+            for each in self._fronts if self.behaviour.second_on_all else [front]:
+                if each.transport is not None and not each.transport.is_closing():
+                    each.transport.write(copy)
 
         loop = asyncio.get_running_loop()
         loop.call_later(self.behaviour.second_refusal_s, send_again)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -146,32 +146,91 @@
     run_fleet(scenario)
 
 
-@pytest.mark.parametrize("second_refusal_s", [0.0, 0.005, 0.015])
-@pytest.mark.parametrize("max_attempts", [2, 3])
-@pytest.mark.parametrize("path", ["/book/1", "/look/1"])
-def test_a_refusal_that_comes_twice_is_not_taken_for_the_next_answer(
-    path, max_attempts, second_refusal_s
-):
-    """Guards against a payment that is made twice, or that its caller is told was not
-    made: a second copy of a refusal comes where the answer to the next send is due.
+# Before, at and after each moment of the next send, which takes up to 0.03 s here.
+SECOND_REFUSALS_S = [0.0, 0.001, 0.005, 0.01, 0.015, 0.0199, 0.02, 0.021, 0.03, 0.09]
+
+
+def play_second_refusals(path, max_attempts, second_refusal_s, on_all):
+    """Send payments to one endpoint that refuses each request once, and says so twice.
+
+    A caller that is refused comes back with a new id. Returns for each payment whether
+    it was served, and how often it ran; fails if a refused attempt has run.
     """
     base = catalogue()
     routes = tuple(evolve(r, max_attempts=max_attempts) for r in base.routes)
 
+    async def pay(fleet, number):
+        ids = [f"r-{number}-{attempt}" for attempt in range(3)]
+        for request_id in ids:
+            answer = await call(path, request_id, body=f"pay {number}".encode())
+            await asyncio.sleep(0.03)
+            if answer.status == 200:
+                break
+            assert answer.status == 503 and not runs_of(fleet, request_id)
+        await asyncio.sleep(0.2)
+        runs = [len(runs_of(fleet, request_id)) for request_id in ids]
+        return answer.status, max(runs), sum(runs)
+
     async def scenario(fleet):
         (server,) = fleet.endpoints.values()
         server.behaviour.refuses_once = True
         server.behaviour.second_refusal_s = second_refusal_s
-        found = []
-        for number in range(12):
-            answer = await call(path, f"r-{number}", body=b"pay")
-            found.append((answer.status, len(runs_of(fleet, f"r-{number}"))))
-            await asyncio.sleep(0.1)
-        return set(found)
+        server.behaviour.second_on_all = on_all
+        return {await pay(fleet, number) for number in range(6)}
 
     published = evolve(base, routes=routes)
-    found = run_fleet(scenario, apps=1, models=0, published=published)
-    assert found == {(200, 1)}
+    return run_fleet(scenario, apps=1, models=0, published=published)
+
+
+@pytest.mark.parametrize("second_refusal_s", SECOND_REFUSALS_S)
+@pytest.mark.parametrize("max_attempts", [2, 3])
+@pytest.mark.parametrize("on_all", [False, True])
+def test_a_refusal_of_a_payment_that_comes_twice_is_no_answer_to_another_send(
+    on_all, max_attempts, second_refusal_s
+):
+    """Guards against a payment that is made twice, or that its caller is told was not
+    made: a second copy of a refusal comes where another answer is due.
+    """
+    found = play_second_refusals("/book/1", max_attempts, second_refusal_s, on_all)
+    assert found == {(200, 1, 1)}
+
+
+@pytest.mark.parametrize("second_refusal_s", SECOND_REFUSALS_S)
+@pytest.mark.parametrize("max_attempts", [2, 3])
+def test_a_refusal_of_a_lookup_that_comes_twice_is_not_taken_for_the_next_answer(
+    max_attempts, second_refusal_s
+):
+    """Guards against a lookup that fails, or runs again, for a second copy of a refusal
+    where the answer to the next send is due.
+    """
+    found = play_second_refusals("/look/1", max_attempts, second_refusal_s, False)
+    assert found == {(200, 1, 1)}
+
+
+@pytest.mark.parametrize("second_refusal_s", SECOND_REFUSALS_S)
+@pytest.mark.parametrize("on_all", [False, True])
+def test_a_payment_is_served_elsewhere_while_refusals_come_twice(
+    on_all, second_refusal_s
+):
+    """Guards against payments that fail for one endpoint's second copies: another takes
+    them, and each is made once.
+    """
+
+    async def scenario(fleet):
+        first, other = fleet.endpoints.values()
+        first.behaviour.refuses_once = True
+        first.behaviour.second_refusal_s = second_refusal_s
+        first.behaviour.second_on_all = on_all
+        found = set()
+        for number in range(20):
+            body = f"pay {number}".encode()
+            answer = await call("/book/1", f"r-{number}", body=body)
+            await asyncio.sleep(0.05)
+            found.add((answer.status, len(runs_of(fleet, f"r-{number}"))))
+        assert {a.instance for a in fleet.arrivals} == {"app-0", "app-1"}
+        return found
+
+    assert run_fleet(scenario, apps=2, models=0) == {(200, 1)}
 
 
 def test_unsigned_success_is_rejected():
