--- a/acaciacove/platform/records.py
+++ b/acaciacove/platform/records.py
@@ -193,20 +193,20 @@
 
 def _endpoint(document: dict[str, Any], record: LogRecord) -> EndpointReport:
     host, port = read_address(document, "address")
-    cold_ms = read_number(document, "coldRemainingMs", LOWEST_COLD_MS, default=0)
+    cold_ms = read_number(document, "coldRemainingMs", LOWEST_COLD_MS)
     return EndpointReport(
         instance=check_name(record.key, "key"),
-        # The platform provides no other identifier of an incarnation.
+        # Platforms state it since endpoints start again under the same name.
         started_ms=read_whole_number(document, "born", default=0),
         service=read_name(document, "service"),
         host=host,
         port=port,
         availability_zone=read_name(document, "zone"),
         version=read_name(document, "version"),
-        slots=read_whole_number(document, "slots", highest=MAX_SLOTS, default=0),
+        slots=read_whole_number(document, "slots", highest=MAX_SLOTS),
         draining=IS_DRAINING[read_name(document, "state")],
         cold_remaining_s=max(0.0, cold_ms / MS),
-        sequence=read_whole_number(document, "sequence", default=0),
+        sequence=read_whole_number(document, "sequence"),
     )
 
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -101,6 +101,17 @@
     assert len(str(raised.value)) < 600
 
 
+@pytest.mark.parametrize("name", sorted(ENTRY.keys() - {"born"}))
+def test_an_entry_without_a_field_names_no_endpoint(name):
+    """Guards against requests to a program that is no endpoint and answers them with
+    404: its entry lacks what an endpoint says of itself.
+    """
+    document = {key: value for key, value in ENTRY.items() if key != name}
+    with pytest.raises(MalformedMessageError) as raised:
+        read_endpoint(LogRecord("i-1", orjson.dumps(document), 0))
+    assert name in str(raised.value)
+
+
 @pytest.mark.parametrize("key", ["", "i\r\nX: 1", " i-1", "ı-1", "i" * 300])
 def test_an_entry_whose_key_is_no_header_value_names_no_endpoint(key):
     """Guards against a name that cannot be sent as the expected instance."""
