--- a/acaciacove/state/log_writer.py
+++ b/acaciacove/state/log_writer.py
@@ -5,24 +5,18 @@
 from collections.abc import Callable
 from random import Random
 
-from acaciacove.adapters.log_entry import LogEntry
 from acaciacove.adapters.platform_log import PlatformLog
-from acaciacove.errors import (
-    LogQueueFullError,
-    OffsetExpiredError,
-    PlatformUnavailableError,
-)
+from acaciacove.errors import LogQueueFullError
 from acaciacove.state.append_result import AppendResult
 from acaciacove.state.append_state import AppendState
-from acaciacove.state.backoff import Backoff
 from acaciacove.state.batch_codec import encode_batch
+from acaciacove.state.log_appender import LogAppender
 from acaciacove.state.log_health import LogHealth
 from acaciacove.state.log_writer_settings import LogWriterSettings
 from acaciacove.state.pending_item import PendingItem
 from acaciacove.state.priority import Priority
 from acaciacove.state.token_bucket import TokenBucket
 
-READ_LIMIT = 1000
 MIN_WAIT_S = 0.0005  # batches that are due within this time are sent at once
 AppendListener = Callable[[str, int, bytes], None]
 QUEUE_SHARES = {Priority.DECISION: 1.0, Priority.CLAIM: 0.95, Priority.BILLING: 0.8}
@@ -48,11 +42,10 @@
         """Initialise the writer; it sends nothing before ``run``."""
         self.health = health or LogHealth()
         self._listeners: list[AppendListener] = []
-        self._log = log
+        self._appender = LogAppender(log, self.health, settings, random)
         self._name = name
         self._incarnation = incarnation
         self._settings = settings
-        self._random = random
         self._sequence = 0
         self._queued = 0
         self._streams: dict[str, deque[PendingItem]] = {}
@@ -87,7 +80,7 @@
 
     def configure(self, settings: LogWriterSettings) -> None:
         """Change rates and limits, for instance when the fleet has grown."""
-        self._settings = settings
+        self._settings = self._appender.settings = settings
         for priority in Priority:
             rate = settings.rate_per_s(priority)
             bucket = self._buckets.get(priority)
@@ -264,80 +257,19 @@
         return encode_batch(self._name, self._incarnation, self._sequence, items)
 
     async def _commit(self, stream: str, batch: list[PendingItem]) -> None:
-        """Append one batch, with as many retries as necessary.
-
-        The reply to an append can be lost after the record was written. Appending
-        again without a check would write the record twice, and use up the append
-        rate during an outage. Therefore the stream is searched for the payload
-        before every retry. An earlier append can still be in flight at that time
-        and be written later; readers ignore the second of two equal items.
-        """
+        """Append one batch, with as many retries as necessary."""
         payload = self._payload(stream, batch)
-        start = self._next_offsets.get(stream, 0)
-        backoff = Backoff(self._random, max_delay_s=self._settings.backoff_limit_s)
-        offset = await self._append_once(stream, payload)
-        while offset is None:
-            await asyncio.sleep(backoff.next_delay_s())
-            try:
-                offset = await self._find_payload(stream, payload, start)
-            except (PlatformUnavailableError, TimeoutError):
-                self.health.record_failure(asyncio.get_running_loop().time())
-                continue
-            if offset is None and all(item.abandoned for item in batch):
-                break
-            if offset is None:
-                offset = await self._append_once(stream, payload)
+        offset = await self._appender.append(
+            stream,
+            payload,
+            self._next_offsets.get(stream, 0),
+            lambda: all(item.abandoned for item in batch),
+        )
         if offset is not None:
             for listener in self._listeners:
                 listener(stream, offset, payload)
         self._resolve(stream, batch, offset)
 
-    async def _append_once(self, stream: str, payload: bytes) -> int | None:
-        """Send one append; return None if it was not confirmed in time."""
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        self.health.appends += 1
-        try:
-            async with asyncio.timeout(self._settings.append_timeout_s):
-                offset = await self._log.append(stream, payload)
-        except (PlatformUnavailableError, TimeoutError):
-            self.health.record_failure(loop.time())
-            return None
-        self.health.record_success(loop.time() - started_s)
-        return offset
-
-    async def _find_payload(
-        self, stream: str, payload: bytes, start: int
-    ) -> int | None:
-        """Search a stream up to its end for a payload; return its offset or None."""
-        offset = start
-        while True:
-            try:
-                entries = await self._read(stream, offset)
-            except OffsetExpiredError as error:
-                if error.earliest_offset <= offset:
-                    raise PlatformUnavailableError(
-                        f"log stream {stream}: offset {offset} expired, "
-                        f"but the earliest offset is {error.earliest_offset}"
-                    ) from error
-                offset = error.earliest_offset
-                continue
-            for entry in entries:
-                if entry.payload == payload:
-                    return entry.offset
-            if not entries:
-                return None
-            offset = entries[-1].offset + 1
-
-    async def _read(self, stream: str, offset: int) -> list[LogEntry]:
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        self.health.reads += 1
-        async with asyncio.timeout(self._settings.append_timeout_s):
-            entries = await self._log.read(stream, offset, READ_LIMIT)
-        self.health.record_success(loop.time() - started_s)
-        return entries
-
     def _resolve(
         self, stream: str, batch: list[PendingItem], offset: int | None
     ) -> None:
