--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -94,7 +94,7 @@
         fleet.endpoints["app-0"].behaviour.full = True
         await call("/look/1", "r-refused", method="GET")
         assert paces["app-0"].machine_pace(asyncio.get_running_loop().time()) > 1.0
-        gauges = gateway.metrics_page().decode()
+        gauges = gateway.pages.metrics_page().decode()
         assert 'endpoint_slowness{of="highest",service="app"}' in gauges
 
     run_fleet(scenario)
--- a/tests/test_gateway_concentrated_callers.py
+++ b/tests/test_gateway_concentrated_callers.py
@@ -81,7 +81,7 @@
         assert (await kept.request("/look/1", "r-1", method="GET")).status == 200
         for _ in range(MIN_LATE_ROUNDS):
             record_lag(running.gateway, LATE_S)
-        assert not running.is_ready()
+        assert not running.pages.is_ready()
         with pytest.raises((ConnectionError, asyncio.IncompleteReadError, EOFError)):
             answer = await call("/look/1", "r-2", method="GET")
             if not answer.status:
@@ -89,7 +89,7 @@
         assert all(a.request_id != "r-2" for a in fleet.arrivals)
         assert (await kept.request("/look/1", "r-3", method="GET")).status == 200
         await asyncio.sleep(RECOVERY_S + 2 * WATCH_INTERVAL_S)
-        assert running.is_ready()
+        assert running.pages.is_ready()
         assert (await call("/look/1", "r-4", method="GET")).status == 200
         assert lines(fleet, "connections_taken")[0]["refused"] == 1
 
@@ -103,10 +103,10 @@
         running = fleet.gateways["gateway-0"]
         kept = [await Caller().open() for _ in range(7)]
         await asyncio.sleep(0.1)
-        assert not running.is_ready()
+        assert not running.pages.is_ready()
         kept[0].disconnect()
         await asyncio.sleep(0.1)
-        assert running.is_ready()
+        assert running.pages.is_ready()
 
     run_fleet(scenario, descriptor_limit=10)
 
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -232,7 +232,7 @@
         await asyncio.sleep(0.5)
         stop = asyncio.create_task(fleet.stop_gateway("gateway-0"))
         await asyncio.sleep(0.5)
-        assert not fleet.gateways["gateway-0"].is_ready()
+        assert not fleet.gateways["gateway-0"].pages.is_ready()
         late = await caller.request("/look/1", "r-2", method="GET")
         assert late.status == 200 and late.headers["connection"] == "close"
         fresh = await call("/look/1", "r-3", method="GET")
--- a/tests/test_gateway_held_bytes.py
+++ b/tests/test_gateway_held_bytes.py
@@ -133,7 +133,7 @@
         await asyncio.sleep(8.0)
         cut = lines(fleet, "caller_cut")
         assert 0 < len(cut) < 40 and all(line["idle_s"] >= 10.0 for line in cut)
-        page = fleet.gateways["gateway-0"].metrics_page().decode()
+        page = fleet.gateways["gateway-0"].pages.metrics_page().decode()
         assert f"acaciacove_gateway_callers_cut_total {len(cut)}.0\n" in page
         assert f"acaciacove_gateway_held_bytes {held.held_bytes}" in page
         assert f"acaciacove_gateway_held_bytes_limit {held.limit_bytes}" in page
--- a/tests/test_gateway_observability.py
+++ b/tests/test_gateway_observability.py
@@ -123,14 +123,14 @@
 def test_metrics_show_requests_refusals_and_endpoints():
     async def scenario(fleet):
         running = fleet.gateways["gateway-0"]
-        assert running.metrics_page() == b"# starting\n"
+        assert running.pages.metrics_page() == b"# starting\n"
         await call("/look/1", "r-1", method="GET")
         await call("/nowhere/1", "r-2")
         for server in fleet.endpoints.values():
             server.behaviour.confidence = {"small": 10, "large": 90}
         await draft("r-3")
         await asyncio.sleep(5.0)
-        page = running.metrics_page().decode()
+        page = running.pages.metrics_page().decode()
         for line in (
             'requests_total{ending="served",kind="repeatable"} 1',
             'refusals_total{reason="unknown_api"} 1',
@@ -163,7 +163,7 @@
         for number in range(0, 350, 10):
             await call(f"/n{number}/1", f"r-{number}", method="GET")
         await asyncio.sleep(5.0)
-        page = fleet.gateways["gateway-0"].metrics_page()
+        page = fleet.gateways["gateway-0"].pages.metrics_page()
         assert page.count(b"\n") < 200
 
     run_fleet(scenario, published=catalogue(routes=(*base.routes, *many)))
--- a/tests/test_gateway_routing_view.py
+++ b/tests/test_gateway_routing_view.py
@@ -219,12 +219,12 @@
 
         fresh = await fleet.add_gateway(gateway_settings("late", "10.0.1.9", "b"))
         await asyncio.sleep(1.0)
-        assert not fresh.is_ready()
+        assert not fresh.pages.is_ready()
         answer = await call("/look/1", "r-1", host="10.0.1.9", method="GET")
         assert answer.status == 503
         fleet.store.down = None
         await asyncio.sleep(1.5)
-        assert fresh.is_ready()
+        assert fresh.pages.is_ready()
         answer = await call("/look/1", "r-2", host="10.0.1.9", method="GET")
         assert answer.status == 200
 
--- a/tests/test_gateway_status.py
+++ b/tests/test_gateway_status.py
@@ -122,7 +122,7 @@
         running.append(await fleet.add_gateway(config))
     try:
         async with asyncio.timeout(10.0):
-            while not all(gateway.is_ready() for gateway in running):
+            while not all(gateway.pages.is_ready() for gateway in running):
                 await asyncio.sleep(0.02)
         yield [gateway.settings.metrics_address for gateway in running]
     finally:
