Endpoints: a report that the log executes late brings no endpoint back

A report's own count was compared only after a return of the log from a copy; now on every way, for reports of the same start, and for 10 s: a wrong entry with a high count must not hide an endpoint for ever, and starts are not compared, as an endpoint's clock may have been set back.

--- a/acaciacove/gateway/endpoint_reader.py
+++ b/acaciacove/gateway/endpoint_reader.py
@@ -128,12 +128,16 @@
                 draining=known.draining or report.draining,
                 cold_until_s=max(known.cold_until_s, cold_until_s),
             )
+        self._log_superseded(report)
+
+    def _log_superseded(self, report: EndpointReport) -> None:
+        is_known = report.instance in self.view.endpoints
         self.log.write(
             Event.ENDPOINT_SUPERSEDED,
-            routine=known is not None,
+            routine=is_known,
             endpoint=report.instance,
             sequence=report.sequence,
-            gone=known is None,
+            gone=not is_known,
         )
 
     def apply(self, record: LogRecord) -> None:
@@ -146,8 +150,19 @@
             self._remove(record.key)
             return
         report = self._read(record)
-        if report is not None:
-            self._apply_report(report)
+        if report is None:
+            return
+        if self._is_late(report):
+            # It comes after the one that says that the endpoint leaves, or after the
+            # removal, and would bring the endpoint back.
+            self._log_superseded(report)
+            return
+        self._apply_report(report)
+
+    def _is_late(self, report: EndpointReport) -> bool:
+        return self._order.is_late(
+            report.instance, report.started_ms, report.sequence, self.view.clock_s()
+        )
 
     def _read(self, record: LogRecord) -> EndpointReport | None:
         """Decode a record; None, with a log line, if it is unreadable."""
@@ -165,7 +180,9 @@
     def _apply_report(self, report: EndpointReport) -> None:
         now_s = asyncio.get_running_loop().time()
         self._retention.record_write(report.instance)
-        self._order.record(report.instance, report.started_ms, report.sequence)
+        self._order.record(
+            report.instance, report.started_ms, report.sequence, self.view.clock_s()
+        )
         previous = self.view.endpoints.get(report.instance)
         endpoint = Endpoint(
             instance=report.instance,
--- a/tests/test_gateway_removals.py
+++ b/tests/test_gateway_removals.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from acaciacove.gateway.relay import serve_records
 from acaciacove.gateway.relay.reader_order import reader_order
@@ -345,3 +346,55 @@
         return await leave_during_outage(fleet, "silent", outage_s)
 
     assert run_fleet(scenario, apps=endpoints, models=0) == []
+
+
+@pytest.mark.parametrize("late_s", [0.1, 1.0, 4.9])
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_a_report_that_the_log_executes_late_brings_no_endpoint_back(
+    is_removed, late_s
+):
+    """Guards against requests to an endpoint that has said that it leaves, or has left:
+    an earlier report of it is executed after that.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(2.0)
+        sent = evolve(fleet.endpoints["app-0"].report, started_ms=7, sequence=10)
+        fleet.register(sent)
+        fleet.register(evolve(sent, sequence=12, draining=True))
+        await asyncio.sleep(1.0)
+        if is_removed:
+            remove(fleet, "app-0")
+        await asyncio.sleep(late_s)
+        fleet.register(evolve(sent, sequence=11))
+        await asyncio.sleep(1.0)
+        (running,) = fleet.gateways.values()
+        known = running.gateway.view.endpoints.get("app-0")
+        assert known is None if is_removed else known.draining
+
+    run_fleet(scenario)
+
+
+def test_a_report_of_a_later_start_or_long_after_a_newer_one_is_believed():
+    """Guards against an endpoint that is never used again: it has started anew under
+    its name, its clock was set back, or another program wrote its entry.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(2.0)
+        first = evolve(fleet.endpoints["app-0"].report, started_ms=7_000, sequence=99)
+        (running,) = fleet.gateways.values()
+        endpoints = running.gateway.view.endpoints
+        fleet.register(evolve(first, draining=True))
+        for started_ms in (8_000, 6_000):
+            fleet.register(evolve(first, started_ms=started_ms, sequence=1))
+            await asyncio.sleep(1.0)
+            assert endpoints["app-0"].incarnation == str(started_ms)
+            assert not endpoints["app-0"].draining
+        fleet.register(evolve(first, sequence=2**53 - 1, draining=True))
+        await asyncio.sleep(11.0)
+        fleet.register(evolve(first, sequence=100))
+        await asyncio.sleep(1.0)
+        assert not endpoints["app-0"].draining
+
+    run_fleet(scenario)
