--- a/acaciacove/platform/log_client.py
+++ b/acaciacove/platform/log_client.py
@@ -123,6 +123,7 @@
             "topic": STREAMS[stream],
             "part": PARTITION,
             "source": offset,
+            "waitMs": int(wait_s * MS),
             "maxReadKb": MAX_READ_KB,
         }
         response = await self._get("log-read", query, wait_s)
@@ -166,15 +167,15 @@
         pause_s = wait_s + (REPEAT_EVERY_S if self._is_silent else REPEAT_AFTER_S)
         try:
             while True:
-                held_s = 0.0 if calls else wait_s
-                timed = query | {"waitMs": int(held_s * MS)} if wait_s else query
                 progress.append(CallProgress())
-                call = self._call("GET", name, timed, progress[-1], wait_s=held_s)
+                call = self._call("GET", name, query, progress[-1], wait_s=wait_s)
                 calls[asyncio.create_task(call)] = loop.time() - began_s
                 done = await _first_ended(calls, progress, pause_s)
                 if done is not None:
                     break
                 pause_s = REPEAT_EVERY_S
+                if wait_s:
+                    query, wait_s = query | {"waitMs": 0}, 0.0
         finally:
             for task in calls:
                 task.cancel()
