Peers: connections to them are closed when a gateway stops

Idle links were never closed, and Python 3.11.6 closes a forgotten stream when its object is destroyed, after the loop has ended.

The relay closes its links when the gateway's tasks have ended. The new test fails before.

--- a/acaciacove/gateway/relay/relayed_log.py
+++ b/acaciacove/gateway/relay/relayed_log.py
@@ -60,6 +60,11 @@
     _rejected_s: dict[LogStream, float] = field(factory=dict)
     _extra_requests: int = 0
 
+    def close(self) -> None:
+        """Close the connections to other gateways."""
+        for link in self._links.values():
+            link.close()
+
     async def newest(self, stream: LogStream) -> LogPage:
         """Return the newest record of each key."""
         return await self.metadata.newest(stream)
--- a/acaciacove/gateway/running_gateway.py
+++ b/acaciacove/gateway/running_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import closing
 from typing import Any
 
 from attrs import define, field
@@ -71,6 +72,7 @@
     gateway: Gateway = field(init=False)
     callers: CallerListener = field(init=False)
     pages: OperatorPages = field(init=False)
+    relayed: RelayedLog = field(init=False)
     operator: OperatorReader = field(init=False)
     endpoints: EndpointReader = field(init=False)
 
@@ -80,9 +82,10 @@
         self.gateway = Gateway(self.settings, self.dialect, view, self.log)
         self.callers = CallerListener(self.gateway, self.dialect, self.front_socket)
         self.pages = OperatorPages(self.gateway, self.dialect, self.callers)
-        self.metadata = self._relayed(
+        self.relayed = self._relayed(
             InstrumentedLog(self.metadata, self.gateway.metrics, self.gateway.era)
         )
+        self.metadata = self.relayed
         self.operator = OperatorReader(view, self.codec, self.log)
         self.endpoints = EndpointReader(self.gateway, self.codec)
 
@@ -109,6 +112,17 @@
             self.settings.metrics_address, self.pages.operator_protocol
         )
         recorder = OutcomeRecorder(self.gateway, self.metadata, self.codec)
+        # A connection that is open when the event loop has ended leaves a traceback.
+        with closing(self.relayed):
+            await self._serve_until(stop, recorder)
+        ready.close()
+        metrics.close()
+        self.log.write(Event.STOPPED, open_connections=len(self.callers.connections))
+
+    async def _serve_until(
+        self, stop: asyncio.Event, recorder: OutcomeRecorder
+    ) -> None:
+        """Run all tasks; serve callers until ``stop`` is set, and drain them."""
         async with background(
             *self._followers(),
             self._trim(),
@@ -123,9 +137,6 @@
             front = await self.callers.open()
             await stop.wait()
             await self.callers.drain(front)
-        ready.close()
-        metrics.close()
-        self.log.write(Event.STOPPED, open_connections=len(self.callers.connections))
 
     async def _wait_for_view(self) -> None:
         """Leave callers in the kernel's accept queue until the view is usable.
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -583,3 +583,23 @@
         assert all(expected in detail for detail in details)
 
     run_fleet(scenario)
+
+
+def test_connections_to_peers_are_closed_at_a_stop():
+    """Guards against a traceback at the exit of each gateway: a connection that is open
+    when the event loop has ended cannot be closed any more.
+    """
+
+    async def scenario(fleet):
+        await asyncio.sleep(3.0)
+        links = [
+            link
+            for running in fleet.gateways.values()
+            for link in running.relayed._links.values()
+        ]
+        assert any(link._connection is not None for link in links)
+        for name in list(fleet.gateways):
+            await fleet.stop_gateway(name)
+        return [link for link in links if link._connection is not None]
+
+    assert run_fleet(scenario, gateways=3) == []
